Add the design page, the build, and the Support and Model modules

Cause: every later part needs a common vocabulary (names, records, messages, outcomes, reason codes) and one build, formatter, linter and test command.

Change: design page with requirements, modules, messages and failure behaviour; CMake functions that also declare lint stamps; Support (time, results on Boost.LEAF, registry, bounded ring, JSON-line logs, metrics on Boost.Histogram, hashes) and Model; headers of the decision modules.

Conclusion: the frame is ready for the modules.

--- /dev/null
+++ b/include/teaselhitch/Config/Adoption.h
@@ -0,0 +1,61 @@
+#ifndef TEASELHITCH_CONFIG_ADOPTION_H
+#define TEASELHITCH_CONFIG_ADOPTION_H
+
+/// \file
+/// Brings a node to the newest configuration, from the platform or from other
+/// nodes, and never back. Pure.
+
+#include "teaselhitch/Config/Pieces.h"
+#include "teaselhitch/Model/Records.h"
+#include "teaselhitch/Support/Clock.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace teaselhitch {
+
+/// What to do next: fetch these pieces, from other nodes or the object store.
+struct AdoptionStep {
+  std::vector<PieceHash> Fetch;
+  /// Set when a configuration came into force in this step.
+  std::shared_ptr<const ActiveConfig> Adopted;
+};
+
+/// The adoption of configurations at one node.
+class ConfigAdoption {
+public:
+  /// How long to wait for a piece before it is asked for again.
+  static constexpr Duration RefetchInterval = Duration(500);
+
+  ConfigAdoption();
+  ~ConfigAdoption();
+
+  /// A head was read from the table or heard from another node. Heads that are
+  /// not above the active one and the one being fetched are ignored.
+  AdoptionStep headSeen(const ConfigHead &Head, Time Now);
+
+  /// A piece arrived. Bytes that do not match the hash are dropped and fetched
+  /// again.
+  AdoptionStep pieceArrived(const PieceHash &Hash, std::string Bytes, Time Now);
+
+  /// Asks again for pieces that are overdue.
+  AdoptionStep tick(Time Now);
+
+  /// The configuration in force, or null.
+  std::shared_ptr<const ActiveConfig> active() const;
+  /// The head of the configuration in force; version 0 if there is none.
+  ConfigHead head() const;
+
+  /// A piece of the active configuration, for other nodes.
+  std::optional<std::string> piece(const PieceHash &Hash) const;
+
+private:
+  struct Impl;
+  std::unique_ptr<Impl> State;
+};
+
+} // namespace teaselhitch
+
+#endif
--- /dev/null
+++ b/include/teaselhitch/Model/Messages.h
@@ -0,0 +1,171 @@
+#ifndef TEASELHITCH_MODEL_MESSAGES_H
+#define TEASELHITCH_MODEL_MESSAGES_H
+
+/// \file
+/// Requests, answers and the messages about them between entry and guard.
+
+#include "teaselhitch/Model/Names.h"
+#include "teaselhitch/Model/Outcome.h"
+#include "teaselhitch/Support/Clock.h"
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace teaselhitch {
+
+struct Header {
+  std::string Name;
+  std::string Value;
+
+  auto operator<=>(const Header &) const = default;
+};
+using HeaderList = std::vector<Header>;
+
+/// An HTTP request without connection-specific headers.
+struct HttpRequest {
+  std::string Method;
+  /// Path and query.
+  std::string Target;
+  HeaderList Headers;
+  std::string Body;
+
+  auto operator<=>(const HttpRequest &) const = default;
+};
+
+/// A whole HTTP answer without connection-specific headers.
+struct HttpAnswer {
+  unsigned Status = 0;
+  HeaderList Headers;
+  std::string Body;
+
+  auto operator<=>(const HttpAnswer &) const = default;
+};
+
+/// Identifies a request in the fleet for good: the incarnation tells requests
+/// of a restarted entry from earlier ones.
+struct RequestId {
+  NodeName Entry;
+  std::uint64_t Incarnation = 0;
+  std::uint64_t Sequence = 0;
+
+  auto operator<=>(const RequestId &) const = default;
+};
+std::string toString(const RequestId &Id);
+
+/// One try at running a request.
+struct AttemptId {
+  RequestId Request;
+  std::uint32_t Number = 0;
+
+  auto operator<=>(const AttemptId &) const = default;
+};
+std::string toString(const AttemptId &Id);
+
+/// How the backend servers of a service have done lately, as one entry saw it.
+/// Entries send it with each attempt, so that a guard can compare its own
+/// backend servers with their peers without traffic of its own.
+struct ServiceBaseline {
+  /// Share of failed requests, 0 to 1.
+  double ErrorRate = 0;
+  /// Geometric mean of the run times in milliseconds.
+  double RunTimeMs = 0;
+  /// Requests that the figures rest on; old requests count less. 0 means that
+  /// nothing is known.
+  double Weight = 0;
+
+  auto operator<=>(const ServiceBaseline &) const = default;
+};
+
+/// What a guard needs to decide on an attempt; the HTTP request travels beside
+/// it.
+struct DispatchInfo {
+  AttemptId Attempt;
+  ServiceName Service;
+  /// The backend server that the entry prefers; the guard may take another one
+  /// of the same service on its instance.
+  BackendServerName Preferred;
+  OrganisationName Organisation;
+  bool Idempotent = false;
+  /// Paid work goes before other work in the queue.
+  bool Paid = false;
+  /// Time left until the caller's deadline, counted from receipt.
+  Duration Remaining;
+  /// A guard-bound key, or empty.
+  std::string GuardKey;
+  /// Hash of organisation, rule and key or body, for crash quarantine.
+  std::uint64_t Fingerprint = 0;
+  ServiceBaseline Baseline;
+
+  auto operator<=>(const DispatchInfo &) const = default;
+};
+
+/// Entry to guard: run this attempt.
+struct Dispatch {
+  DispatchInfo Info;
+  HttpRequest Request;
+
+  auto operator<=>(const Dispatch &) const = default;
+};
+
+/// Entry to guard: the caller is gone or the deadline passed.
+struct Cancel {
+  AttemptId Attempt;
+
+  auto operator<=>(const Cancel &) const = default;
+};
+
+/// Guard to entry: the attempt ended without a whole answer.
+struct AttemptFailed {
+  AttemptId Attempt;
+  Reason Why = Reason::Overloaded;
+  /// NotRun is a proof; Unknown is everything else.
+  Outcome Result = Outcome::Unknown;
+  /// When a retry has a chance; zero if unknown.
+  Duration RetryAfter;
+  /// The backend server crashed while it ran the attempt.
+  bool Crashed = false;
+
+  auto operator<=>(const AttemptFailed &) const = default;
+};
+
+/// Guard to entry: the whole answer.
+struct AttemptAnswer {
+  AttemptId Attempt;
+  BackendServerName RanOn;
+  /// Requests in progress at that backend server, for balancing.
+  std::uint32_t InProgress = 0;
+  /// Time from the first byte sent to the backend server to the whole answer.
+  Duration RunTime;
+  HttpAnswer Answer;
+
+  auto operator<=>(const AttemptAnswer &) const = default;
+};
+
+/// Entry to guard: mint a guard-bound key. Token correlates the reply.
+struct MintKey {
+  std::uint64_t Token = 0;
+  ServiceName Service;
+
+  auto operator<=>(const MintKey &) const = default;
+};
+
+/// Guard to entry: the key, or an empty one if the guard refuses.
+struct KeyMinted {
+  std::uint64_t Token = 0;
+  std::string Key;
+  Duration ValidFor;
+
+  auto operator<=>(const KeyMinted &) const = default;
+};
+
+/// Messages from an entry to a guard.
+using GuardMessage = std::variant<Dispatch, Cancel, MintKey>;
+/// Messages from a guard to an entry.
+using EntryMessage = std::variant<AttemptFailed, AttemptAnswer, KeyMinted>;
+
+} // namespace teaselhitch
+
+#endif
--- /dev/null
+++ b/lib/Model/Records.cpp
@@ -0,0 +1,49 @@
+#include "teaselhitch/Model/Records.h"
+
+namespace teaselhitch {
+
+std::string toString(const Endpoint &E) {
+  return E.Address + ":" + std::to_string(E.Port);
+}
+
+const char *nodeStateName(NodeState State) {
+  switch (State) {
+  case NodeState::Alive:
+    return "alive";
+  case NodeState::Suspected:
+    return "suspected";
+  case NodeState::Dead:
+    return "dead";
+  case NodeState::Leaving:
+    return "leaving";
+  }
+  return "dead";
+}
+
+const char *backendServerStateName(BackendServerState State) {
+  switch (State) {
+  case BackendServerState::Starting:
+    return "starting";
+  case BackendServerState::Ready:
+    return "ready";
+  case BackendServerState::Draining:
+    return "draining";
+  case BackendServerState::Gone:
+    return "gone";
+  }
+  return "gone";
+}
+
+const char *backendServerHealthName(BackendServerHealth Health) {
+  switch (Health) {
+  case BackendServerHealth::Healthy:
+    return "healthy";
+  case BackendServerHealth::Suspected:
+    return "suspected";
+  case BackendServerHealth::Ejected:
+    return "ejected";
+  }
+  return "ejected";
+}
+
+} // namespace teaselhitch
--- /dev/null
+++ b/unittests/Support/ChannelTest.cpp
@@ -0,0 +1,63 @@
+#include "teaselhitch/Support/Channel.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <memory>
+#include <thread>
+
+using namespace teaselhitch;
+
+namespace {
+
+class ChannelTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ChannelTest);
+  CPPUNIT_TEST(fullRingRefusesAndKeepsMessage);
+  CPPUNIT_TEST(wakesOnceUntilDrained);
+  CPPUNIT_TEST(keepsOrderBetweenThreads);
+  CPPUNIT_TEST_SUITE_END();
+
+  /// Guards against losing a message when the ring is full.
+  void fullRingRefusesAndKeepsMessage() {
+    Channel<std::unique_ptr<int>> Ring(1);
+    CPPUNIT_ASSERT(Ring.trySend(std::make_unique<int>(1)));
+    auto Second = std::make_unique<int>(2);
+    CPPUNIT_ASSERT(!Ring.trySend(Second));
+    CPPUNIT_ASSERT(Second && *Second == 2);
+  }
+
+  /// Guards against a wake-up for each message, or none after a drain.
+  void wakesOnceUntilDrained() {
+    Channel<int> Ring(8);
+    int Wakes = 0;
+    Ring.setWake([&] { ++Wakes; });
+    CPPUNIT_ASSERT(Ring.trySend(1));
+    CPPUNIT_ASSERT(Ring.trySend(2));
+    CPPUNIT_ASSERT_EQUAL(1, Wakes);
+    int Sum = 0;
+    Ring.drain([&](int V) { Sum += V; });
+    CPPUNIT_ASSERT_EQUAL(3, Sum);
+    CPPUNIT_ASSERT(Ring.trySend(3));
+    CPPUNIT_ASSERT_EQUAL(2, Wakes);
+  }
+
+  /// Guards against reordered or lost messages between two threads.
+  void keepsOrderBetweenThreads() {
+    constexpr int Count = 20000;
+    Channel<int> Ring(64);
+    std::thread Sender([&] {
+      for (int I = 0; I != Count; ++I)
+        while (!Ring.trySend(I))
+          std::this_thread::yield();
+    });
+    int Next = 0;
+    bool Ordered = true;
+    while (Next != Count)
+      Ring.drain([&](int V) { Ordered = Ordered && V == Next++; });
+    Sender.join();
+    CPPUNIT_ASSERT(Ordered);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ChannelTest);
+
+} // namespace
--- /dev/null
+++ b/unittests/Support/HashTest.cpp
@@ -0,0 +1,44 @@
+#include "teaselhitch/Support/Hash.h"
+
+#include "teaselhitch/Support/Name.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace teaselhitch;
+
+namespace {
+
+class HashTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(HashTest);
+  CPPUNIT_TEST(knownDigests);
+  CPPUNIT_TEST(namesAreChecked);
+  CPPUNIT_TEST_SUITE_END();
+
+  /// Guards against hashes that differ between builds; they name objects in
+  /// the store. Vectors from FIPS 180-4 and RFC 4231, test case 2.
+  void knownDigests() {
+    CPPUNIT_ASSERT_EQUAL(std::string("ba7816bf8f01cfea414140de5dae2223"
+                                     "b00361a396177a9cb410ff61f20015ad"),
+                         sha256Hex("abc"));
+    CPPUNIT_ASSERT_EQUAL(std::string("5bdcc146bf60754e6a042426089575c7"
+                                     "5a003f089d2739839dec58b964ec3843"),
+                         hmacSha256Hex("Jefe", "what do ya want for nothing?"));
+    CPPUNIT_ASSERT(equalConstantTime("abc", "abc"));
+    CPPUNIT_ASSERT(!equalConstantTime("abc", "abd"));
+    CPPUNIT_ASSERT(!equalConstantTime("abc", "abcd"));
+  }
+
+  /// Guards against names that could escape a path or a header.
+  void namesAreChecked() {
+    CPPUNIT_ASSERT(isValidName("seat-sales_2.b"));
+    CPPUNIT_ASSERT(!isValidName(""));
+    CPPUNIT_ASSERT(!isValidName("../head"));
+    CPPUNIT_ASSERT(!isValidName("a/b"));
+    CPPUNIT_ASSERT(!isValidName("a\nb"));
+    CPPUNIT_ASSERT(!isValidName(std::string(65, 'a')));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(HashTest);
+
+} // namespace
