Add the check, pieces, adoption and publication of configuration

Cause: operators publish objects as one set, and nodes move to it without ever going back.

Change: checkObjects reads TOML files and reports every fault with its place; splitIntoPieces cuts each kind before the object with the least name hash until no piece has more than 64 objects; ConfigAdoption fetches pieces up to a bound and rejects sets that do not parse; ConfigPublisher writes pieces, one conditional head and a history row, and reads the head back after a lost answer.

Ruled out: cuts at every name whose hash is a multiple of N, because a long run without such a name needs cuts by position, and these move with each insertion.

--- a/include/teaselhitch/Config/Adoption.h
+++ b/include/teaselhitch/Config/Adoption.h
@@ -21,6 +21,9 @@
   std::vector<PieceHash> Fetch;
   /// Set when a configuration came into force in this step.
   std::shared_ptr<const ActiveConfig> Adopted;
+  /// Not empty when a head was given up in this step, because its pieces match
+  /// their hashes but are no valid set. The active configuration stays.
+  std::string Rejected;
 };
 
 /// The adoption of configurations at one node.
@@ -28,6 +31,9 @@
 public:
   /// How long to wait for a piece before it is asked for again.
   static constexpr Duration RefetchInterval = Duration(500);
+  /// Most pieces asked for at once. A large first set then arrives in several
+  /// rounds instead of being asked for again while it is still on the way.
+  static constexpr std::size_t MaxOutstanding = 64;
 
   ConfigAdoption();
   ~ConfigAdoption();
@@ -37,7 +43,7 @@
   AdoptionStep headSeen(const ConfigHead &Head, Time Now);
 
   /// A piece arrived. Bytes that do not match the hash are dropped and fetched
-  /// again.
+  /// again, at once the first time and by tick after that.
   AdoptionStep pieceArrived(const PieceHash &Hash, std::string Bytes, Time Now);
 
   /// Asks again for pieces that are overdue.
--- a/include/teaselhitch/Config/Check.h
+++ b/include/teaselhitch/Config/Check.h
@@ -44,10 +44,19 @@
   bool isValid() const { return Faults.empty(); }
 };
 
-/// Reads all files and reports all faults: syntax, unknown keys, wrong types
-/// and units, ranges, duplicate names, references to nothing, overlapping
-/// rules, floors above the size of the groups.
-CheckedSet checkObjects(const std::vector<SourceFile> &Files);
+/// What the check cannot know from the files.
+struct CheckOptions {
+  /// Names of the detector plug-ins; empty accepts every valid name.
+  std::vector<std::string> Detectors;
+};
+
+/// Reads all files and reports all faults in order of position: syntax (the
+/// first of each file), unknown keys, wrong types and units, ranges, duplicate
+/// names, references to nothing, overlapping rules, floors above the size of
+/// the groups. References are not checked while a file has a fault of syntax,
+/// because what they name may be in that file.
+CheckedSet checkObjects(const std::vector<SourceFile> &Files,
+                        const CheckOptions &Options = {});
 
 } // namespace teaselhitch
 
--- /dev/null
+++ b/lib/Config/Diff.cpp
@@ -0,0 +1,94 @@
+#include "teaselhitch/Config/Diff.h"
+
+#include "ObjectJson.h"
+
+#include <boost/json/serialize.hpp>
+
+namespace teaselhitch {
+
+namespace {
+
+/// Compares two objects of the same kind and name field by field.
+template <typename T>
+void diffFields(const T &Before, const T &After,
+                std::vector<Difference> &Found) {
+  boost::json::object Old = detail::toJson(Before);
+  boost::json::object New = detail::toJson(After);
+  for (const auto &Field : Old) {
+    const boost::json::value &Value = New.at(Field.key());
+    if (Value != Field.value())
+      Found.push_back({detail::kindName(Before), Before.Name.str(),
+                       ChangeKind::Changed, std::string(Field.key()),
+                       boost::json::serialize(Field.value()),
+                       boost::json::serialize(Value)});
+  }
+}
+
+template <typename T> std::string jsonOf(const T &Object) {
+  return boost::json::serialize(detail::toJson(Object));
+}
+
+/// Merges two vectors that are in order of name.
+template <typename T>
+void diffKind(const std::vector<T> &Before, const std::vector<T> &After,
+              std::vector<Difference> &Found) {
+  auto Old = Before.begin();
+  auto New = After.begin();
+  while (Old != Before.end() || New != After.end()) {
+    if (New == After.end() ||
+        (Old != Before.end() && Old->Name.str() < New->Name.str())) {
+      Found.push_back({detail::kindName(*Old), Old->Name.str(),
+                       ChangeKind::Removed, "", jsonOf(*Old), ""});
+      ++Old;
+      continue;
+    }
+    if (Old == Before.end() || New->Name.str() < Old->Name.str()) {
+      Found.push_back({detail::kindName(*New), New->Name.str(),
+                       ChangeKind::Added, "", "", jsonOf(*New)});
+      ++New;
+      continue;
+    }
+    if (*Old != *New)
+      diffFields(*Old, *New, Found);
+    ++Old;
+    ++New;
+  }
+}
+
+} // namespace
+
+const char *changeKindName(ChangeKind Change) {
+  switch (Change) {
+  case ChangeKind::Added:
+    return "added";
+  case ChangeKind::Removed:
+    return "removed";
+  case ChangeKind::Changed:
+    return "changed";
+  }
+  return "changed";
+}
+
+std::vector<Difference> diffObjects(const ObjectSet &Before,
+                                    const ObjectSet &After) {
+  std::vector<Difference> Found;
+  detail::forEachKind(
+      [&](const auto &Old, const auto &New) { diffKind(Old, New, Found); },
+      Before, After);
+  return Found;
+}
+
+std::string toString(const Difference &D) {
+  std::string Object = D.Kind + " '" + D.Name + "'";
+  switch (D.Change) {
+  case ChangeKind::Added:
+    return "+ " + Object + " " + D.After;
+  case ChangeKind::Removed:
+    return "- " + Object + " " + D.Before;
+  case ChangeKind::Changed:
+    break;
+  }
+  return "~ " + Object + ": " + D.Field + " " + D.Before + " -> " + D.After;
+}
+
+} // namespace teaselhitch
--- /dev/null
+++ b/lib/Config/Head.cpp
@@ -0,0 +1,170 @@
+#include "teaselhitch/Config/Head.h"
+
+#include <boost/json/object.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <algorithm>
+#include <exception>
+
+namespace teaselhitch {
+
+namespace {
+
+/// Enough for one version each second over thirty years.
+constexpr std::size_t HistoryKeyDigits = 10;
+
+/// Rows asked for in one request.
+constexpr unsigned HistoryPage = 100;
+
+std::string text(const boost::json::value &V, const char *Key) {
+  const boost::json::string &Text = V.at(Key).as_string();
+  return {Text.data(), Text.size()};
+}
+
+/// Throws an exception of the standard library if Json is no head.
+PublishedHead headFromJson(const std::string &Json) {
+  boost::json::value V = boost::json::parse(Json);
+  PublishedHead Head;
+  Head.Version = V.at("version").to_number<std::uint64_t>();
+  Head.Manifest = text(V, "manifest");
+  Head.ParentVersion = V.at("parent_version").to_number<std::uint64_t>();
+  Head.ParentManifest = text(V, "parent_manifest");
+  Head.PublishId = text(V, "publish_id");
+  Head.Who = text(V, "who");
+  Head.TimeMs = V.at("time_ms").to_number<std::uint64_t>();
+  Head.Message = text(V, "message");
+  return Head;
+}
+
+} // namespace
+
+std::string toJsonText(const PublishedHead &Head) {
+  return boost::json::serialize(
+      boost::json::object{{"version", Head.Version},
+                          {"manifest", Head.Manifest},
+                          {"parent_version", Head.ParentVersion},
+                          {"parent_manifest", Head.ParentManifest},
+                          {"publish_id", Head.PublishId},
+                          {"who", Head.Who},
+                          {"time_ms", Head.TimeMs},
+                          {"message", Head.Message}});
+}
+
+Result<PublishedHead> parseHead(const std::string &Json) {
+  try {
+    PublishedHead Head = headFromJson(Json);
+    if (Head.Version != 0 && Head.ParentVersion < Head.Version)
+      return Head;
+  } catch (const std::exception &) {
+    return makeError(ErrorCode::Corrupt,
+                     "the published head of the configuration does not parse");
+  }
+  return makeError(ErrorCode::Corrupt,
+                   "the published head of the configuration has no version "
+                   "above its parent's");
+}
+
+std::string historyKey(std::uint64_t Version) {
+  std::string Digits = std::to_string(Version);
+  std::size_t Zeros =
+      HistoryKeyDigits - std::min(HistoryKeyDigits, Digits.size());
+  return std::string(Zeros, '0') + Digits;
+}
+
+std::string pieceObjectKey(const PieceHash &Hash) { return Hash; }
+
+Result<std::optional<HeadRow>> readHead(TableStore &Table) {
+  Result<std::optional<TableRow>> Row = Table.read(ConfigTable, ConfigHeadKey);
+  if (!Row)
+    return Row.error();
+  if (!*Row)
+    return std::optional<HeadRow>();
+  Result<PublishedHead> Head = parseHead((*Row)->Value);
+  if (!Head)
+    return Head.error();
+  return std::optional<HeadRow>(HeadRow{*Head, (*Row)->Version});
+}
+
+Result<PublishedHead> readPublication(TableStore &Table,
+                                      std::uint64_t Version) {
+  Result<std::optional<TableRow>> Row =
+      Table.read(ConfigHistoryTable, historyKey(Version));
+  if (!Row)
+    return Row.error();
+  if (*Row)
+    return parseHead((*Row)->Value);
+  Result<std::optional<HeadRow>> Head = readHead(Table);
+  if (!Head)
+    return Head.error();
+  if (*Head && (*Head)->Head.Version == Version)
+    return (*Head)->Head;
+  return makeError(ErrorCode::NotFound,
+                   "there is no published version " + std::to_string(Version));
+}
+
+Result<std::vector<PublishedHead>> readHistory(TableStore &Table,
+                                               unsigned Limit) {
+  Result<std::optional<HeadRow>> Head = readHead(Table);
+  if (!Head)
+    return Head.error();
+  std::vector<PublishedHead> Publications;
+  if (!*Head || Limit == 0)
+    return Publications;
+  const PublishedHead &Newest = (*Head)->Head;
+  // Versions have no gaps, so the last Limit rows start at a known key.
+  std::uint64_t Before =
+      Newest.Version - std::min<std::uint64_t>(Limit, Newest.Version);
+  while (Before < Newest.Version) {
+    Result<std::vector<TableRow>> Rows =
+        Table.range(ConfigHistoryTable, "", historyKey(Before), HistoryPage);
+    if (!Rows)
+      return Rows.error();
+    if (Rows->empty())
+      break;
+    for (const TableRow &Row : *Rows) {
+      Result<PublishedHead> Publication = parseHead(Row.Value);
+      if (!Publication)
+        return Publication.error();
+      Before = std::max(Before + 1, Publication->Version);
+      if (Publication->Version < Newest.Version)
+        Publications.push_back(std::move(*Publication));
+    }
+  }
+  Publications.push_back(Newest);
+  std::reverse(Publications.begin(), Publications.end());
+  return Publications;
+}
+
+Result<void> PublishedSetReader::fetch(const PieceHash &Hash) {
+  if (Pieces.count(Hash) != 0)
+    return {};
+  Result<std::optional<std::string>> Piece = Objects.read(pieceObjectKey(Hash));
+  if (!Piece)
+    return Piece.error();
+  if (!*Piece)
+    return makeError(ErrorCode::Corrupt, "piece " + Hash +
+                                             " of the configuration is not in "
+                                             "the object store");
+  Pieces.emplace(Hash, std::move(**Piece));
+  return {};
+}
+
+Result<ObjectSet> PublishedSetReader::read(const PieceHash &Manifest) {
+  if (Manifest.empty())
+    return ObjectSet();
+  Result<void> Fetched = fetch(Manifest);
+  if (!Fetched)
+    return Fetched.error();
+  Result<std::vector<PieceHash>> Hashes = piecesOfManifest(Pieces[Manifest]);
+  if (!Hashes)
+    return Hashes.error();
+  for (const PieceHash &Hash : *Hashes) {
+    Fetched = fetch(Hash);
+    if (!Fetched)
+      return Fetched.error();
+  }
+  return joinPieces(Manifest, Pieces);
+}
+
+} // namespace teaselhitch
--- /dev/null
+++ b/unittests/Config/CheckTest.cpp
@@ -0,0 +1,183 @@
+#include "teaselhitch/Config/Check.h"
+
+#include "teaselhitch/Config/Text.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace teaselhitch;
+
+namespace {
+
+/// A valid set; the faults below are added to it.
+const char *const Base = R"([[service]]
+name = "seats"
+floor = 4
+detection = "fast-detection"
+[[group]]
+name = "seat-workers"
+service = "seats"
+failure_domains = ["sapporo", "otaru"]
+label = "blue"
+expected_size = 8
+[[rule]]
+name = "lookup"
+method = "GET"
+path_prefix = "/seats"
+group = "seat-workers"
+idempotent = true
+deadline_ms = 2000
+[[organisation]]
+name = "guests"
+share = 3
+[[limit]]
+name = "seats-limit"
+service = "seats"
+)";
+
+std::string firstFault(const std::string &Text) {
+  CheckedSet Set = checkObjects({{"base.toml", Base}, {"more.toml", Text}},
+                                {{"consecutive", "sequential", "window"}});
+  std::string All;
+  for (const Diagnostic &Fault : Set.Faults)
+    All += (All.empty() ? "" : "\n") + toString(Fault);
+  return All;
+}
+
+struct Case {
+  const char *Text;
+  /// All diagnostics, one a line.
+  const char *Expected;
+};
+
+const Case Cases[] = {
+    {"[[servce]]\nname = \"a\"",
+     "more.toml:1:3: unknown table 'servce', did you mean 'service'?"},
+    {"[service]\nname = \"a\"",
+     "more.toml:1:1: 'service' must be an array of tables, write [[service]]"},
+    {"[[organisation]]\nname = \"a\"\nshares = 2",
+     "more.toml:3:1: unknown key 'shares' in organisation 'a', did you mean "
+     "'share'?"},
+    {"[[organisation]]\nname = \"a\"\nshare = \"2\"",
+     "more.toml:3:9: key 'share' in organisation 'a' must be an integer, not a "
+     "string"},
+    {"[[organisation]]\nname = \"a\"\nshare = 0",
+     "more.toml:3:9: key 'share' in organisation 'a' must be from 1 to 10000, "
+     "not 0"},
+    {"[[organisation]]\nshare = 1",
+     "more.toml:1:1: missing key 'name' in organisation"},
+    {"[[organisation]]\nname = \"a b\"",
+     "more.toml:2:8: invalid name 'a b' for key 'name' in organisation 'a b', "
+     "a name has 1 to 64 of a-z A-Z 0-9 . _ - and starts with a letter or a "
+     "digit"},
+    {"[[organisation]]\nname = \"guests\"",
+     "more.toml:2:8: duplicate organisation 'guests', first defined at "
+     "base.toml:19:8"},
+    {"[[rule]]\nname = \"r\"\npath_prefix = \"/r\"\ngroup = \"seat-worker\"",
+     "more.toml:4:9: unknown group 'seat-worker' in rule 'r', did you mean "
+     "'seat-workers'?"},
+    {"[[rule]]\nname = \"r\"\npath_prefix = \"/seats\"\nmethod = \"GET\"\n"
+     "group = \"seat-workers\"",
+     "more.toml:3:15: rule 'r' has the same method and path prefix as rule "
+     "'lookup' at base.toml:14:15"},
+    {"[[rule]]\nname = \"r\"\npath_prefix = \"/r\"\ngroup = \"seat-workers\"\n"
+     "paid = true\nidempotent = true",
+     "more.toml:5:8: rule 'r' is paid and idempotent, but a paid request must "
+     "not run twice"},
+    {"[[rule]]\nname = \"r\"\npath_prefix = \"/r/\"\n"
+     "group = \"seat-workers\"\nmethod = \"get\"\ndeadline_ms = 30001",
+     "more.toml:3:15: key 'path_prefix' in rule 'r' must have no empty, '.' or "
+     "'..' segment and no '/' at the end, not '/r/'\n"
+     "more.toml:5:10: unknown method 'get' in rule 'r', did you mean 'GET'?\n"
+     "more.toml:6:15: key 'deadline_ms' in rule 'r' must be from 1 to 30000 "
+     "milliseconds, not 30001"},
+    {"[[limit]]\nname = \"l\"\nservice = \"seats\"",
+     "more.toml:3:11: limit 'l' is the second for service 'seats', the first "
+     "is 'seats-limit' at base.toml:23:11"},
+    {"[[service]]\nname = \"b\"", "more.toml:2:8: service 'b' has no group"},
+    {"[[service]]\nname = \"b\"\nfloor = 5\n[[group]]\nname = \"g\"\n"
+     "service = \"b\"\nexpected_size = 4",
+     "more.toml:3:9: floor 5 of service 'b' is above the 4 backend servers "
+     "that its groups expect"},
+    {"[[service]]\nname = \"b\"\ndetection = \"fast\"\n"
+     "detector = \"sequental\"\n[[group]]\nname = \"g\"\nservice = \"b\"",
+     "more.toml:3:13: unknown detection 'fast' in service 'b', known: "
+     "few-false-ejections, balanced, fast-detection\n"
+     "more.toml:4:12: unknown detector 'sequental' in service 'b', did you "
+     "mean 'sequential'?"},
+    {"[[group]]\nname = \"g\"\nservice = \"seats\"\n"
+     "failure_domains = [\"x\", 3, \"x\"]\nlabel = \"a\\u0007\"",
+     "more.toml:4:25: key 'failure_domains' in group 'g' must list strings, "
+     "not an integer\n"
+     "more.toml:4:28: key 'failure_domains' in group 'g' lists 'x' twice\n"
+     "more.toml:5:9: key 'label' in group 'g' must have at most 128 bytes and "
+     "no control characters, not 'a\a'"},
+    // A reference to what may be in the unreadable file is no fault.
+    {"[[rule]]\nname = \"r\npath_prefix = \"/r\"",
+     "more.toml:2:10: syntax error: "},
+};
+
+class CheckTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(CheckTest);
+  CPPUNIT_TEST(reportsEachFaultWithItsPlace);
+  CPPUNIT_TEST(readsAllKeysInOrderOfName);
+  CPPUNIT_TEST(tomlTextReadsBackEqual);
+  CPPUNIT_TEST(refusesAnEmptySet);
+  CPPUNIT_TEST_SUITE_END();
+
+  /// Guards against faults that pass, that hide others, or that are reported
+  /// at the wrong place or in words that do not help.
+  void reportsEachFaultWithItsPlace() {
+    for (const Case &C : Cases) {
+      std::string Found = firstFault(C.Text);
+      if (std::string(C.Expected).find("syntax error") != std::string::npos)
+        Found = Found.substr(0, std::string(C.Expected).size());
+      CPPUNIT_ASSERT_EQUAL(std::string(C.Expected), Found);
+    }
+  }
+
+  /// Guards against keys that are accepted but not stored, and against a
+  /// result that depends on the order of files.
+  void readsAllKeysInOrderOfName() {
+    SourceFile More{"more.toml", "[[organisation]]\nname = \"doors\""};
+    CheckedSet Set = checkObjects({{"base.toml", Base}, More});
+    CPPUNIT_ASSERT(Set.isValid());
+    ObjectSet Expected;
+    Expected.Services = {{ServiceName("seats"), 4,
+                          DetectionPreset::FastDetection, "sequential"}};
+    Expected.Groups = {{GroupName("seat-workers"),
+                        ServiceName("seats"),
+                        {FailureDomain("otaru"), FailureDomain("sapporo")},
+                        "blue",
+                        8}};
+    Expected.Rules = {{RuleName("lookup"), "GET", "/seats",
+                       GroupName("seat-workers"), true, false, Duration(2000)}};
+    Expected.Organisations = {{OrganisationName("doors"), 1},
+                              {OrganisationName("guests"), 3}};
+    Expected.Limits = {{LimitName("seats-limit"), ServiceName("seats")}};
+    CPPUNIT_ASSERT(Expected == Set.Objects);
+    CPPUNIT_ASSERT(checkObjects({More, {"base.toml", Base}}).Objects ==
+                   Expected);
+  }
+
+  /// Guards against a shown set that an operator cannot publish again.
+  void tomlTextReadsBackEqual() {
+    ObjectSet Set = checkObjects({{"base.toml", Base}}).Objects;
+    Set.Groups[0].Label = "quote \" backslash \\ \xc3\xa9";
+    CheckedSet Again = checkObjects({{"again.toml", toToml(Set)}});
+    CPPUNIT_ASSERT(Again.isValid());
+    CPPUNIT_ASSERT(Set == Again.Objects);
+  }
+
+  /// Guards against a publication that removes everything by a wrong file.
+  void refusesAnEmptySet() {
+    CheckedSet Set = checkObjects({{"empty.toml", "# nothing\n"}});
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Set.Faults.size());
+    CPPUNIT_ASSERT_EQUAL(
+        std::string("empty.toml:0:0: the files define no objects"),
+        toString(Set.Faults[0]));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(CheckTest);
+
+} // namespace
--- /dev/null
+++ b/unittests/Config/PiecesTest.cpp
@@ -0,0 +1,170 @@
+#include "teaselhitch/Config/Pieces.h"
+
+#include "teaselhitch/Support/Hash.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+
+using namespace teaselhitch;
+
+namespace {
+
+constexpr std::size_t RuleCount = 10'000;
+
+Rule makeRule(std::size_t Number) {
+  std::string Digits = std::to_string(100'000 + Number);
+  return {RuleName("rule-" + Digits), "GET", "/path/" + Digits,
+          GroupName("workers")};
+}
+
+ObjectSet largeSet() {
+  ObjectSet Set;
+  Set.Services = {{ServiceName("service")}};
+  Set.Groups = {{GroupName("workers"), ServiceName("service"), {}, ""}};
+  for (std::size_t I = 0; I != RuleCount; ++I)
+    Set.Rules.push_back(makeRule(I));
+  return Set;
+}
+
+struct Transfer {
+  std::size_t Pieces = 0;
+  std::size_t Bytes = 0;
+};
+
+/// What a node with Before has to fetch for After, without the manifest.
+Transfer transferBetween(const PieceSet &Before, const PieceSet &After) {
+  Transfer T;
+  for (const auto &[Hash, Bytes] : After.Pieces) {
+    if (Hash == After.ManifestHash || Before.Pieces.count(Hash) != 0)
+      continue;
+    ++T.Pieces;
+    T.Bytes += Bytes.size();
+  }
+  return T;
+}
+
+std::string joinError(const PieceHash &Manifest,
+                      const std::map<PieceHash, std::string> &Pieces) {
+  return handleError(
+      [&]() -> Result<std::string> {
+        auto Set = joinPieces(Manifest, Pieces);
+        if (!Set)
+          return Set.error();
+        return std::string("joined");
+      },
+      [](const Error &E) { return std::string(errorCodeName(E.Code)); });
+}
+
+class PiecesTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(PiecesTest);
+  CPPUNIT_TEST(joinsWhatWasSplit);
+  CPPUNIT_TEST(smallChangesMoveLittle);
+  CPPUNIT_TEST(pieceSizesAreBounded);
+  CPPUNIT_TEST(refusesWrongPieces);
+  CPPUNIT_TEST_SUITE_END();
+
+  /// Guards against fields that get lost between publisher and node.
+  void joinsWhatWasSplit() {
+    ObjectSet Set = largeSet();
+    Set.Services[0].Preset = DetectionPreset::FewFalseEjections;
+    Set.Groups[0].Domains = {FailureDomain("rennes")};
+    Set.Organisations = {{OrganisationName("firm"), 7}};
+    Set.Limits = {
+        {LimitName("limit"), ServiceName("service"), 2, 1'000'000, 30}};
+    PieceSet Pieces = splitIntoPieces(Set);
+    ObjectSet Joined = handleError(
+        [&] { return joinPieces(Pieces.ManifestHash, Pieces.Pieces); },
+        [](const Error &) { return ObjectSet(); });
+    CPPUNIT_ASSERT(Set == Joined);
+  }
+
+  /// Guards against boundaries that move when an object is inserted or
+  /// removed, which would send all later pieces to all nodes.
+  void smallChangesMoveLittle() {
+    constexpr std::size_t MaxBytes = 16 * 1024;
+    const ObjectSet Set = largeSet();
+    const PieceSet Before = splitIntoPieces(Set);
+    for (std::size_t I = 0; I < RuleCount; I += 499) {
+      ObjectSet Changed = Set;
+      Changed.Rules[I].Deadline = Duration(1);
+      Transfer Change = transferBetween(Before, splitIntoPieces(Changed));
+      CPPUNIT_ASSERT_EQUAL(std::size_t(1), Change.Pieces);
+      CPPUNIT_ASSERT(Change.Bytes < MaxBytes);
+
+      ObjectSet Removed = Set;
+      Removed.Rules.erase(Removed.Rules.begin() + I);
+      ObjectSet Inserted = Set;
+      Rule New = Set.Rules[I];
+      New.Name = RuleName(New.Name.str() + "-b");
+      Inserted.Rules.insert(Inserted.Rules.begin() + I + 1, New);
+      for (const ObjectSet &Other : {Removed, Inserted}) {
+        Transfer T = transferBetween(Before, splitIntoPieces(Other));
+        CPPUNIT_ASSERT(T.Pieces <= 2);
+        CPPUNIT_ASSERT(T.Bytes < MaxBytes);
+      }
+    }
+  }
+
+  /// Guards against pieces that are too long for one frame.
+  void pieceSizesAreBounded() {
+    for (std::size_t Count : {0, 1, 64, 65, 1000}) {
+      ObjectSet Set = largeSet();
+      Set.Rules.resize(Count);
+      PieceSet Pieces = splitIntoPieces(Set);
+      for (const auto &[Hash, Bytes] : Pieces.Pieces) {
+        std::size_t Objects = 0;
+        for (std::size_t At = Bytes.find("\"name\""); At != std::string::npos;
+             At = Bytes.find("\"name\"", At + 1))
+          ++Objects;
+        CPPUNIT_ASSERT(Objects <= MaxObjectsPerPiece);
+      }
+      CPPUNIT_ASSERT_EQUAL(std::string("joined"),
+                           joinError(Pieces.ManifestHash, Pieces.Pieces));
+    }
+  }
+
+  /// Guards against a node that runs objects that nobody published.
+  void refusesWrongPieces() {
+    ObjectSet Set = largeSet();
+    Set.Rules.resize(100);
+    const PieceSet Good = splitIntoPieces(Set);
+    std::string Manifest = Good.Pieces.at(Good.ManifestHash);
+    PieceHash Last = Manifest.substr(Manifest.rfind("],\"organ") - 65, 64);
+
+    auto Missing = Good.Pieces;
+    Missing.erase(Last);
+    CPPUNIT_ASSERT_EQUAL(std::string("not-found"),
+                         joinError(Good.ManifestHash, Missing));
+    auto Altered = Good.Pieces;
+    Altered[Last] += " ";
+    CPPUNIT_ASSERT_EQUAL(std::string("corrupt"),
+                         joinError(Good.ManifestHash, Altered));
+
+    // With matching hashes: another order of keys, a further key, no JSON, a
+    // piece of another kind.
+    std::string Text = Good.Pieces.at(Last);
+    std::string Longer = Text;
+    Longer.insert(Longer.size() - 1, ",\"x\":1");
+    std::string Reordered =
+        "{" +
+        Text.substr(Text.find("\"objects\""),
+                    Text.size() - 1 - Text.find("\"objects\"")) +
+        ",\"kind\":\"rule\"}";
+    for (const std::string &Wrong :
+         {Longer, Reordered, std::string("{"),
+          std::string("{\"kind\":\"limit\",\"objects\":[]}")}) {
+      auto Pieces = Good.Pieces;
+      std::string Changed = Manifest;
+      Changed.replace(Changed.find(Last), Last.size(), sha256Hex(Wrong));
+      Pieces[sha256Hex(Wrong)] = Wrong;
+      Pieces[sha256Hex(Changed)] = Changed;
+      CPPUNIT_ASSERT_EQUAL(std::string("corrupt"),
+                           joinError(sha256Hex(Changed), Pieces));
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PiecesTest);
+
+} // namespace
