--- /dev/null
+++ b/include/teaselhitch/Detection/Baseline.h
@@ -0,0 +1,85 @@
+#ifndef TEASELHITCH_DETECTION_BASELINE_H
+#define TEASELHITCH_DETECTION_BASELINE_H
+
+/// \file
+/// Figures of a service as entries see them, and their combination at a guard.
+
+#include "teaselhitch/Model/Messages.h"
+#include "teaselhitch/Model/Names.h"
+#include "teaselhitch/Support/Clock.h"
+
+#include <map>
+
+namespace teaselhitch {
+
+/// Sums over requests; old requests count less.
+class BaselineTracker {
+public:
+  /// Time after which a request counts half. Entries and guards use the same,
+  /// so that a guard can take its own share out of an entry's figures. It is
+  /// short, so that an overload of the whole service shows at once.
+  static constexpr Duration HalfLife = Duration::seconds(2);
+
+  void record(bool Success, Duration RunTime, Time Now);
+  /// Sums of Other, as of Now, are added Factor times.
+  void add(const BaselineTracker &Other, double Factor, Time Now);
+  /// An entry's figures, as of Now, are added.
+  void add(const ServiceBaseline &Other, Time Now);
+
+  ServiceBaseline baseline(Time Now) const;
+
+private:
+  void age(Time Now);
+  static double decay(Duration Age);
+
+  double Requests = 0;
+  double Failures = 0;
+  double Successes = 0;
+  /// Sum of the logarithms of run times of successes.
+  double LogRunTimes = 0;
+  Time At;
+};
+
+/// The figures of the other backend servers of one service at one guard.
+class PeerFigures {
+public:
+  /// An entry sent its figures with a dispatch.
+  void receive(const NodeName &Entry, const ServiceBaseline &Figures, Time Now);
+  /// A request of an own backend server ended.
+  void record(const BackendServerName &Server, bool Success, Duration RunTime,
+              Time Now);
+  void forget(const BackendServerName &Server) { Own.erase(Server); }
+
+  /// Figures of all but Server. The error rate is the higher one of the last
+  /// seconds and of the last minutes, which errs towards keeping a backend
+  /// server in use.
+  ServiceBaseline without(const BackendServerName &Server, Time Now);
+
+private:
+  struct FromEntry {
+    ServiceBaseline Figures;
+    Time At;
+  };
+  struct OwnServer {
+    BaselineTracker Requests;
+    /// Mean over minutes of the peers' figures.
+    double SlowErrorRate = 0;
+    double SlowWeight = 0;
+    ServiceBaseline Result;
+    Time ComputedAt;
+    bool Computed = false;
+  };
+
+  void merge(Time Now);
+  ServiceBaseline peersOf(const BackendServerName &Server, Time Now) const;
+
+  std::map<NodeName, FromEntry> Entries;
+  std::map<BackendServerName, OwnServer> Own;
+  BaselineTracker Merged;
+  Time MergedAt;
+  bool HasMerged = false;
+};
+
+} // namespace teaselhitch
+
+#endif
