--- a/cmake/TeaselhitchTargets.cmake
+++ b/cmake/TeaselhitchTargets.cmake
@@ -48,9 +48,13 @@
 endfunction()
 
 # teaselhitch_library(Name SOURCES file... [DEPENDS module-or-target...]
-#                     [PRIVATE_DEPENDS target...])
+#                     [PRIVATE_DEPENDS target...] [PLUGINS name...])
+#
+# PLUGINS names the anchors of TEASELHITCH_PLUGIN in the sources. Without them
+# the linker would drop a plug-in from the static library, because no symbol
+# refers to it.
 function(teaselhitch_library Name)
-  cmake_parse_arguments(Arg "" "" "SOURCES;DEPENDS;PRIVATE_DEPENDS" ${ARGN})
+  cmake_parse_arguments(Arg "" "" "SOURCES;DEPENDS;PRIVATE_DEPENDS;PLUGINS" ${ARGN})
   set(Target teaselhitch_${Name})
   add_library(${Target} STATIC ${Arg_SOURCES})
   add_library(teaselhitch::${Name} ALIAS ${Target})
@@ -61,6 +65,10 @@
   target_link_libraries(${Target}
     PUBLIC ${Arg_DEPENDS}
     PRIVATE ${Arg_PRIVATE_DEPENDS} $<BUILD_INTERFACE:teaselhitch_options>)
+  foreach(Plugin ${Arg_PLUGINS})
+    target_link_options(${Target} INTERFACE
+      "LINKER:-u,teaselhitchPlugin${Plugin}")
+  endforeach()
   set_property(GLOBAL APPEND PROPERTY TEASELHITCH_LIBRARIES ${Target})
   teaselhitch_lint(${Target} ${Arg_SOURCES})
 endfunction()
--- /dev/null
+++ b/include/teaselhitch/Net/HttpServer.h
@@ -0,0 +1,71 @@
+#ifndef TEASELHITCH_NET_HTTPSERVER_H
+#define TEASELHITCH_NET_HTTPSERVER_H
+
+/// \file
+/// An HTTP/1.1 server that passes whole requests to a handler.
+
+#include "teaselhitch/Model/Messages.h"
+#include "teaselhitch/Model/Records.h"
+#include "teaselhitch/Net/EventLoop.h"
+#include "teaselhitch/Support/Result.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+
+namespace teaselhitch {
+
+/// A request that waits for its answer. Use it on the thread of the loop.
+class HttpExchange {
+public:
+  virtual ~HttpExchange() = default;
+
+  virtual HttpRequest &request() = 0;
+  /// Sends the answer; later calls are ignored.
+  virtual void reply(HttpAnswer Answer) = 0;
+  /// Called once if the client closes the connection before the answer.
+  virtual void onGone(std::function<void()> Function) = 0;
+};
+
+struct HttpServerSettings {
+  Endpoint Listen;
+  std::uint32_t MaxHeaderBytes = 16 * 1024;
+  std::uint64_t MaxBodyBytes = 1024 * 1024;
+  std::uint32_t MaxConnections = 1024;
+  /// An idle connection is closed after this time.
+  Duration IdleTimeout = Duration::seconds(60);
+  /// Time to receive a whole request once its first byte is there.
+  Duration RequestTimeout = Duration::seconds(30);
+};
+
+class HttpServer {
+public:
+  using Handler = std::function<void(std::shared_ptr<HttpExchange>)>;
+  /// Makes the answer for a request that the server itself refuses.
+  using Refusal = std::function<HttpAnswer(Reason)>;
+
+  /// Listens at once; Unavailable if the address cannot be bound.
+  static Result<std::unique_ptr<HttpServer>>
+  create(EventLoop &Loop, HttpServerSettings Settings, Handler Handle,
+         Refusal Refuse);
+  virtual ~HttpServer() = default;
+
+  /// Closes idle connections and closes others after their answer. New
+  /// connections are still taken, so that their requests are refused with a
+  /// reason.
+  virtual void drain() = 0;
+
+  /// Stops listening and closes all connections.
+  virtual void close() = 0;
+
+  virtual std::size_t connectionCount() const = 0;
+  /// The bound port.
+  virtual std::uint16_t port() const = 0;
+};
+
+/// The value of a header, or an empty string. Names are compared without case.
+std::string headerValue(const HeaderList &Headers, const std::string &Name);
+
+} // namespace teaselhitch
+
+#endif
--- /dev/null
+++ b/include/teaselhitch/Settings/NodeSettings.h
@@ -0,0 +1,97 @@
+#ifndef TEASELHITCH_SETTINGS_NODESETTINGS_H
+#define TEASELHITCH_SETTINGS_NODESETTINGS_H
+
+/// \file
+/// The settings file of a node.
+
+#include "teaselhitch/Model/Names.h"
+#include "teaselhitch/Model/Records.h"
+#include "teaselhitch/Support/Clock.h"
+#include "teaselhitch/Support/Log.h"
+
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace teaselhitch {
+
+/// Settings that a node learns when it starts. All addresses are IP addresses.
+struct NodeSettings {
+  // [node]
+  std::string Fleet;
+  NodeName Node;
+  FailureDomain Domain;
+  RegionName Region;
+
+  // [listen]
+  Endpoint Callers;
+  Endpoint BackendServers;
+  Endpoint Operators;
+  /// TCP and UDP.
+  Endpoint Peers;
+
+  // [peers]
+  std::vector<Endpoint> Seeds;
+  /// Key of the messages between nodes, at least 16 characters.
+  std::string Secret;
+  /// Also accepted, during a change of the key; may be empty.
+  std::string PreviousSecret;
+
+  // [platform]
+  Endpoint Platform;
+  Duration PlatformTimeout = Duration::seconds(2);
+  Duration HeadPollInterval = Duration::seconds(10);
+
+  // [limits]
+  std::uint32_t MaxHeaderBytes = 16 * 1024;
+  std::uint64_t MaxBodyBytes = 1024 * 1024;
+  std::uint64_t MaxAnswerBytes = 1024 * 1024;
+  std::uint32_t MaxCallerConnections = 1024;
+  std::uint32_t MaxRequests = 8192;
+  /// Bound of a graceful shutdown.
+  Duration DrainTimeout = Duration::seconds(30);
+  /// Time in which a node that shuts down still takes requests and passes them
+  /// to other nodes.
+  Duration DrainGrace = Duration::seconds(3);
+
+  // [policy]
+  std::string Balancer = "two-choices";
+
+  // [log]
+  LogLevel Level = LogLevel::Info;
+  /// A file, or "-" for standard error.
+  std::string LogPath = "-";
+};
+
+/// A fault in the settings. Line starts at 1; 0 means that a key is missing.
+struct SettingsFault {
+  std::uint32_t Line = 0;
+  /// Dotted key, e.g. "limits.drain_timeout_ms".
+  std::string Key;
+  /// What is wrong and what was expected.
+  std::string Message;
+
+  auto operator<=>(const SettingsFault &) const = default;
+};
+
+struct CheckedSettings {
+  /// Complete only if Faults is empty.
+  NodeSettings Settings;
+  std::vector<SettingsFault> Faults;
+};
+
+/// Reads and checks the text of a settings file as a whole.
+CheckedSettings readNodeSettings(std::string_view Text);
+
+/// "file:line: key: message".
+std::string describeFault(const std::string &File, const SettingsFault &Fault);
+
+/// An IP address and a port, e.g. "127.0.0.1:7001" or "[::1]:7001".
+std::optional<Endpoint> parseEndpoint(std::string_view Text);
+
+} // namespace teaselhitch
+
+#endif
--- a/include/teaselhitch/Support/Registry.h
+++ b/include/teaselhitch/Support/Registry.h
@@ -14,6 +14,15 @@
 #include <utility>
 #include <vector>
 
+/// Defines the symbol by which the build keeps a plug-in's object file in a
+/// static library. Use it once in the source file, outside of namespaces, and
+/// list Name under PLUGINS of the library.
+#define TEASELHITCH_PLUGIN(Name)                                               \
+  extern "C" {                                                                 \
+  extern const char teaselhitchPlugin##Name;                                   \
+  const char teaselhitchPlugin##Name = 0;                                      \
+  }
+
 namespace teaselhitch {
 
 /// The plug-ins that implement PluginT, by name. ArgsT are the arguments of
--- /dev/null
+++ b/lib/Net/BackendClient.cpp
@@ -0,0 +1,273 @@
+#include "teaselhitch/Net/BackendClient.h"
+
+#include "Asio.h"
+#include "Http.h"
+
+#include "teaselhitch/Net/HttpServer.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace teaselhitch {
+
+namespace beast = boost::beast;
+
+namespace {
+
+constexpr Duration ConnectTimeout = Duration::seconds(1);
+/// Idle connections close after this time, before common server timeouts.
+constexpr Duration IdleTimeout = Duration::seconds(4);
+/// Idle connections kept for one backend server.
+constexpr std::size_t MaxIdle = 16;
+
+/// A connection to a backend server.
+struct Connection {
+  explicit Connection(asio::io_context &Context) : Stream(Context) {}
+
+  beast::tcp_stream Stream;
+  beast::flat_buffer Buffer;
+  Time IdleSince;
+  /// Set while the connection lies idle in the pool.
+  bool IsIdle = false;
+};
+using ConnectionPtr = std::shared_ptr<Connection>;
+
+class BackendClientImpl;
+
+/// One attempt on its connection.
+class Exchange : public std::enable_shared_from_this<Exchange> {
+public:
+  Exchange(BackendClientImpl &Client, const AttemptId &Attempt,
+           const Endpoint &Server, HttpRequest &&Request)
+      : Client(Client), Attempt(Attempt), Server(Server),
+        IsHead(Request.Method == "HEAD"),
+        Message(fromRequest(std::move(Request), toString(Server))) {}
+
+  void run(ConnectionPtr Reused);
+  void abort();
+
+private:
+  void connect();
+  void write();
+  void read();
+  void onRead(ErrorCodeT Fault);
+  void checkServer();
+  void end(RunEnd How, HttpAnswer Answer = HttpAnswer());
+
+  BackendClientImpl &Client;
+  AttemptId Attempt;
+  Endpoint Server;
+  bool IsHead;
+  http::request<http::string_body> Message;
+  std::optional<http::response_parser<http::string_body>> Parser;
+  ConnectionPtr Link;
+  std::unique_ptr<beast::tcp_stream> Check;
+  Time SentAt;
+  bool Ended = false;
+};
+
+class BackendClientImpl final : public BackendClient {
+public:
+  BackendClientImpl(EventLoop &Loop, std::uint64_t MaxAnswerBytes, Done OnDone)
+      : Context(contextOf(Loop)), MaxAnswerBytes(MaxAnswerBytes),
+        OnDone(std::move(OnDone)) {}
+
+  void start(const AttemptId &Attempt, const Endpoint &Server,
+             HttpRequest Request) override {
+    auto E = std::make_shared<Exchange>(*this, Attempt, Server,
+                                        std::move(Request));
+    Running.emplace(Attempt, E);
+    E->run(takeIdle(Server));
+  }
+
+  void abort(const AttemptId &Attempt) override {
+    auto It = Running.find(Attempt);
+    if (It != Running.end())
+      It->second->abort();
+  }
+
+  void closeIdle() override {
+    Time Now = Wall.now();
+    for (auto &[Server, Idle] : Pool)
+      std::erase_if(Idle, [&](const ConnectionPtr &C) {
+        return Now - C->IdleSince > IdleTimeout;
+      });
+    std::erase_if(Pool, [](const auto &Item) { return Item.second.empty(); });
+  }
+
+  void finished(const AttemptId &Attempt, const RunResult &Result,
+                HttpAnswer Answer) {
+    Running.erase(Attempt);
+    OnDone(Attempt, Result, std::move(Answer));
+  }
+
+  void keepIdle(const Endpoint &Server, ConnectionPtr C) {
+    std::vector<ConnectionPtr> &Idle = Pool[Server];
+    if (Idle.size() >= MaxIdle)
+      return;
+    C->IdleSince = Wall.now();
+    C->IsIdle = true;
+    C->Stream.expires_never();
+    watch(Server, C);
+    Idle.push_back(std::move(C));
+  }
+
+  asio::io_context &Context;
+  std::uint64_t MaxAnswerBytes;
+  SteadyClock Wall;
+
+private:
+  ConnectionPtr takeIdle(const Endpoint &Server) {
+    auto It = Pool.find(Server);
+    if (It == Pool.end() || It->second.empty())
+      return nullptr;
+    ConnectionPtr C = std::move(It->second.back());
+    It->second.pop_back();
+    C->IsIdle = false;
+    return C;
+  }
+
+  /// Drops an idle connection that the server closes, so that no request is
+  /// sent on it.
+  void watch(const Endpoint &Server, const ConnectionPtr &C) {
+    C->Stream.socket().async_wait(
+        tcp::socket::wait_read,
+        [this, Server, Weak = std::weak_ptr<Connection>(C)](ErrorCodeT) {
+          ConnectionPtr Closed = Weak.lock();
+          if (!Closed || !Closed->IsIdle)
+            return;
+          auto It = Pool.find(Server);
+          if (It != Pool.end())
+            std::erase(It->second, Closed);
+        });
+  }
+
+  Done OnDone;
+  std::map<AttemptId, std::shared_ptr<Exchange>> Running;
+  std::map<Endpoint, std::vector<ConnectionPtr>> Pool;
+};
+
+void Exchange::run(ConnectionPtr Reused) {
+  if (Reused) {
+    Link = std::move(Reused);
+    return write();
+  }
+  connect();
+}
+
+void Exchange::connect() {
+  Link = std::make_shared<Connection>(Client.Context);
+  std::optional<tcp::endpoint> Address = toTcp(Server);
+  if (!Address) {
+    asio::post(Client.Context, [Self = shared_from_this()] {
+      Self->end(RunEnd::ConnectFailed);
+    });
+    return;
+  }
+  Link->Stream.expires_after(toChrono(ConnectTimeout));
+  Link->Stream.async_connect(
+      *Address, [Self = shared_from_this()](ErrorCodeT Fault) {
+        if (Self->Ended)
+          return;
+        if (Fault)
+          return Self->end(RunEnd::ConnectFailed);
+        configureSocket(Self->Link->Stream.socket());
+        Self->write();
+      });
+}
+
+void Exchange::write() {
+  SentAt = Client.Wall.now();
+  Link->Stream.expires_never();
+  http::async_write(Link->Stream, Message,
+                    [Self = shared_from_this()](ErrorCodeT Fault, std::size_t) {
+                      if (Self->Ended)
+                        return;
+                      if (Fault)
+                        return Self->checkServer();
+                      Self->read();
+                    });
+}
+
+void Exchange::read() {
+  Parser.emplace();
+  Parser->body_limit(Client.MaxAnswerBytes);
+  Parser->skip(IsHead);
+  http::async_read(
+      Link->Stream, Link->Buffer, *Parser,
+      [Self = shared_from_this()](ErrorCodeT Fault, std::size_t) {
+        Self->onRead(Fault);
+      });
+}
+
+void Exchange::onRead(ErrorCodeT Fault) {
+  if (Ended)
+    return;
+  if (Fault)
+    return checkServer();
+  bool Reusable = Parser->get().keep_alive();
+  HttpAnswer Answer = toAnswer(Parser->release());
+  if (Reusable)
+    Client.keepIdle(Server, std::move(Link));
+  constexpr unsigned Unavailable = 503;
+  bool Shed = Answer.Status == Unavailable &&
+              headerValue(Answer.Headers, "Teaselhitch-Outcome") == "not-run";
+  end(Shed ? RunEnd::Shed : RunEnd::Answered, std::move(Answer));
+}
+
+/// Tells a crash from a lost connection: after a crash nobody listens.
+void Exchange::checkServer() {
+  Link->Stream.close();
+  Check = std::make_unique<beast::tcp_stream>(Client.Context);
+  Check->expires_after(toChrono(ConnectTimeout));
+  Check->async_connect(
+      *toTcp(Server), [Self = shared_from_this()](ErrorCodeT Fault) {
+        if (Self->Ended)
+          return;
+        bool Refused = Fault == asio::error::connection_refused;
+        Self->end(Refused ? RunEnd::Crashed : RunEnd::ConnectionLost);
+      });
+}
+
+void Exchange::abort() {
+  if (Ended)
+    return;
+  asio::post(Client.Context, [Self = shared_from_this()] {
+    if (Self->Link)
+      Self->Link->Stream.close();
+    Self->end(RunEnd::Aborted);
+  });
+}
+
+void Exchange::end(RunEnd How, HttpAnswer Answer) {
+  if (Ended)
+    return;
+  Ended = true;
+  // Keeps this object alive while the client forgets it.
+  auto Self = shared_from_this();
+  RunResult Result;
+  Result.End = How;
+  Result.Status = Answer.Status;
+  if (SentAt > Time())
+    Result.RunTime = Client.Wall.now() - SentAt;
+  Client.finished(Attempt, Result, std::move(Answer));
+}
+
+} // namespace
+
+std::unique_ptr<BackendClient> BackendClient::create(EventLoop &Loop,
+                                                     std::uint64_t MaxBytes,
+                                                     Done OnDone) {
+  return std::make_unique<BackendClientImpl>(Loop, MaxBytes,
+                                             std::move(OnDone));
+}
+
+} // namespace teaselhitch
--- /dev/null
+++ b/lib/Net/EventLoop.cpp
@@ -0,0 +1,103 @@
+#include "teaselhitch/Net/EventLoop.h"
+
+#include "Asio.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <csignal>
+
+namespace teaselhitch {
+
+namespace {
+
+/// Unacknowledged data ends a connection after this time, in milliseconds.
+constexpr int UserTimeoutMs = 10000;
+/// Idle seconds before the first keepalive probe, and between probes.
+constexpr int KeepaliveIdleS = 15;
+constexpr int KeepaliveIntervalS = 5;
+constexpr int KeepaliveProbes = 3;
+
+void setOption(int Socket, int Level, int Name, int Value) {
+  ::setsockopt(Socket, Level, Name, &Value, sizeof(Value));
+}
+
+/// A timer that starts itself again.
+class Repeater : public std::enable_shared_from_this<Repeater> {
+public:
+  Repeater(asio::io_context &Context, Duration Interval,
+           std::function<void()> Function)
+      : Timer(Context), Interval(Interval), Function(std::move(Function)) {}
+
+  void start() {
+    Timer.expires_after(toChrono(Interval));
+    Timer.async_wait([Self = shared_from_this()](ErrorCodeT Fault) {
+      if (Fault)
+        return;
+      Self->Function();
+      Self->start();
+    });
+  }
+
+private:
+  asio::steady_timer Timer;
+  Duration Interval;
+  std::function<void()> Function;
+};
+
+void waitForSignal(asio::signal_set &Signals,
+                   std::function<void(int)> Function) {
+  Signals.async_wait(
+      [&Signals, Function = std::move(Function)](ErrorCodeT Fault, int Number) {
+        if (Fault)
+          return;
+        Function(Number);
+        waitForSignal(Signals, Function);
+      });
+}
+
+} // namespace
+
+EventLoop::EventLoop() : State(std::make_unique<Impl>()) {}
+EventLoop::~EventLoop() = default;
+
+void EventLoop::post(std::function<void()> Function) {
+  asio::post(State->Context, std::move(Function));
+}
+
+void EventLoop::every(Duration Interval, std::function<void()> Function) {
+  std::make_shared<Repeater>(State->Context, Interval, std::move(Function))
+      ->start();
+}
+
+void EventLoop::after(Duration Delay, std::function<void()> Function) {
+  auto Timer = std::make_shared<asio::steady_timer>(State->Context);
+  Timer->expires_after(toChrono(Delay));
+  Timer->async_wait([Timer, Function = std::move(Function)](ErrorCodeT Fault) {
+    if (!Fault)
+      Function();
+  });
+}
+
+void EventLoop::onSignal(std::function<void(int)> Function) {
+  State->Signals.emplace(State->Context, SIGINT, SIGTERM);
+  waitForSignal(*State->Signals, std::move(Function));
+}
+
+void EventLoop::run() { State->Context.run(); }
+void EventLoop::stop() { State->Context.stop(); }
+
+void configureSocket(tcp::socket &Socket) {
+  int Handle = Socket.native_handle();
+  setOption(Handle, IPPROTO_TCP, TCP_NODELAY, 1);
+  setOption(Handle, IPPROTO_TCP, TCP_USER_TIMEOUT, UserTimeoutMs);
+  setOption(Handle, SOL_SOCKET, SO_KEEPALIVE, 1);
+  setOption(Handle, IPPROTO_TCP, TCP_KEEPIDLE, KeepaliveIdleS);
+  setOption(Handle, IPPROTO_TCP, TCP_KEEPINTVL, KeepaliveIntervalS);
+  setOption(Handle, IPPROTO_TCP, TCP_KEEPCNT, KeepaliveProbes);
+}
+
+} // namespace teaselhitch
--- /dev/null
+++ b/lib/Net/Http.cpp
@@ -0,0 +1,93 @@
+#include "Http.h"
+
+#include "teaselhitch/Net/HttpServer.h"
+
+#include <boost/beast/core/string.hpp>
+
+#include <algorithm>
+#include <array>
+
+namespace teaselhitch {
+
+namespace {
+
+using boost::beast::iequals;
+using boost::beast::string_view;
+
+constexpr unsigned Http11 = 11;
+
+template <typename MessageT> HeaderList endToEndHeaders(const MessageT &M) {
+  HeaderList Headers;
+  for (const auto &Field : M)
+    if (!isHopByHop(Field.name_string()))
+      Headers.push_back(Header{std::string(Field.name_string()),
+                               std::string(Field.value())});
+  return Headers;
+}
+
+} // namespace
+
+bool isHopByHop(string_view Name) {
+  // Content-Length is set anew, because bodies are passed on whole.
+  static constexpr std::array<const char *, 9> Names = {
+      "Connection",          "Keep-Alive", "Proxy-Connection",
+      "Transfer-Encoding",   "TE",         "Trailer",
+      "Upgrade",             "Expect",     "Content-Length"};
+  return std::any_of(Names.begin(), Names.end(),
+                     [&](const char *N) { return iequals(N, Name); });
+}
+
+HttpRequest toRequest(http::request<http::string_body> &&Message) {
+  HttpRequest Request;
+  Request.Method = std::string(Message.method_string());
+  Request.Target = std::string(Message.target());
+  Request.Headers = endToEndHeaders(Message);
+  Request.Body = std::move(Message.body());
+  return Request;
+}
+
+HttpAnswer toAnswer(http::response<http::string_body> &&Message) {
+  HttpAnswer Answer;
+  Answer.Status = Message.result_int();
+  Answer.Headers = endToEndHeaders(Message);
+  Answer.Body = std::move(Message.body());
+  return Answer;
+}
+
+http::request<http::string_body> fromRequest(HttpRequest &&Request,
+                                             const std::string &Authority) {
+  http::request<http::string_body> Message;
+  Message.version(Http11);
+  Message.method_string(Request.Method);
+  Message.target(Request.Target);
+  for (const Header &H : Request.Headers)
+    if (!isHopByHop(H.Name) && !iequals(H.Name, "Host"))
+      Message.insert(H.Name, H.Value);
+  Message.set(http::field::host, Authority);
+  Message.body() = std::move(Request.Body);
+  Message.prepare_payload();
+  return Message;
+}
+
+http::response<http::string_body> fromAnswer(HttpAnswer &&Answer,
+                                             bool KeepAlive) {
+  http::response<http::string_body> Message;
+  Message.version(Http11);
+  Message.result(Answer.Status);
+  for (const Header &H : Answer.Headers)
+    if (!isHopByHop(H.Name))
+      Message.insert(H.Name, H.Value);
+  Message.body() = std::move(Answer.Body);
+  Message.keep_alive(KeepAlive);
+  Message.prepare_payload();
+  return Message;
+}
+
+std::string headerValue(const HeaderList &Headers, const std::string &Name) {
+  for (const Header &H : Headers)
+    if (iequals(H.Name, Name))
+      return H.Value;
+  return "";
+}
+
+} // namespace teaselhitch
--- /dev/null
+++ b/lib/Node/BackendsDuty.cpp
@@ -0,0 +1,273 @@
+#include "BackendsDuty.h"
+
+#include "Announcement.h"
+#include "Problem.h"
+
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+
+#include <algorithm>
+
+namespace teaselhitch {
+
+namespace {
+
+constexpr Duration TickInterval = Duration(20);
+constexpr Duration StatusInterval = Duration(200);
+constexpr Duration IdleInterval = Duration::seconds(1);
+constexpr unsigned Ok = 200;
+constexpr unsigned BadRequest = 400;
+constexpr unsigned NotFound = 404;
+
+boost::json::object errorBody(const std::string &Message) {
+  boost::json::object Body;
+  Body["error"] = Message;
+  return Body;
+}
+
+} // namespace
+
+BackendsDuty::BackendsDuty(const NodeSettings &Settings, Channels &Rings)
+    : Settings(Settings), Rings(Rings) {}
+
+Result<std::unique_ptr<BackendsDuty>>
+BackendsDuty::create(const NodeSettings &Settings, std::uint64_t Incarnation,
+                     Channels &Rings) {
+  std::unique_ptr<BackendsDuty> Made(new BackendsDuty(Settings, Rings));
+  BackendsDuty *Self = Made.get();
+  GuardSettings Core;
+  Core.Node = Settings.Node;
+  Core.Domain = Settings.Domain;
+  Core.Incarnation = Incarnation;
+  Core.KeySecret = Settings.Secret;
+  BOOST_LEAF_ASSIGN(Made->Core, Guard::create(std::move(Core)));
+  Made->Client = BackendClient::create(
+      Made->Loop, Settings.MaxAnswerBytes,
+      [Self](const AttemptId &Attempt, const RunResult &Result,
+             HttpAnswer Answer) {
+        Self->onDone(Attempt, Result, std::move(Answer));
+      });
+  HttpServerSettings Http;
+  Http.Listen = Settings.BackendServers;
+  BOOST_LEAF_ASSIGN(
+      Made->Server,
+      HttpServer::create(
+          Made->Loop, Http,
+          [Self](const std::shared_ptr<HttpExchange> &E) {
+            Self->handleAnnouncement(E);
+          },
+          [](Reason Why) {
+            return makeJson(reasonInfo(Why).Status,
+                            errorBody(reasonInfo(Why).Detail));
+          }));
+  Self->Duty::receive(Rings.CallersToBackends, [Self](GuardMessage &&M) {
+    Self->receive(std::nullopt, std::move(M));
+  });
+  Self->Duty::receive(Rings.PeersToBackendsRing, [Self](PeersToBackends &&M) {
+    Self->receive(std::move(M));
+  });
+  Self->Loop.every(TickInterval, [Self] {
+    Self->refresh();
+    Self->run(Self->Core->tick(Self->now()));
+    Self->Idle = Self->Core->isIdle();
+  });
+  Self->Loop.every(StatusInterval, [Self] { Self->publishStatus(); });
+  Self->Loop.every(IdleInterval, [Self] { Self->Client->closeIdle(); });
+  return Made;
+}
+
+void BackendsDuty::drain() {
+  Loop.post([this] { run(Core->drain(now())); });
+}
+
+void BackendsDuty::refresh() {
+  std::uint64_t NewConfig = Rings.Config.generation();
+  if (NewConfig == ConfigGeneration)
+    return;
+  ConfigGeneration = NewConfig;
+  run(Core->configure(Rings.Config.current(), now()));
+}
+
+void BackendsDuty::handleAnnouncement(
+    const std::shared_ptr<HttpExchange> &Exchange) {
+  const HttpRequest &Request = Exchange->request();
+  if (Request.Method != "POST" || Request.Target != "/v1/announce")
+    return Exchange->reply(
+        makeJson(NotFound, errorBody("expected POST /v1/announce")));
+  std::string Fault;
+  GuardActions Actions = handleError(
+      [&]() -> Result<GuardActions> {
+        BOOST_LEAF_AUTO(Parsed, parseAnnouncement(Request.Body));
+        return Core->announce(Parsed, now());
+      },
+      [&](const Error &E) {
+        Fault = E.Message;
+        return GuardActions();
+      });
+  if (!Fault.empty())
+    return Exchange->reply(makeJson(BadRequest, errorBody(Fault)));
+  run(std::move(Actions));
+  boost::json::object Body;
+  Body["node"] = Settings.Node.str();
+  Body["repeat_ms"] = 1000;
+  Exchange->reply(makeJson(Ok, Body));
+}
+
+void BackendsDuty::receive(std::optional<LinkId> Origin, GuardMessage Message) {
+  std::visit(
+      Overloaded{
+          [&](Dispatch &M) {
+            AttemptId Attempt = M.Info.Attempt;
+            Running R;
+            R.Origin = Origin;
+            R.Request = std::move(M.Request);
+            // A repeated attempt id is a fault of the sender; the first stays.
+            if (!Attempts.emplace(Attempt, std::move(R)).second)
+              return;
+            run(Core->dispatch(M.Info, now()));
+          },
+          [&](Cancel &M) { run(Core->cancel(M.Attempt, now())); },
+          [&](MintKey &M) { reply(Origin, Core->mintKey(M, now())); }},
+      Message);
+}
+
+void BackendsDuty::receive(PeersToBackends Message) {
+  std::visit(Overloaded{[&](FromEntry &M) {
+                          receive(M.Link, std::move(M.Message));
+                        },
+                        [&](EntryLost &M) { entryLost(M.Link); },
+                        [&](Quarantine &M) { Core->quarantine(M, now()); }},
+             Message);
+}
+
+void BackendsDuty::entryLost(LinkId Link) {
+  std::vector<AttemptId> Lost;
+  for (const auto &[Attempt, R] : Attempts)
+    if (R.Origin == Link)
+      Lost.push_back(Attempt);
+  for (const AttemptId &Attempt : Lost) {
+    run(Core->cancel(Attempt, now()));
+    auto It = Attempts.find(Attempt);
+    if (It != Attempts.end())
+      It->second.IsSettled = true;
+  }
+}
+
+void BackendsDuty::run(GuardActions Actions) {
+  for (const GuardAction &Action : Actions)
+    std::visit([&](const auto &A) { perform(A); }, Action);
+}
+
+void BackendsDuty::perform(const StartAttempt &Action) {
+  auto It = Attempts.find(Action.Attempt);
+  if (It == Attempts.end())
+    return;
+  Running &R = It->second;
+  R.Server = Action.Server;
+  HttpRequest Request = std::move(R.Request);
+  auto RemainingMs = static_cast<std::int64_t>(Action.Remaining.ms());
+  Request.Headers.push_back(
+      Header{DeadlineHeader, std::to_string(std::max<std::int64_t>(
+                                 RemainingMs, 1))});
+  Request.Headers.push_back(
+      Header{RequestIdHeader, toString(Action.Attempt.Request)});
+  Client->start(Action.Attempt, Action.Address, std::move(Request));
+}
+
+void BackendsDuty::perform(const AbortAttempt &Action) {
+  Client->abort(Action.Attempt);
+}
+
+void BackendsDuty::perform(const AttemptFailed &Action) {
+  auto It = Attempts.find(Action.Attempt);
+  if (It == Attempts.end())
+    return;
+  if (!It->second.IsSettled)
+    reply(It->second.Origin, Action);
+  It->second.IsSettled = true;
+  // An attempt that was not started has no end to wait for.
+  if (It->second.Server.empty())
+    Attempts.erase(It);
+}
+
+void BackendsDuty::perform(const PublishRecord &Action) {
+  const BackendServerRecord &R = Action.Record;
+  Rings.Audit.record("backend-server-changed", R.Id.Name.str(),
+                     std::string(backendServerStateName(R.State)) + ", " +
+                         backendServerHealthName(R.Health) + ", weight " +
+                         std::to_string(R.Weight));
+  if (!Rings.BackendsToPeersRing.trySend(R))
+    logEvent(LogLevel::Error, "backends", "record-dropped",
+             {{"server", R.Id.Name.str()}});
+}
+
+void BackendsDuty::perform(const Quarantine &Action) {
+  Rings.Audit.record("request-quarantined",
+                     std::to_string(Action.Fingerprint),
+                     "second crash with this fingerprint");
+  if (!Rings.BackendsToPeersRing.trySend(Action))
+    logEvent(LogLevel::Error, "backends", "quarantine-dropped",
+             {{"fingerprint", Action.Fingerprint}});
+}
+
+void BackendsDuty::onDone(const AttemptId &Attempt, const RunResult &Result,
+                          HttpAnswer Answer) {
+  auto It = Attempts.find(Attempt);
+  BackendServerName Server =
+      It == Attempts.end() ? BackendServerName() : It->second.Server;
+  run(Core->finished(Attempt, Result, now()));
+  It = Attempts.find(Attempt);
+  if (It == Attempts.end())
+    return;
+  if (Result.End == RunEnd::Answered && !It->second.IsSettled) {
+    AttemptAnswer Message;
+    Message.Attempt = Attempt;
+    Message.RanOn = Server;
+    Message.InProgress = inProgress(Server);
+    Message.RunTime = Result.RunTime;
+    Message.Answer = std::move(Answer);
+    reply(It->second.Origin, std::move(Message));
+  }
+  Attempts.erase(It);
+}
+
+std::uint32_t BackendsDuty::inProgress(const BackendServerName &Server) const {
+  auto Count = std::count_if(
+      Attempts.begin(), Attempts.end(),
+      [&](const auto &Item) { return Item.second.Server == Server; });
+  return static_cast<std::uint32_t>(Count);
+}
+
+void BackendsDuty::reply(std::optional<LinkId> Origin, EntryMessage Message) {
+  bool Sent =
+      Origin ? Rings.BackendsToPeersRing.trySend(
+                   ToEntry{*Origin, std::move(Message)})
+             : Rings.BackendsToCallers.trySend(Message);
+  // The entry ends the request as unknown at its deadline.
+  if (!Sent)
+    logEvent(LogLevel::Error, "backends", "answer-dropped");
+}
+
+void BackendsDuty::publishStatus() {
+  boost::json::array Servers;
+  for (const GuardedServerStatus &S : Core->status()) {
+    boost::json::object Server;
+    Server["name"] = S.Record.Id.Name.str();
+    Server["service"] = S.Record.Service.str();
+    Server["address"] = toString(S.Address);
+    Server["state"] = backendServerStateName(S.Record.State);
+    Server["health"] = backendServerHealthName(S.Record.Health);
+    Server["weight"] = S.Record.Weight;
+    Server["slots"] = S.Record.Slots;
+    Server["in_progress"] = S.InProgress;
+    Server["waiting"] = S.Waiting;
+    Servers.push_back(std::move(Server));
+  }
+  boost::json::object Status;
+  Status["backend_servers"] = std::move(Servers);
+  Status["attempts"] = Attempts.size();
+  Rings.BackendsStatus.publish(
+      std::make_shared<boost::json::value>(std::move(Status)));
+}
+
+} // namespace teaselhitch
--- /dev/null
+++ b/lib/Node/BackendsDuty.h
@@ -0,0 +1,75 @@
+#ifndef TEASELHITCH_LIB_NODE_BACKENDSDUTY_H
+#define TEASELHITCH_LIB_NODE_BACKENDSDUTY_H
+
+/// \file
+/// The thread that serves the backend servers of the instance: announcement
+/// listener, guard, detection, and connections to backend servers.
+
+#include "Channels.h"
+#include "Duty.h"
+
+#include "teaselhitch/Guard/Guard.h"
+#include "teaselhitch/Net/BackendClient.h"
+#include "teaselhitch/Net/HttpServer.h"
+#include "teaselhitch/Settings/NodeSettings.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+
+namespace teaselhitch {
+
+class BackendsDuty final : public Duty {
+public:
+  static Result<std::unique_ptr<BackendsDuty>>
+  create(const NodeSettings &Settings, std::uint64_t Incarnation,
+         Channels &Rings);
+
+  /// Refuses new attempts and lets running ones finish.
+  void drain();
+  /// True when no attempt waits or runs. Safe to call from any thread.
+  bool isIdle() const { return Idle; }
+
+private:
+  BackendsDuty(const NodeSettings &Settings, Channels &Rings);
+
+  /// An attempt between its dispatch and its answer.
+  struct Running {
+    /// Link of the entry; nothing if the entry is of this node.
+    std::optional<LinkId> Origin;
+    HttpRequest Request;
+    BackendServerName Server;
+    /// The entry has its answer or is gone.
+    bool IsSettled = false;
+  };
+
+  void handleAnnouncement(const std::shared_ptr<HttpExchange> &Exchange);
+  void receive(std::optional<LinkId> Origin, GuardMessage Message);
+  void receive(PeersToBackends Message);
+  void entryLost(LinkId Link);
+  void run(GuardActions Actions);
+  void perform(const StartAttempt &Action);
+  void perform(const AbortAttempt &Action);
+  void perform(const AttemptFailed &Action);
+  void perform(const PublishRecord &Action);
+  void perform(const Quarantine &Action);
+  void onDone(const AttemptId &Attempt, const RunResult &Result,
+              HttpAnswer Answer);
+  void reply(std::optional<LinkId> Origin, EntryMessage Message);
+  std::uint32_t inProgress(const BackendServerName &Server) const;
+  void refresh();
+  void publishStatus();
+
+  NodeSettings Settings;
+  Channels &Rings;
+  std::unique_ptr<Guard> Core;
+  std::map<AttemptId, Running> Attempts;
+  std::uint64_t ConfigGeneration = 0;
+  std::atomic<bool> Idle{true};
+  std::unique_ptr<BackendClient> Client;
+  std::unique_ptr<HttpServer> Server;
+};
+
+} // namespace teaselhitch
+
+#endif
--- /dev/null
+++ b/lib/Node/CallersDuty.cpp
@@ -0,0 +1,329 @@
+#include "CallersDuty.h"
+
+#include "Problem.h"
+
+#include "teaselhitch/Platform/Url.h"
+#include "teaselhitch/Support/Hash.h"
+
+#include <boost/json/object.hpp>
+
+#include <algorithm>
+#include <charconv>
+#include <optional>
+#include <random>
+
+namespace teaselhitch {
+
+namespace {
+
+constexpr Duration TickInterval = Duration(10);
+constexpr Duration StatusInterval = Duration(500);
+constexpr std::size_t MaxKeyLength = 256;
+/// Organisation of requests that name none.
+constexpr const char *DefaultOrganisation = "default";
+constexpr const char *KeysPath = "/.teaselhitch/keys";
+constexpr const char *OwnPathPrefix = "/.teaselhitch/";
+constexpr std::string_view OwnHeaderPrefix = "teaselhitch-";
+
+std::string pathOf(const std::string &Target) {
+  return Target.substr(0, Target.find('?'));
+}
+
+bool isPrintable(const std::string &Text) {
+  return std::all_of(Text.begin(), Text.end(),
+                     [](unsigned char C) { return C > 0x20 && C < 0x7f; });
+}
+
+bool isOwnHeader(const std::string &Name) {
+  if (Name.size() < OwnHeaderPrefix.size())
+    return false;
+  std::string Start = Name.substr(0, OwnHeaderPrefix.size());
+  std::transform(Start.begin(), Start.end(), Start.begin(), [](char C) {
+    return C >= 'A' && C <= 'Z' ? static_cast<char>(C - 'A' + 'a') : C;
+  });
+  return Start == OwnHeaderPrefix;
+}
+
+/// What the entry needs of a request, or nothing if a header is malformed.
+std::optional<CallerRequest> describe(const HttpRequest &Request) {
+  CallerRequest Described;
+  Described.Method = Request.Method;
+  Described.Path = pathOf(Request.Target);
+  std::string Organisation = headerValue(Request.Headers, OrganisationHeader);
+  if (Organisation.empty())
+    Organisation = DefaultOrganisation;
+  Described.Organisation = OrganisationName(Organisation);
+  Described.Key = headerValue(Request.Headers, KeyHeader);
+  Described.BodyBytes = Request.Body.size();
+  Described.BodyHash = hash64(Request.Target + "\n" + Request.Body);
+  if (!isValidName(Organisation) || Described.Path.empty() ||
+      Described.Path[0] != '/' || Described.Key.size() > MaxKeyLength ||
+      !isPrintable(Described.Key))
+    return std::nullopt;
+  std::string Deadline = headerValue(Request.Headers, DeadlineHeader);
+  if (Deadline.empty())
+    return Described;
+  std::uint32_t Ms = 0;
+  auto [End, Fault] = std::from_chars(
+      Deadline.data(), Deadline.data() + Deadline.size(), Ms);
+  if (Fault != std::errc() || End != Deadline.data() + Deadline.size())
+    return std::nullopt;
+  Described.Deadline = Duration(Ms);
+  return Described;
+}
+
+} // namespace
+
+CallersDuty::CallersDuty(const NodeSettings &Settings, Channels &Rings)
+    : Settings(Settings), Rings(Rings),
+      Random(std::make_unique<SeededRandom>(std::random_device()())),
+      Latency(Rings.Metrics.latency(
+          "teaselhitch_request_seconds",
+          "Time from a whole request to its answer, backend server included.")) {
+}
+
+Result<std::unique_ptr<CallersDuty>>
+CallersDuty::create(const NodeSettings &Settings, std::uint64_t Incarnation,
+                    Channels &Rings) {
+  std::unique_ptr<CallersDuty> Made(new CallersDuty(Settings, Rings));
+  EntrySettings Core;
+  Core.Node = Settings.Node;
+  Core.Domain = Settings.Domain;
+  Core.Incarnation = Incarnation;
+  Core.Balancer = Settings.Balancer;
+  Core.MaxRequests = Settings.MaxRequests;
+  BOOST_LEAF_ASSIGN(Made->Core, Entry::create(std::move(Core), *Made->Random));
+
+  HttpServerSettings Http;
+  Http.Listen = Settings.Callers;
+  Http.MaxHeaderBytes = Settings.MaxHeaderBytes;
+  Http.MaxBodyBytes = Settings.MaxBodyBytes;
+  Http.MaxConnections = Settings.MaxCallerConnections;
+  CallersDuty *Self = Made.get();
+  BOOST_LEAF_ASSIGN(
+      Made->Server,
+      HttpServer::create(
+          Made->Loop, Http,
+          [Self](std::shared_ptr<HttpExchange> E) {
+            Self->handle(std::move(E));
+          },
+          [](Reason Why) {
+            return makeProblem(Why, Outcome::NotRun, "", Duration());
+          }));
+  auto Receive = [Self](EntryMessage &&M) { Self->receive(std::move(M)); };
+  Self->Duty::receive(Rings.BackendsToCallers, Receive);
+  Self->Duty::receive(Rings.PeersToCallers, Receive);
+  Self->Duty::receive(Rings.PlatformToCallers, [Self](TableReply &&Reply) {
+    Self->run(Self->Core->tableReply(Reply, Self->now()));
+  });
+  Self->Loop.every(TickInterval, [Self] {
+    Self->refresh();
+    Self->run(Self->Core->tick(Self->now()));
+    Self->Idle = Self->Core->isIdle();
+  });
+  Self->Loop.every(StatusInterval, [Self] { Self->publishStatus(); });
+  return Made;
+}
+
+void CallersDuty::drain(Duration Grace) {
+  Loop.post([this, Grace] {
+    Loop.after(Grace, [this] {
+      Core->drain();
+      Server->drain();
+    });
+  });
+}
+
+void CallersDuty::refresh() {
+  std::uint64_t NewConfig = Rings.Config.generation();
+  if (NewConfig != ConfigGeneration) {
+    ConfigGeneration = NewConfig;
+    Core->configure(Rings.Config.current());
+  }
+  std::uint64_t NewView = Rings.View.generation();
+  if (NewView != ViewGeneration) {
+    ViewGeneration = NewView;
+    Core->updateView(Rings.View.current());
+  }
+}
+
+void CallersDuty::handle(std::shared_ptr<HttpExchange> Exchange) {
+  refresh();
+  const std::string &Target = Exchange->request().Target;
+  if (Target.rfind(OwnPathPrefix, 0) == 0)
+    return handleMint(std::move(Exchange));
+  handleRequest(std::move(Exchange));
+}
+
+void CallersDuty::handleRequest(std::shared_ptr<HttpExchange> Exchange) {
+  HttpRequest &Request = Exchange->request();
+  std::optional<CallerRequest> Described = describe(Request);
+  if (!Described)
+    return Exchange->reply(
+        makeProblem(Reason::BadRequest, Outcome::NotRun, "", Duration()));
+  std::erase_if(Request.Headers,
+                [](const Header &H) { return isOwnHeader(H.Name); });
+  Request.Headers.push_back(
+      Header{OrganisationHeader, Described->Organisation.str()});
+  EntryActions Actions;
+  RequestId Id = Core->accept(*Described, now(), Actions);
+  Requests.emplace(Id.Sequence, Waiting{Exchange, Request, now()});
+  Exchange->onGone([this, Id] {
+    Requests.erase(Id.Sequence);
+    run(Core->callerGone(Id, now()));
+  });
+  run(std::move(Actions));
+}
+
+void CallersDuty::handleMint(std::shared_ptr<HttpExchange> Exchange) {
+  const HttpRequest &Request = Exchange->request();
+  ServiceName Service = handleError(
+      [&]() -> Result<ServiceName> {
+        BOOST_LEAF_AUTO(Target, parseTarget(Request.Target));
+        return ServiceName(Target.Parameters["service"]);
+      },
+      [](const Error &) { return ServiceName(); });
+  if (Request.Method != "POST" || pathOf(Request.Target) != KeysPath ||
+      !isValidName(Service.str()))
+    return Exchange->reply(
+        makeProblem(Reason::BadRequest, Outcome::NotRun, "", Duration()));
+  std::uint64_t Token = NextMint++;
+  Mints.emplace(Token, std::move(Exchange));
+  run(Core->mintKey(Token, Service, now()));
+}
+
+void CallersDuty::receive(EntryMessage Message) {
+  std::visit(
+      Overloaded{[&](AttemptFailed &M) { run(Core->failed(M, now())); },
+                 [&](AttemptAnswer &M) { answer(std::move(M)); },
+                 [&](KeyMinted &M) { run(Core->keyMinted(M, now())); }},
+      Message);
+}
+
+void CallersDuty::run(EntryActions Actions) {
+  for (EntryAction &Action : Actions)
+    std::visit(Overloaded{[&](SendAttempt &A) { perform(std::move(A)); },
+                          [&](TableRequest &A) { perform(std::move(A)); },
+                          [](ReplyAnswer &) {},
+                          [&](auto &A) { perform(A); }},
+               Action);
+}
+
+bool CallersDuty::sendTo(const NodeName &Guard, GuardMessage Message) {
+  if (Guard == Settings.Node)
+    return Rings.CallersToBackends.trySend(Message);
+  return Rings.CallersToPeers.trySend(ToGuard{Guard, std::move(Message)});
+}
+
+void CallersDuty::perform(SendAttempt Action) {
+  auto It = Requests.find(Action.Info.Attempt.Request.Sequence);
+  if (It == Requests.end())
+    return;
+  AttemptId Attempt = Action.Info.Attempt;
+  // The request is kept, because another attempt may follow.
+  if (sendTo(Action.Guard, Dispatch{std::move(Action.Info), It->second.Request}))
+    return;
+  AttemptFailed Refused;
+  Refused.Attempt = Attempt;
+  Refused.Why = Reason::Overloaded;
+  Refused.Result = Outcome::NotRun;
+  run(Core->failed(Refused, now()));
+}
+
+void CallersDuty::perform(const SendCancel &Action) {
+  // A lost cancellation is made good by the deadline at the guard.
+  if (!sendTo(Action.Guard, Cancel{Action.Attempt}))
+    logEvent(LogLevel::Warning, "callers", "cancel-dropped",
+             {{"attempt", toString(Action.Attempt)}});
+}
+
+void CallersDuty::perform(const SendMintKey &Action) {
+  if (!sendTo(Action.Guard, Action.Request))
+    run(Core->keyMinted(KeyMinted{Action.Request.Token, "", Duration()},
+                        now()));
+}
+
+void CallersDuty::perform(TableRequest Action) {
+  std::uint64_t Token = Action.Token;
+  if (Rings.CallersToPlatform.trySend(Action))
+    return;
+  TableReply Refused;
+  Refused.Token = Token;
+  Refused.Status = TableStatus::Unavailable;
+  run(Core->tableReply(Refused, now()));
+}
+
+void CallersDuty::perform(const ReplyFailure &Action) {
+  finish(Action.Request,
+         makeProblem(Action.Why, Action.Result, toString(Action.Request),
+                     Action.RetryAfter),
+         Action.Result, reasonInfo(Action.Why).Name);
+}
+
+void CallersDuty::perform(const ReplyKey &Action) {
+  auto It = Mints.find(Action.Token);
+  if (It == Mints.end())
+    return;
+  std::shared_ptr<HttpExchange> Exchange = std::move(It->second);
+  Mints.erase(It);
+  if (Action.Key.empty())
+    return Exchange->reply(makeProblem(Reason::NoBackendServer,
+                                       Outcome::NotRun, "", Duration()));
+  boost::json::object Body;
+  Body["key"] = Action.Key;
+  Body["expires_in_ms"] = static_cast<std::int64_t>(Action.ValidFor.ms());
+  constexpr unsigned Created = 201;
+  Exchange->reply(makeJson(Created, Body));
+}
+
+void CallersDuty::answer(AttemptAnswer Answer) {
+  EntryActions Actions = Core->answered(Answer, now());
+  for (const EntryAction &Action : Actions) {
+    if (!std::holds_alternative<ReplyAnswer>(Action))
+      continue;
+    HttpAnswer &Reply = Answer.Answer;
+    std::erase_if(Reply.Headers,
+                  [](const Header &H) { return isOwnHeader(H.Name); });
+    Reply.Headers.push_back(
+        Header{RequestIdHeader, toString(Answer.Attempt.Request)});
+    Reply.Headers.push_back(
+        Header{OutcomeHeader, outcomeName(Outcome::Completed)});
+    finish(Answer.Attempt.Request, std::move(Reply), Outcome::Completed,
+           "none");
+  }
+  run(std::move(Actions));
+}
+
+void CallersDuty::finish(const RequestId &Id, HttpAnswer Answer, Outcome Result,
+                         const char *ReasonName) {
+  Rings.Metrics
+      .counter("teaselhitch_requests_total",
+               "Requests by outcome and reason code.",
+               std::string("outcome=\"") + outcomeName(Result) +
+                   "\",reason=\"" + ReasonName + "\"")
+      .add();
+  auto It = Requests.find(Id.Sequence);
+  if (It == Requests.end())
+    return;
+  Waiting Done = std::move(It->second);
+  Requests.erase(It);
+  Latency.record(now() - Done.Since);
+  logEvent(LogLevel::Debug, "callers", "request",
+           {{"request_id", toString(Id)},
+            {"outcome", outcomeName(Result)},
+            {"reason", ReasonName},
+            {"status", Answer.Status},
+            {"duration_ms", (now() - Done.Since).ms()}});
+  Done.Exchange->reply(std::move(Answer));
+}
+
+void CallersDuty::publishStatus() {
+  boost::json::object Status;
+  Status["requests_in_progress"] = Requests.size();
+  Status["connections"] = Server->connectionCount();
+  Status["stray_messages"] = Core->strayMessages();
+  Rings.CallersStatus.publish(
+      std::make_shared<boost::json::value>(std::move(Status)));
+}
+
+} // namespace teaselhitch
--- /dev/null
+++ b/lib/Node/CallersDuty.h
@@ -0,0 +1,75 @@
+#ifndef TEASELHITCH_LIB_NODE_CALLERSDUTY_H
+#define TEASELHITCH_LIB_NODE_CALLERSDUTY_H
+
+/// \file
+/// The thread that serves callers: caller listener and entry.
+
+#include "Channels.h"
+#include "Duty.h"
+
+#include "teaselhitch/Entry/Entry.h"
+#include "teaselhitch/Net/HttpServer.h"
+#include "teaselhitch/Settings/NodeSettings.h"
+
+#include <memory>
+#include <unordered_map>
+
+namespace teaselhitch {
+
+class CallersDuty final : public Duty {
+public:
+  static Result<std::unique_ptr<CallersDuty>>
+  create(const NodeSettings &Settings, std::uint64_t Incarnation,
+         Channels &Rings);
+
+  /// Keeps taking requests for the grace time, then refuses them.
+  void drain(Duration Grace);
+  /// True when no request is in progress. Safe to call from any thread.
+  bool isIdle() const { return Idle; }
+
+private:
+  CallersDuty(const NodeSettings &Settings, Channels &Rings);
+
+  /// A caller's request whose answer is open.
+  struct Waiting {
+    std::shared_ptr<HttpExchange> Exchange;
+    HttpRequest Request;
+    Time Since;
+  };
+
+  void handle(std::shared_ptr<HttpExchange> Exchange);
+  void handleRequest(std::shared_ptr<HttpExchange> Exchange);
+  void handleMint(std::shared_ptr<HttpExchange> Exchange);
+  void receive(EntryMessage Message);
+  void run(EntryActions Actions);
+  void perform(SendAttempt Action);
+  void perform(const SendCancel &Action);
+  void perform(const SendMintKey &Action);
+  void perform(const ReplyFailure &Action);
+  void perform(const ReplyKey &Action);
+  void perform(TableRequest Action);
+  void answer(AttemptAnswer Answer);
+  void finish(const RequestId &Id, HttpAnswer Answer, Outcome Result,
+              const char *ReasonName);
+  bool sendTo(const NodeName &Guard, GuardMessage Message);
+  void refresh();
+  void publishStatus();
+
+  NodeSettings Settings;
+  Channels &Rings;
+  std::unique_ptr<RandomSource> Random;
+  std::unique_ptr<Entry> Core;
+  std::unordered_map<std::uint64_t, Waiting> Requests;
+  std::unordered_map<std::uint64_t, std::shared_ptr<HttpExchange>> Mints;
+  std::uint64_t NextMint = 1;
+  std::uint64_t ConfigGeneration = 0;
+  std::uint64_t ViewGeneration = 0;
+  std::atomic<bool> Idle{true};
+  LatencyHistogram &Latency;
+  // Last, so that no connection outlives what its handlers use.
+  std::unique_ptr<HttpServer> Server;
+};
+
+} // namespace teaselhitch
+
+#endif
--- /dev/null
+++ b/lib/Node/Channels.h
@@ -0,0 +1,104 @@
+#ifndef TEASELHITCH_LIB_NODE_CHANNELS_H
+#define TEASELHITCH_LIB_NODE_CHANNELS_H
+
+/// \file
+/// The messages and rings between the threads of a node.
+
+#include "teaselhitch/Audit/AuditTrail.h"
+#include "teaselhitch/Config/Objects.h"
+#include "teaselhitch/Config/Pieces.h"
+#include "teaselhitch/Guard/Guard.h"
+#include "teaselhitch/Membership/Membership.h"
+#include "teaselhitch/Model/Messages.h"
+#include "teaselhitch/Net/PeerLinks.h"
+#include "teaselhitch/Platform/Requests.h"
+#include "teaselhitch/Support/Channel.h"
+#include "teaselhitch/Support/Metrics.h"
+#include "teaselhitch/Support/Published.h"
+
+#include <boost/json/value.hpp>
+
+#include <optional>
+#include <string>
+#include <variant>
+
+namespace teaselhitch {
+
+/// Callers to peers: a message for the guard of another node.
+struct ToGuard {
+  NodeName Node;
+  GuardMessage Message;
+};
+
+/// Peers to backends: a message from the entry of another node.
+struct FromEntry {
+  LinkId Link = 0;
+  GuardMessage Message;
+};
+
+/// Peers to backends: the link of an entry closed; its attempts have no one to
+/// answer to.
+struct EntryLost {
+  LinkId Link = 0;
+};
+
+using PeersToBackends = std::variant<FromEntry, EntryLost, Quarantine>;
+
+/// Backends to peers: an answer for the entry of another node.
+struct ToEntry {
+  LinkId Link = 0;
+  EntryMessage Message;
+};
+
+using BackendsToPeers = std::variant<ToEntry, BackendServerRecord, Quarantine>;
+
+/// Peers to platform: read a piece of the configuration.
+struct ReadPiece {
+  PieceHash Hash;
+};
+
+/// Platform to peers: the piece; nothing if it could not be read.
+struct PieceRead {
+  PieceHash Hash;
+  std::optional<std::string> Bytes;
+};
+
+using PeersToPlatform = std::variant<TableRequest, ReadPiece>;
+using PlatformToPeers = std::variant<TableReply, PieceRead>;
+
+/// Operators to peers: read the head of the configuration now.
+struct RefreshConfig {};
+
+/// Messages that a ring holds before it refuses more.
+inline constexpr std::size_t RingCapacity = 4096;
+
+/// All that the threads of a node share.
+struct Channels {
+  Channel<GuardMessage> CallersToBackends{RingCapacity};
+  Channel<EntryMessage> BackendsToCallers{RingCapacity};
+  Channel<ToGuard> CallersToPeers{RingCapacity};
+  Channel<EntryMessage> PeersToCallers{RingCapacity};
+  Channel<PeersToBackends> PeersToBackendsRing{RingCapacity};
+  Channel<BackendsToPeers> BackendsToPeersRing{RingCapacity};
+  Channel<TableRequest> CallersToPlatform{RingCapacity};
+  Channel<TableReply> PlatformToCallers{RingCapacity};
+  Channel<TableRequest> BackendsToPlatform{RingCapacity};
+  Channel<TableReply> PlatformToBackends{RingCapacity};
+  Channel<PeersToPlatform> PeersToPlatformRing{RingCapacity};
+  Channel<PlatformToPeers> PlatformToPeersRing{RingCapacity};
+  Channel<RefreshConfig> OperatorsToPeers{16};
+
+  Published<ActiveConfig> Config;
+  Published<FleetView> View;
+  /// What each thread reports of itself for operators.
+  Published<boost::json::value> CallersStatus;
+  Published<boost::json::value> BackendsStatus;
+  Published<boost::json::value> PeersStatus;
+
+  AuditTrail Audit;
+  MetricRegistry Metrics;
+};
+
+} // namespace teaselhitch
+
+#endif
--- /dev/null
+++ b/lib/Node/Node.cpp
@@ -0,0 +1,114 @@
+#include "teaselhitch/Node/Node.h"
+
+#include "BackendsDuty.h"
+#include "CallersDuty.h"
+#include "OperatorsDuty.h"
+#include "PeersDuty.h"
+#include "PlatformDuty.h"
+
+#include "teaselhitch/Support/Log.h"
+
+namespace teaselhitch {
+
+namespace {
+
+constexpr Duration DrainCheckInterval = Duration(50);
+
+class NodeImpl final : public Node {
+public:
+  explicit NodeImpl(const NodeSettings &Settings) : Settings(Settings) {}
+
+  ~NodeImpl() override { stopAll(); }
+
+  Result<void> open() {
+    // A later start has a higher incarnation. If the wall clock was set back,
+    // the membership raises the incarnation above the one that peers know.
+    auto Incarnation = static_cast<std::uint64_t>(wallClockMs());
+    BOOST_LEAF_ASSIGN(Platform, PlatformDuty::create(Settings, Rings));
+    BOOST_LEAF_ASSIGN(Peers, PeersDuty::create(Settings, Incarnation, Rings));
+    BOOST_LEAF_ASSIGN(Backends,
+                      BackendsDuty::create(Settings, Incarnation, Rings));
+    BOOST_LEAF_ASSIGN(Callers,
+                      CallersDuty::create(Settings, Incarnation, Rings));
+    BOOST_LEAF_ASSIGN(Operators,
+                      OperatorsDuty::create(Settings, Incarnation, Rings));
+    return {};
+  }
+
+  bool run() override {
+    Main.onSignal([this](int) { drain(); });
+    for (Duty *D : duties())
+      D->start();
+    logEvent(LogLevel::Info, "node", "started",
+             {{"node", Settings.Node.str()},
+              {"callers", toString(Settings.Callers)}});
+    Main.run();
+    stopAll();
+    logEvent(LogLevel::Info, "node", "stopped", {{"graceful", Graceful}});
+    return Graceful;
+  }
+
+private:
+  std::vector<Duty *> duties() {
+    return {Platform.get(), Peers.get(), Backends.get(), Callers.get(),
+            Operators.get()};
+  }
+
+  void stopAll() {
+    for (Duty *D : duties())
+      if (D)
+        D->stop();
+  }
+
+  void drain() {
+    if (DrainStarted > Time())
+      return;
+    DrainStarted = Wall.now();
+    logEvent(LogLevel::Info, "node", "draining",
+             {{"node", Settings.Node.str()}});
+    Rings.Audit.record("node-draining", Settings.Node.str(), "signal");
+    Operators->drain();
+    Peers->leave();
+    Backends->drain();
+    Callers->drain(Settings.DrainGrace);
+    Main.every(DrainCheckInterval, [this] { checkDrained(); });
+  }
+
+  void checkDrained() {
+    Duration Elapsed = Wall.now() - DrainStarted;
+    bool IsIdle = Callers->isIdle() && Backends->isIdle();
+    // Two checks after the grace time, so that requests taken at its very end
+    // are seen.
+    if (Elapsed > Settings.DrainGrace + DrainCheckInterval * 2 && IsIdle)
+      return finish(true);
+    if (Elapsed > Settings.DrainGrace + Settings.DrainTimeout)
+      finish(false);
+  }
+
+  void finish(bool Done) {
+    Graceful = Done;
+    Main.stop();
+  }
+
+  NodeSettings Settings;
+  Channels Rings;
+  EventLoop Main;
+  SteadyClock Wall;
+  Time DrainStarted;
+  bool Graceful = false;
+  std::unique_ptr<PlatformDuty> Platform;
+  std::unique_ptr<PeersDuty> Peers;
+  std::unique_ptr<BackendsDuty> Backends;
+  std::unique_ptr<CallersDuty> Callers;
+  std::unique_ptr<OperatorsDuty> Operators;
+};
+
+} // namespace
+
+Result<std::unique_ptr<Node>> Node::create(const NodeSettings &Settings) {
+  auto Created = std::make_unique<NodeImpl>(Settings);
+  BOOST_LEAF_CHECK(Created->open());
+  return std::unique_ptr<Node>(std::move(Created));
+}
+
+} // namespace teaselhitch
--- /dev/null
+++ b/lib/Node/OperatorsDuty.cpp
@@ -0,0 +1,157 @@
+#include "OperatorsDuty.h"
+
+#include "Problem.h"
+
+#include "teaselhitch/Platform/Url.h"
+
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+
+#include <charconv>
+
+namespace teaselhitch {
+
+namespace {
+
+constexpr unsigned Ok = 200;
+constexpr unsigned Accepted = 202;
+constexpr unsigned BadRequest = 400;
+constexpr unsigned NotFound = 404;
+constexpr unsigned MethodNotAllowed = 405;
+constexpr unsigned Unavailable = 503;
+constexpr std::uint64_t DefaultAuditLimit = 100;
+
+HttpAnswer error(unsigned Status, const std::string &Message) {
+  boost::json::object Body;
+  Body["error"] = Message;
+  return makeJson(Status, Body);
+}
+
+boost::json::value valueOr(const Published<boost::json::value> &From) {
+  std::shared_ptr<const boost::json::value> Current = From.current();
+  return Current ? *Current : boost::json::value();
+}
+
+/// A query parameter as a number; Default if it is absent.
+Result<std::uint64_t> numberParameter(const RequestTarget &Target,
+                                      const std::string &Name,
+                                      std::uint64_t Default) {
+  auto It = Target.Parameters.find(Name);
+  if (It == Target.Parameters.end())
+    return Default;
+  const std::string &Text = It->second;
+  std::uint64_t Value = 0;
+  auto [End, Fault] =
+      std::from_chars(Text.data(), Text.data() + Text.size(), Value);
+  if (Fault != std::errc() || End != Text.data() + Text.size())
+    return makeError(ErrorCode::InvalidInput,
+                     "parameter '" + Name + "': expected a whole number");
+  return Value;
+}
+
+} // namespace
+
+Result<std::unique_ptr<OperatorsDuty>>
+OperatorsDuty::create(const NodeSettings &Settings, std::uint64_t Incarnation,
+                      Channels &Rings) {
+  std::unique_ptr<OperatorsDuty> Made(
+      new OperatorsDuty(Settings, Incarnation, Rings));
+  OperatorsDuty *Self = Made.get();
+  HttpServerSettings Http;
+  Http.Listen = Settings.Operators;
+  BOOST_LEAF_ASSIGN(
+      Made->Server,
+      HttpServer::create(
+          Made->Loop, Http,
+          [Self](const std::shared_ptr<HttpExchange> &E) {
+            E->reply(Self->handle(E->request()));
+          },
+          [](Reason Why) {
+            return error(reasonInfo(Why).Status, reasonInfo(Why).Detail);
+          }));
+  return Made;
+}
+
+HttpAnswer OperatorsDuty::handle(const HttpRequest &Request) {
+  std::string Path = Request.Target.substr(0, Request.Target.find('?'));
+  bool IsRefresh = Path == "/v1/config/refresh";
+  if (Request.Method != (IsRefresh ? "POST" : "GET"))
+    return error(MethodNotAllowed,
+                 std::string("expected ") + (IsRefresh ? "POST" : "GET"));
+  if (IsRefresh) {
+    // A full ring holds an earlier refresh, which serves as well.
+    (void)Rings.OperatorsToPeers.trySend(RefreshConfig());
+    return makeJson(Accepted, boost::json::object());
+  }
+  if (Path == "/healthz")
+    return makeJson(Ok, boost::json::object{{"status", "ok"}});
+  if (Path == "/readyz")
+    return readiness();
+  if (Path == "/metrics")
+    return metrics();
+  if (Path == "/v1/status")
+    return status();
+  if (Path == "/v1/audit")
+    return audit(Request.Target);
+  return error(NotFound, "unknown path '" + Path + "'");
+}
+
+HttpAnswer OperatorsDuty::readiness() const {
+  std::shared_ptr<const ActiveConfig> Config = Rings.Config.current();
+  const char *Cause = Draining  ? "draining"
+                      : !Config ? "no-configuration"
+                                : nullptr;
+  if (Cause)
+    return makeJson(Unavailable, boost::json::object{{"status", Cause}});
+  return makeJson(Ok, boost::json::object{{"status", "ready"}});
+}
+
+HttpAnswer OperatorsDuty::metrics() const {
+  HttpAnswer Answer;
+  Answer.Status = Ok;
+  Answer.Headers = {{"Content-Type", "text/plain; version=0.0.4"}};
+  Answer.Body = Rings.Metrics.render();
+  return Answer;
+}
+
+HttpAnswer OperatorsDuty::status() const {
+  std::shared_ptr<const ActiveConfig> Config = Rings.Config.current();
+  boost::json::object Body;
+  Body["node"] = Settings.Node.str();
+  Body["fleet"] = Settings.Fleet;
+  Body["failure_domain"] = Settings.Domain.str();
+  Body["incarnation"] = Incarnation;
+  Body["uptime_ms"] = static_cast<std::int64_t>((now() - StartedAt).ms());
+  Body["draining"] = Draining.load();
+  Body["configuration_version"] = Config ? Config->Version : 0;
+  Body["configuration_manifest"] = Config ? Config->ManifestHash : "";
+  Body["callers"] = valueOr(Rings.CallersStatus);
+  Body["guard"] = valueOr(Rings.BackendsStatus);
+  Body["fleet_view"] = valueOr(Rings.PeersStatus);
+  return makeJson(Ok, Body);
+}
+
+HttpAnswer OperatorsDuty::audit(const std::string &Text) const {
+  return handleError(
+      [&]() -> Result<HttpAnswer> {
+        BOOST_LEAF_AUTO(Target, parseTarget(Text));
+        BOOST_LEAF_AUTO(After, numberParameter(Target, "after", 0));
+        BOOST_LEAF_AUTO(Limit,
+                        numberParameter(Target, "limit", DefaultAuditLimit));
+        boost::json::array Events;
+        for (const AuditEvent &Event : Rings.Audit.events(After, Limit))
+          Events.push_back(boost::json::object{{"sequence", Event.Sequence},
+                                               {"time_ms", Event.TimeMs},
+                                               {"kind", Event.Kind},
+                                               {"subject", Event.Subject},
+                                               {"detail", Event.Detail}});
+        boost::json::object Body;
+        Body["node"] = Settings.Node.str();
+        Body["dropped"] = Rings.Audit.dropped();
+        Body["events"] = std::move(Events);
+        return makeJson(Ok, Body);
+      },
+      [](const Error &E) { return error(BadRequest, E.Message); });
+}
+
+} // namespace teaselhitch
--- /dev/null
+++ b/lib/Routing/BaselineBalancers.cpp
@@ -0,0 +1,44 @@
+/// \file
+/// The balancers `round-robin` and `random`, as baselines for measurements.
+
+#include "teaselhitch/Routing/Balancer.h"
+
+TEASELHITCH_PLUGIN(BaselineBalancers)
+
+namespace teaselhitch {
+
+namespace {
+
+class RoundRobinBalancer final : public Balancer {
+public:
+  std::optional<std::size_t> choose(const std::vector<Candidate> &Candidates,
+                                    RandomSource &) override {
+    if (Candidates.empty())
+      return std::nullopt;
+    return Next++ % Candidates.size();
+  }
+
+private:
+  std::size_t Next = 0;
+};
+
+class RandomBalancer final : public Balancer {
+public:
+  std::optional<std::size_t> choose(const std::vector<Candidate> &Candidates,
+                                    RandomSource &Random) override {
+    if (Candidates.empty())
+      return std::nullopt;
+    return Random.below(Candidates.size());
+  }
+};
+
+const BalancerRegistry::Entry
+    RegisteredRoundRobin("round-robin", "each candidate in turn",
+                         [] { return std::make_unique<RoundRobinBalancer>(); });
+const BalancerRegistry::Entry
+    RegisteredRandom("random", "any candidate with equal probability",
+                     [] { return std::make_unique<RandomBalancer>(); });
+
+} // namespace
+
+} // namespace teaselhitch
--- /dev/null
+++ b/lib/Settings/NodeSettings.cpp
@@ -0,0 +1,135 @@
+#include "teaselhitch/Settings/NodeSettings.h"
+
+#include "SettingsReader.h"
+
+#include "teaselhitch/Support/Name.h"
+
+#include <arpa/inet.h>
+
+#include <array>
+#include <charconv>
+
+namespace teaselhitch {
+
+namespace {
+
+constexpr std::size_t MinSecretLength = 16;
+
+bool isIpAddress(const std::string &Text) {
+  std::array<unsigned char, sizeof(in6_addr)> Bytes{};
+  return inet_pton(AF_INET, Text.c_str(), Bytes.data()) == 1 ||
+         inet_pton(AF_INET6, Text.c_str(), Bytes.data()) == 1;
+}
+
+void readNode(SettingsReader &Reader, NodeSettings &S) {
+  Reader.section("node");
+  S.Fleet = Reader.name("fleet");
+  S.Node = NodeName(Reader.name("name"));
+  S.Domain = FailureDomain(Reader.name("failure_domain"));
+  S.Region = RegionName(Reader.name("region", "default"));
+}
+
+void readListen(SettingsReader &Reader, NodeSettings &S) {
+  Reader.section("listen");
+  S.Callers = Reader.endpoint("callers");
+  S.BackendServers = Reader.endpoint("backend_servers");
+  S.Operators = Reader.endpoint("operators");
+  S.Peers = Reader.endpoint("peers");
+}
+
+void readPeers(SettingsReader &Reader, NodeSettings &S) {
+  Reader.section("peers");
+  S.Seeds = Reader.endpoints("seeds");
+  S.Secret = Reader.secret("secret", MinSecretLength, true);
+  S.PreviousSecret = Reader.secret("previous_secret", MinSecretLength, false);
+}
+
+void readPlatform(SettingsReader &Reader, NodeSettings &S) {
+  Reader.section("platform");
+  S.Platform = Reader.endpoint("address");
+  S.PlatformTimeout = Reader.duration("timeout_ms", S.PlatformTimeout, 10,
+                                      60000);
+  S.HeadPollInterval =
+      Reader.duration("head_poll_ms", S.HeadPollInterval, 100, 3600000);
+}
+
+void readLimits(SettingsReader &Reader, NodeSettings &S) {
+  constexpr std::int64_t MaxBytes = 1024 * 1024;
+  Reader.section("limits");
+  S.MaxHeaderBytes = static_cast<std::uint32_t>(
+      Reader.integer("max_header_bytes", S.MaxHeaderBytes, 1024, MaxBytes));
+  // A whole message has to fit into one frame between nodes.
+  S.MaxBodyBytes = static_cast<std::uint64_t>(Reader.integer(
+      "max_body_bytes", static_cast<std::int64_t>(S.MaxBodyBytes), 0,
+      MaxBytes));
+  S.MaxAnswerBytes = static_cast<std::uint64_t>(Reader.integer(
+      "max_answer_bytes", static_cast<std::int64_t>(S.MaxAnswerBytes), 1024,
+      MaxBytes));
+  S.MaxCallerConnections = static_cast<std::uint32_t>(Reader.integer(
+      "max_caller_connections", S.MaxCallerConnections, 1, 65536));
+  S.MaxRequests = static_cast<std::uint32_t>(
+      Reader.integer("max_requests", S.MaxRequests, 1, 65536));
+  S.DrainTimeout =
+      Reader.duration("drain_timeout_ms", S.DrainTimeout, 0, 600000);
+  S.DrainGrace = Reader.duration("drain_grace_ms", S.DrainGrace, 0, 60000);
+}
+
+void readLog(SettingsReader &Reader, NodeSettings &S) {
+  Reader.section("log");
+  std::string Level =
+      Reader.choice("level", "info", {"debug", "info", "warning", "error"});
+  S.Level = Level == "debug"     ? LogLevel::Debug
+            : Level == "warning" ? LogLevel::Warning
+            : Level == "error"   ? LogLevel::Error
+                                 : LogLevel::Info;
+  S.LogPath = Reader.text("path", "-");
+}
+
+} // namespace
+
+std::optional<Endpoint> parseEndpoint(std::string_view Text) {
+  std::size_t Colon = Text.rfind(':');
+  if (Colon == std::string_view::npos)
+    return std::nullopt;
+  std::string_view Port = Text.substr(Colon + 1);
+  std::string Address(Text.substr(0, Colon));
+  if (Address.size() > 2 && Address.front() == '[' && Address.back() == ']')
+    Address = Address.substr(1, Address.size() - 2);
+  Endpoint Result;
+  auto [End, Fault] =
+      std::from_chars(Port.data(), Port.data() + Port.size(), Result.Port);
+  if (Fault != std::errc() || End != Port.data() + Port.size() ||
+      !isIpAddress(Address))
+    return std::nullopt;
+  Result.Address = std::move(Address);
+  return Result;
+}
+
+CheckedSettings readNodeSettings(std::string_view Text) {
+  CheckedSettings Checked;
+  SettingsReader Reader(Text, Checked.Faults);
+  if (!Checked.Faults.empty())
+    return Checked;
+  NodeSettings &S = Checked.Settings;
+  readNode(Reader, S);
+  readListen(Reader, S);
+  readPeers(Reader, S);
+  readPlatform(Reader, S);
+  readLimits(Reader, S);
+  Reader.section("policy");
+  S.Balancer = Reader.text("balancer", S.Balancer);
+  readLog(Reader, S);
+  Reader.reportUnknown();
+  return Checked;
+}
+
+std::string describeFault(const std::string &File, const SettingsFault &Fault) {
+  std::string Where = File;
+  if (Fault.Line != 0)
+    Where += ":" + std::to_string(Fault.Line);
+  if (!Fault.Key.empty())
+    Where += ": " + Fault.Key;
+  return Where + ": " + Fault.Message;
+}
+
+} // namespace teaselhitch
--- /dev/null
+++ b/lib/Settings/SettingsReader.cpp
@@ -0,0 +1,212 @@
+#include "SettingsReader.h"
+
+#include "teaselhitch/Support/Name.h"
+#include "teaselhitch/Support/NearestName.h"
+
+#include <toml++/toml.h>
+
+#include <algorithm>
+
+namespace teaselhitch {
+
+struct SettingsReader::Document {
+  toml::table Root;
+  const toml::table *Current = nullptr;
+};
+
+namespace {
+
+std::uint32_t lineOf(const toml::node &Node) {
+  return Node.source().begin.line;
+}
+
+} // namespace
+
+SettingsReader::SettingsReader(std::string_view Text,
+                               std::vector<SettingsFault> &Faults)
+    : Faults(Faults), Parsed(std::make_unique<Document>()) {
+  try {
+    Parsed->Root = toml::parse(Text);
+  } catch (const toml::parse_error &E) {
+    Faults.push_back(SettingsFault{E.source().begin.line, "",
+                                   std::string(E.description())});
+  }
+}
+
+SettingsReader::~SettingsReader() = default;
+
+void SettingsReader::section(const std::string &Name) {
+  Section = Name;
+  Parsed->Current = nullptr;
+  KnownKeys[Name];
+  const toml::node *Node = Parsed->Root.get(Name);
+  if (!Node)
+    return;
+  Parsed->Current = Node->as_table();
+  if (!Parsed->Current)
+    Faults.push_back(SettingsFault{lineOf(*Node), Name, "expected a table"});
+}
+
+void SettingsReader::fault(const std::string &Key, const std::string &Message) {
+  const toml::node *Node =
+      Parsed->Current ? Parsed->Current->get(Key) : nullptr;
+  Faults.push_back(
+      SettingsFault{Node ? lineOf(*Node) : 0, Section + "." + Key, Message});
+}
+
+template <typename T>
+const T *SettingsReader::value(const std::string &Key, const char *Expected) {
+  KnownKeys[Section].insert(Key);
+  const toml::node *Node =
+      Parsed->Current ? Parsed->Current->get(Key) : nullptr;
+  if (!Node)
+    return nullptr;
+  const toml::value<T> *Value = Node->as<T>();
+  if (!Value) {
+    fault(Key, std::string("expected ") + Expected);
+    return nullptr;
+  }
+  return &Value->get();
+}
+
+std::string SettingsReader::name(const std::string &Key,
+                                 const std::string &Default) {
+  std::size_t FaultsBefore = Faults.size();
+  const auto *Value = value<std::string>(Key, "a name in quotes");
+  if (!Value) {
+    if (Default.empty() && Faults.size() == FaultsBefore)
+      fault(Key, "missing, expected a name");
+    return Default;
+  }
+  if (!isValidName(*Value))
+    fault(Key, "'" + *Value +
+                   "' is not a name: expected 1 to 64 characters of a-z A-Z "
+                   "0-9 . _ - that start with a letter or a digit");
+  return *Value;
+}
+
+std::string SettingsReader::text(const std::string &Key,
+                                 const std::string &Default) {
+  const auto *Value = value<std::string>(Key, "a text in quotes");
+  return Value ? *Value : Default;
+}
+
+std::string SettingsReader::choice(const std::string &Key,
+                                   const std::string &Default,
+                                   const std::vector<std::string> &Choices) {
+  std::string Value = text(Key, Default);
+  if (std::find(Choices.begin(), Choices.end(), Value) != Choices.end())
+    return Value;
+  std::string Known;
+  for (const std::string &C : Choices)
+    Known += (Known.empty() ? "" : ", ") + C;
+  fault(Key, "unknown value '" + Value + "', expected one of: " + Known);
+  return Default;
+}
+
+std::string SettingsReader::secret(const std::string &Key,
+                                   std::size_t MinLength, bool Required) {
+  std::size_t FaultsBefore = Faults.size();
+  const auto *Value = value<std::string>(Key, "a text in quotes");
+  std::string Expected =
+      "expected at least " + std::to_string(MinLength) + " characters";
+  if (!Value) {
+    if (Required && Faults.size() == FaultsBefore)
+      fault(Key, "missing, " + Expected);
+    return "";
+  }
+  if (Value->size() < MinLength)
+    fault(Key, Expected);
+  return *Value;
+}
+
+Endpoint SettingsReader::endpoint(const std::string &Key) {
+  constexpr const char *Expected = "an IP address and port, e.g. "
+                                   "\"127.0.0.1:7001\"";
+  std::size_t FaultsBefore = Faults.size();
+  const auto *Value = value<std::string>(Key, Expected);
+  if (!Value) {
+    if (Faults.size() == FaultsBefore)
+      fault(Key, std::string("missing, expected ") + Expected);
+    return Endpoint();
+  }
+  std::optional<Endpoint> Parsed = parseEndpoint(*Value);
+  if (!Parsed)
+    fault(Key, "'" + *Value + "' is not " + Expected);
+  return Parsed.value_or(Endpoint());
+}
+
+std::vector<Endpoint> SettingsReader::endpoints(const std::string &Key) {
+  KnownKeys[Section].insert(Key);
+  std::vector<Endpoint> Result;
+  const toml::node *Node =
+      Parsed->Current ? Parsed->Current->get(Key) : nullptr;
+  if (!Node)
+    return Result;
+  const toml::array *Array = Node->as_array();
+  if (!Array) {
+    fault(Key, "expected a list of addresses");
+    return Result;
+  }
+  for (const toml::node &Item : *Array) {
+    std::optional<std::string> Text = Item.value<std::string>();
+    std::optional<Endpoint> Address =
+        Text ? parseEndpoint(*Text) : std::nullopt;
+    if (Address)
+      Result.push_back(*Address);
+    else
+      Faults.push_back(SettingsFault{
+          lineOf(Item), Section + "." + Key,
+          "each item must be an IP address and port in quotes"});
+  }
+  return Result;
+}
+
+std::int64_t SettingsReader::integer(const std::string &Key,
+                                     std::int64_t Default, std::int64_t Min,
+                                     std::int64_t Max) {
+  const auto *Value = value<std::int64_t>(Key, "a whole number");
+  if (!Value)
+    return Default;
+  if (*Value >= Min && *Value <= Max)
+    return *Value;
+  fault(Key, std::to_string(*Value) + " is out of range, expected " +
+                 std::to_string(Min) + " to " + std::to_string(Max));
+  return Default;
+}
+
+Duration SettingsReader::duration(const std::string &Key, Duration Default,
+                                  std::int64_t MinMs, std::int64_t MaxMs) {
+  auto DefaultMs = static_cast<std::int64_t>(Default.ms());
+  return Duration(
+      static_cast<double>(integer(Key, DefaultMs, MinMs, MaxMs)));
+}
+
+void SettingsReader::reportUnknown() {
+  std::vector<std::string> Sections;
+  for (const auto &[Name, Keys] : KnownKeys)
+    Sections.push_back(Name);
+  for (const auto &[Key, Node] : Parsed->Root) {
+    std::string Name(Key.str());
+    auto Known = KnownKeys.find(Name);
+    if (Known == KnownKeys.end()) {
+      Faults.push_back(SettingsFault{lineOf(Node), Name,
+                                     "unknown table or key" +
+                                         suggestName(Name, Sections)});
+      continue;
+    }
+    const toml::table *Table = Node.as_table();
+    if (!Table)
+      continue;
+    std::vector<std::string> Keys(Known->second.begin(), Known->second.end());
+    for (const auto &[Inner, Value] : *Table) {
+      std::string InnerName(Inner.str());
+      if (Known->second.count(InnerName) == 0)
+        Faults.push_back(SettingsFault{lineOf(Value), Name + "." + InnerName,
+                                       "unknown key" +
+                                           suggestName(InnerName, Keys)});
+    }
+  }
+}
+
+} // namespace teaselhitch
