Guard: add announcements, dispatch, queue, deadlines, results and drain

ServerTable holds the backend servers and publishes their records, AdmissionQueue and FairShares decide who waits and who goes next, GuardCore ties them together. Guard.h gains the action CrashMark and its receiving function, which the fleet-wide quarantine rule needs.

Guard-bound keys and crash quarantine are not in this commit: mintKey returns an empty key and keys of attempts are not checked.

Ruled out: a queue for each backend server, because a waiting attempt would miss a slot that becomes free on another local server of the service.

--- a/include/teaselhitch/Guard/Guard.h
+++ b/include/teaselhitch/Guard/Guard.h
@@ -95,9 +95,24 @@
   auto operator<=>(const Quarantine &) const = default;
 };
 
-/// AttemptFailed goes to the entry of the attempt.
+/// A backend server crashed while it ran a request with this fingerprint. The
+/// other guards need it, because the caller may send the request again through
+/// any of them.
+struct CrashMark {
+  std::uint64_t Fingerprint = 0;
+  /// Identifies the crash: hash of node, backend server and its incarnation.
+  std::uint64_t Crash = 0;
+  /// It is the second crash of a request that was sent again. Receivers refuse
+  /// the request until the sending guard has decided on a quarantine.
+  bool Repeated = false;
+
+  auto operator<=>(const CrashMark &) const = default;
+};
+
+/// AttemptFailed goes to the entry of the attempt; Quarantine and CrashMark go
+/// to all other guards.
 using GuardAction = std::variant<StartAttempt, AbortAttempt, AttemptFailed,
-                                 PublishRecord, Quarantine>;
+                                 PublishRecord, Quarantine, CrashMark>;
 using GuardActions = std::vector<GuardAction>;
 
 struct GuardSettings {
@@ -169,6 +184,9 @@
   /// A quarantine heard from another guard.
   virtual void quarantine(const Quarantine &Q, Time Now) = 0;
 
+  /// A crash heard from another guard.
+  virtual void crashMark(const CrashMark &Mark, Time Now) = 0;
+
   /// Starts a graceful shutdown: new attempts are refused, waiting ones are
   /// refused, running ones finish.
   virtual GuardActions drain(Time Now) = 0;
--- /dev/null
+++ b/lib/Guard/AdmissionQueue.cpp
@@ -0,0 +1,57 @@
+#include "AdmissionQueue.h"
+
+#include <cassert>
+#include <utility>
+
+namespace teaselhitch {
+
+bool QueuedAttempt::operator<(const QueuedAttempt &Other) const {
+  if (Paid != Other.Paid)
+    return Paid;
+  if (Deadline != Other.Deadline)
+    return Deadline < Other.Deadline;
+  return Order < Other.Order;
+}
+
+void AdmissionQueue::insert(const OrganisationName &Organisation,
+                            QueuedAttempt Entry) {
+  [[maybe_unused]] bool Inserted =
+      Lines[Organisation].insert(std::move(Entry)).second;
+  assert(Inserted && "the order of arrival is unique");
+  ++Size;
+}
+
+void AdmissionQueue::erase(const OrganisationName &Organisation,
+                           const QueuedAttempt &Entry) {
+  auto It = Lines.find(Organisation);
+  [[maybe_unused]] std::size_t Erased =
+      It == Lines.end() ? 0 : It->second.erase(Entry);
+  assert(Erased == 1 && "the attempt waits");
+  --Size;
+  if (It->second.empty())
+    Lines.erase(It);
+}
+
+std::size_t AdmissionQueue::size(const OrganisationName &Organisation) const {
+  auto It = Lines.find(Organisation);
+  return It == Lines.end() ? 0 : It->second.size();
+}
+
+std::vector<AttemptId> AdmissionQueue::expired(Time Now) const {
+  std::vector<AttemptId> Found;
+  for (const auto &[Organisation, Entries] : Lines)
+    for (const QueuedAttempt &Entry : Entries)
+      if (Entry.Deadline <= Now)
+        Found.push_back(Entry.Attempt);
+  return Found;
+}
+
+std::vector<AttemptId> AdmissionQueue::all() const {
+  std::vector<AttemptId> Found;
+  for (const auto &[Organisation, Entries] : Lines)
+    for (const QueuedAttempt &Entry : Entries)
+      Found.push_back(Entry.Attempt);
+  return Found;
+}
+
+} // namespace teaselhitch
--- /dev/null
+++ b/lib/Guard/GuardCore.cpp
@@ -0,0 +1,99 @@
+#include "GuardCore.h"
+
+#include <utility>
+
+namespace teaselhitch {
+
+GuardCore::GuardCore(GuardSettings NewSettings)
+    : Settings(std::move(NewSettings)), Servers(Settings) {}
+
+GuardActions GuardCore::configure(std::shared_ptr<const ActiveConfig> NewConfig,
+                                  Time Now) {
+  Config = std::move(NewConfig);
+  QueuePerSlot.clear();
+  if (Config)
+    for (const Limit &L : Config->Objects.Limits)
+      QueuePerSlot[L.Service] = L.QueuePerSlot;
+  GuardActions Out;
+  settleAll(Now, Out);
+  return Out;
+}
+
+Result<GuardActions> GuardCore::announce(const Announcement &A, Time Now) {
+  Result<ServerTable::Announced> Change = Servers.announce(A, Now);
+  if (!Change)
+    return Change.error();
+  GuardActions Out;
+  if (Change->Restarted)
+    endInterrupted(A.Name, A.Incarnation,
+                   Change->Before != BackendServerState::Draining, Out);
+  settle(A.Service, Now, Out);
+  if (Change->ServiceBefore != A.Service)
+    settle(Change->ServiceBefore, Now, Out);
+  Servers.publish(Out);
+  return Out;
+}
+
+KeyMinted GuardCore::mintKey(const MintKey &Request, Time) {
+  return {Request.Token, {}, {}};
+}
+
+GuardActions GuardCore::setHealth(const BackendServerName &Name,
+                                  BackendServerHealth Health,
+                                  std::uint32_t Weight, Time Now) {
+  GuardActions Out;
+  GuardedServer *Server = Servers.find(Name);
+  if (Server == nullptr)
+    return Out;
+  Servers.setHealth(*Server, Health, Weight, Now);
+  settle(Server->Record.Service, Now, Out);
+  Servers.publish(Out);
+  return Out;
+}
+
+void GuardCore::quarantine(const Quarantine &, Time) {}
+
+void GuardCore::crashMark(const CrashMark &, Time) {}
+
+GuardActions GuardCore::drain(Time) {
+  Draining = true;
+  GuardActions Out;
+  std::vector<AttemptId> Waiting;
+  for (const auto &[Id, A] : Attempts)
+    if (!A.Running)
+      Waiting.push_back(Id);
+  for (const AttemptId &Id : Waiting)
+    refuseWaiting(Id, Reason::Draining, Out);
+  return Out;
+}
+
+bool GuardCore::isIdle() const { return Attempts.empty(); }
+
+GuardActions GuardCore::tick(Time Now) {
+  GuardActions Out;
+  Servers.tick(Now);
+  abortOverdue(Now, Out);
+  dropExpired(Now, Out);
+  settleAll(Now, Out);
+  for (auto It = Queues.begin(); It != Queues.end();) {
+    It->second.Shares.tick(It->second.Queue, Now);
+    ++It;
+  }
+  Servers.publish(Out);
+  return Out;
+}
+
+std::vector<GuardedServerStatus> GuardCore::status() const {
+  std::vector<GuardedServerStatus> List;
+  for (const auto &[Name, Server] : Servers.servers()) {
+    GuardedServerStatus Status{Server.Record, Server.Address, Server.InProgress,
+                               0};
+    for (const auto &[Id, A] : Attempts)
+      if (!A.Running && A.Info.Preferred == Name)
+        ++Status.Waiting;
+    List.push_back(std::move(Status));
+  }
+  return List;
+}
+
+} // namespace teaselhitch
--- /dev/null
+++ b/lib/Guard/GuardCore.h
@@ -0,0 +1,114 @@
+#ifndef TEASELHITCH_LIB_GUARD_GUARDCORE_H
+#define TEASELHITCH_LIB_GUARD_GUARDCORE_H
+
+#include "AdmissionQueue.h"
+#include "FairShares.h"
+#include "ServerTable.h"
+#include "teaselhitch/Guard/Guard.h"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace teaselhitch {
+
+/// The implementation of Guard: ties the tables together.
+class GuardCore final : public Guard {
+public:
+  explicit GuardCore(GuardSettings Settings);
+
+  GuardActions configure(std::shared_ptr<const ActiveConfig> NewConfig,
+                         Time Now) override;
+  Result<GuardActions> announce(const Announcement &A, Time Now) override;
+  GuardActions dispatch(const DispatchInfo &Info, Time Now) override;
+  GuardActions cancel(const AttemptId &Id, Time Now) override;
+  GuardActions finished(const AttemptId &Id, const RunResult &Result,
+                        Time Now) override;
+  KeyMinted mintKey(const MintKey &Request, Time Now) override;
+  GuardActions setHealth(const BackendServerName &Server,
+                         BackendServerHealth Health, std::uint32_t Weight,
+                         Time Now) override;
+  void quarantine(const Quarantine &Q, Time Now) override;
+  void crashMark(const CrashMark &Mark, Time Now) override;
+  GuardActions drain(Time Now) override;
+  bool isIdle() const override;
+  GuardActions tick(Time Now) override;
+  std::vector<GuardedServerStatus> status() const override;
+
+private:
+  /// An attempt from its dispatch until it has left the queue or its slot.
+  struct Attempt {
+    DispatchInfo Info;
+    Time Deadline;
+    std::uint64_t Order = 0;
+    /// Whose share and line it uses.
+    OrganisationName Payer;
+    bool Running = false;
+    /// The entry knows how it ended; the slot is still held.
+    bool Reported = false;
+    /// An AbortAttempt was given out.
+    bool Aborted = false;
+    bool Trial = false;
+    /// The rest is set while it runs.
+    BackendServerName Server;
+    std::uint64_t ServerIncarnation = 0;
+    Time StartedAt;
+    Duration Charged;
+
+    QueuedAttempt queued() const {
+      return {Info.Attempt, Info.Paid, Deadline, Order};
+    }
+  };
+
+  /// The queue of one service and its division among organisations.
+  struct ServiceQueue {
+    AdmissionQueue Queue;
+    FairShares Shares;
+  };
+
+  // GuardDispatch.cpp: who waits and who starts.
+  void admit(Attempt &A, Time Now, GuardActions &Out);
+  bool tryStart(Attempt &A, Time Now, GuardActions &Out);
+  void start(Attempt &A, GuardedServer &Server, bool Direct, Time Now,
+             GuardActions &Out);
+  void startWaiting(const ServiceName &Service, Time Now, GuardActions &Out);
+  /// Brings the queue of a service in line with its servers: refuses what no
+  /// server can take and starts what can run.
+  void settle(const ServiceName &Service, Time Now, GuardActions &Out);
+  void settleAll(Time Now, GuardActions &Out);
+  void dropExpired(Time Now, GuardActions &Out);
+  Reason reasonUnserved(const ServiceName &Service) const;
+  OrganisationName payer(const OrganisationName &Organisation) const;
+  std::uint32_t share(const OrganisationName &Payer) const;
+  std::size_t queueLimit(const ServiceName &Service) const;
+  Duration retryAfter(const ServiceName &Service);
+
+  // GuardEnds.cpp: how attempts end.
+  /// Takes a waiting attempt out and refuses it.
+  void refuseWaiting(const AttemptId &Id, Reason Why, GuardActions &Out);
+  void refuse(const DispatchInfo &Info, Reason Why, Duration RetryAfter,
+              GuardActions &Out);
+  /// Tells the entry how a running attempt ended, once.
+  void report(Attempt &A, AttemptFailed Failure, GuardActions &Out);
+  void abort(Attempt &A, GuardActions &Out);
+  void abortOverdue(Time Now, GuardActions &Out);
+  /// Ends the attempts of a server that started again.
+  void endInterrupted(const BackendServerName &Name, std::uint64_t Incarnation,
+                      bool Crashed, GuardActions &Out);
+  void reportResult(Attempt &A, const RunResult &Result, GuardActions &Out);
+  void release(const Attempt &A, Time Now);
+
+  GuardSettings Settings;
+  std::shared_ptr<const ActiveConfig> Config;
+  std::map<ServiceName, std::uint32_t> QueuePerSlot;
+  ServerTable Servers;
+  std::map<ServiceName, ServiceQueue> Queues;
+  std::map<AttemptId, Attempt> Attempts;
+  std::uint64_t NextOrder = 0;
+  bool Draining = false;
+};
+
+} // namespace teaselhitch
+
+#endif
--- /dev/null
+++ b/lib/Guard/GuardDispatch.cpp
@@ -0,0 +1,190 @@
+#include "GuardCore.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace teaselhitch {
+
+namespace {
+
+/// Longest accepted deadline. Rules allow less; the bound keeps a malformed
+/// message from holding a slot for good.
+constexpr Duration MaxRemaining = Duration::seconds(3600);
+/// Share of an organisation that is not in the configuration. All of them use
+/// one account, so that invented names gain nothing.
+constexpr std::uint32_t DefaultShare = 1;
+/// Queue length for a service without a Limit object; the default of
+/// Limit::QueuePerSlot.
+constexpr std::uint32_t DefaultQueuePerSlot = 4;
+
+const Organisation *findOrganisation(const ActiveConfig *Config,
+                                     const OrganisationName &Name) {
+  if (Config == nullptr)
+    return nullptr;
+  const std::vector<Organisation> &All = Config->Objects.Organisations;
+  auto It =
+      std::lower_bound(All.begin(), All.end(), Name,
+                       [](const Organisation &O, const OrganisationName &N) {
+                         return O.Name < N;
+                       });
+  return It != All.end() && It->Name == Name ? &*It : nullptr;
+}
+
+} // namespace
+
+GuardActions GuardCore::dispatch(const DispatchInfo &Info, Time Now) {
+  GuardActions Out;
+  // A repeated message must not start the attempt again.
+  if (Attempts.count(Info.Attempt) != 0)
+    return Out;
+  if (Draining) {
+    refuse(Info, Reason::Draining, {}, Out);
+    return Out;
+  }
+  // Written so that a value that is not a number counts as expired.
+  if (!(Info.Remaining > Duration())) {
+    refuse(Info, Reason::DeadlineExpired, {}, Out);
+    return Out;
+  }
+  Attempt A;
+  A.Info = Info;
+  A.Deadline = Now + std::min(Info.Remaining, MaxRemaining);
+  A.Order = NextOrder++;
+  A.Payer = payer(Info.Organisation);
+  admit(A, Now, Out);
+  return Out;
+}
+
+void GuardCore::admit(Attempt &A, Time Now, GuardActions &Out) {
+  const ServiceName &Service = A.Info.Service;
+  if (tryStart(A, Now, Out))
+    return;
+  if (!Servers.isServed(Service)) {
+    refuse(A.Info, reasonUnserved(Service), {}, Out);
+    return;
+  }
+  ServiceQueue &Q = Queues[Service];
+  Q.Shares.arrived(A.Payer, share(A.Payer), Q.Queue.size(A.Payer) != 0, Now);
+  switch (Q.Shares.admit(A.Payer, Q.Queue, queueLimit(Service), Now)) {
+  case Admission::Admit:
+    Q.Queue.insert(A.Payer, A.queued());
+    Attempts.emplace(A.Info.Attempt, A);
+    return;
+  case Admission::QueueFull:
+    refuse(A.Info, Reason::QueueFull, retryAfter(Service), Out);
+    return;
+  case Admission::OverShare:
+    refuse(A.Info, Reason::OverShare, retryAfter(Service), Out);
+    return;
+  }
+}
+
+bool GuardCore::tryStart(Attempt &A, Time Now, GuardActions &Out) {
+  const ServiceName &Service = A.Info.Service;
+  bool MayBeTrial =
+      A.Info.Idempotent && !A.Info.Paid && A.Info.GuardKey.empty();
+  GuardedServer *Server =
+      MayBeTrial ? Servers.chooseForTrial(Service, A.Info.Preferred, Now)
+                 : nullptr;
+  A.Trial = Server != nullptr;
+  if (Server == nullptr)
+    Server = Servers.choose(Service, A.Info.Preferred, Now);
+  if (Server == nullptr)
+    return false;
+  ServiceQueue &Q = Queues[Service];
+  Q.Shares.arrived(A.Payer, share(A.Payer), Q.Queue.size(A.Payer) != 0, Now);
+  Attempt &Stored = Attempts.emplace(A.Info.Attempt, A).first->second;
+  start(Stored, *Server, Q.Queue.size() == 0, Now, Out);
+  return true;
+}
+
+void GuardCore::start(Attempt &A, GuardedServer &Server, bool Direct, Time Now,
+                      GuardActions &Out) {
+  assert(Server.InProgress < Server.Record.Slots && "a slot is free");
+  ++Server.InProgress;
+  Server.TrialInProgress |= A.Trial;
+  A.Running = true;
+  A.Server = Server.Record.Id.Name;
+  A.ServerIncarnation = Server.Incarnation;
+  A.StartedAt = Now;
+  A.Charged = Queues[A.Info.Service].Shares.started(A.Payer, Direct);
+  Out.emplace_back(
+      StartAttempt{A.Info.Attempt, A.Server, Server.Address, A.Deadline - Now});
+}
+
+void GuardCore::startWaiting(const ServiceName &Service, Time Now,
+                             GuardActions &Out) {
+  auto It = Queues.find(Service);
+  if (It == Queues.end())
+    return;
+  ServiceQueue &Q = It->second;
+  const auto Any = [](const OrganisationName &) { return true; };
+  while (Q.Queue.size() != 0 && Servers.choose(Service, {}, Now) != nullptr) {
+    std::optional<OrganisationName> Next =
+        Q.Shares.next(Q.Queue, Servers.slots(Service), Any);
+    if (!Next)
+      return;
+    AttemptId Id = Q.Queue.lines().at(*Next).begin()->Attempt;
+    Attempt &A = Attempts.at(Id);
+    if (A.Deadline <= Now) {
+      refuseWaiting(Id, Reason::DeadlineExpired, Out);
+      continue;
+    }
+    Q.Queue.erase(*Next, A.queued());
+    start(A, *Servers.choose(Service, A.Info.Preferred, Now), false, Now, Out);
+  }
+}
+
+void GuardCore::settle(const ServiceName &Service, Time Now,
+                       GuardActions &Out) {
+  auto It = Queues.find(Service);
+  if (It == Queues.end())
+    return;
+  if (!Servers.isServed(Service)) {
+    for (const AttemptId &Id : It->second.Queue.all())
+      refuseWaiting(Id, reasonUnserved(Service), Out);
+    return;
+  }
+  startWaiting(Service, Now, Out);
+}
+
+void GuardCore::settleAll(Time Now, GuardActions &Out) {
+  for (const auto &[Service, Queue] : Queues)
+    settle(Service, Now, Out);
+}
+
+void GuardCore::dropExpired(Time Now, GuardActions &Out) {
+  for (const auto &[Service, Q] : Queues)
+    for (const AttemptId &Id : Q.Queue.expired(Now))
+      refuseWaiting(Id, Reason::DeadlineExpired, Out);
+}
+
+Reason GuardCore::reasonUnserved(const ServiceName &Service) const {
+  return Servers.isDraining(Service) ? Reason::Draining
+                                     : Reason::NoBackendServer;
+}
+
+OrganisationName GuardCore::payer(const OrganisationName &Organisation) const {
+  return findOrganisation(Config.get(), Organisation) != nullptr
+             ? Organisation
+             : OrganisationName();
+}
+
+std::uint32_t GuardCore::share(const OrganisationName &Payer) const {
+  const Organisation *Found = findOrganisation(Config.get(), Payer);
+  return Found != nullptr ? Found->Share : DefaultShare;
+}
+
+std::size_t GuardCore::queueLimit(const ServiceName &Service) const {
+  auto It = QueuePerSlot.find(Service);
+  std::size_t PerSlot =
+      It != QueuePerSlot.end() ? It->second : DefaultQueuePerSlot;
+  return PerSlot * Servers.slots(Service);
+}
+
+Duration GuardCore::retryAfter(const ServiceName &Service) {
+  ServiceQueue &Q = Queues[Service];
+  return Q.Shares.retryAfter(Q.Queue.size(), Servers.slots(Service));
+}
+
+} // namespace teaselhitch
--- /dev/null
+++ b/lib/Guard/GuardEnds.cpp
@@ -0,0 +1,149 @@
+#include "GuardCore.h"
+
+#include <cassert>
+#include <utility>
+
+namespace teaselhitch {
+
+namespace {
+
+/// After a failed connection a server gets no work for this long, so that it
+/// does not draw and fail the attempts of the whole queue.
+constexpr Duration ConnectPause = Duration(100);
+
+AttemptFailed failure(Reason Why) {
+  AttemptFailed F;
+  F.Why = Why;
+  F.Result = reasonInfo(Why).Result;
+  return F;
+}
+
+} // namespace
+
+GuardActions GuardCore::cancel(const AttemptId &Id, Time) {
+  GuardActions Out;
+  auto It = Attempts.find(Id);
+  if (It == Attempts.end())
+    return Out;
+  if (It->second.Running)
+    abort(It->second, Out);
+  else
+    refuseWaiting(Id, Reason::DeadlineExpired, Out);
+  return Out;
+}
+
+GuardActions GuardCore::finished(const AttemptId &Id, const RunResult &Result,
+                                 Time Now) {
+  GuardActions Out;
+  auto It = Attempts.find(Id);
+  if (It == Attempts.end() || !It->second.Running)
+    return Out;
+  GuardedServer *Server = Servers.find(It->second.Server);
+  bool Same =
+      Server != nullptr && Server->Incarnation == It->second.ServerIncarnation;
+  if (Same && Result.End == RunEnd::ConnectFailed)
+    Server->PausedUntil = Now + ConnectPause;
+  if (Same && Result.End == RunEnd::Crashed)
+    Servers.setGone(*Server);
+  reportResult(It->second, Result, Out);
+  release(It->second, Now);
+  ServiceName Service = It->second.Info.Service;
+  Attempts.erase(It);
+  settle(Service, Now, Out);
+  Servers.publish(Out);
+  return Out;
+}
+
+void GuardCore::refuse(const DispatchInfo &Info, Reason Why,
+                       Duration RetryAfter, GuardActions &Out) {
+  AttemptFailed F = failure(Why);
+  F.Attempt = Info.Attempt;
+  F.RetryAfter = RetryAfter;
+  Out.emplace_back(std::move(F));
+}
+
+void GuardCore::refuseWaiting(const AttemptId &Id, Reason Why,
+                              GuardActions &Out) {
+  auto It = Attempts.find(Id);
+  assert(It != Attempts.end() && !It->second.Running && "the attempt waits");
+  const Attempt &A = It->second;
+  Queues[A.Info.Service].Queue.erase(A.Payer, A.queued());
+  refuse(A.Info, Why, {}, Out);
+  Attempts.erase(It);
+}
+
+void GuardCore::report(Attempt &A, AttemptFailed Failure, GuardActions &Out) {
+  if (std::exchange(A.Reported, true))
+    return;
+  Failure.Attempt = A.Info.Attempt;
+  Out.emplace_back(std::move(Failure));
+}
+
+void GuardCore::abort(Attempt &A, GuardActions &Out) {
+  if (!std::exchange(A.Aborted, true))
+    Out.emplace_back(AbortAttempt{A.Info.Attempt});
+}
+
+void GuardCore::abortOverdue(Time Now, GuardActions &Out) {
+  for (auto &[Id, A] : Attempts) {
+    if (!A.Running || A.Reported || A.Deadline > Now)
+      continue;
+    abort(A, Out);
+    report(A, failure(Reason::DeadlineExpiredRunning), Out);
+  }
+}
+
+void GuardCore::endInterrupted(const BackendServerName &Name,
+                               std::uint64_t Incarnation, bool Crashed,
+                               GuardActions &Out) {
+  for (auto &[Id, A] : Attempts) {
+    if (!A.Running || A.Server != Name || A.ServerIncarnation == Incarnation)
+      continue;
+    abort(A, Out);
+    AttemptFailed F = failure(Reason::BackendServerFailed);
+    F.Crashed = Crashed;
+    report(A, std::move(F), Out);
+  }
+}
+
+void GuardCore::reportResult(Attempt &A, const RunResult &Result,
+                             GuardActions &Out) {
+  switch (Result.End) {
+  case RunEnd::Answered:
+    A.Reported = true;
+    return;
+  case RunEnd::Shed: {
+    AttemptFailed F = failure(Reason::Shed);
+    F.RetryAfter = retryAfter(A.Info.Service);
+    report(A, std::move(F), Out);
+    return;
+  }
+  case RunEnd::ConnectFailed:
+    report(A, failure(Reason::NoBackendServer), Out);
+    return;
+  case RunEnd::ConnectionLost:
+    report(A, failure(Reason::BackendServerFailed), Out);
+    return;
+  case RunEnd::Crashed: {
+    AttemptFailed F = failure(Reason::BackendServerFailed);
+    F.Crashed = true;
+    report(A, std::move(F), Out);
+    return;
+  }
+  case RunEnd::Aborted:
+    report(A, failure(Reason::DeadlineExpiredRunning), Out);
+    return;
+  }
+}
+
+void GuardCore::release(const Attempt &A, Time Now) {
+  GuardedServer *Server = Servers.find(A.Server);
+  assert(Server != nullptr && Server->InProgress != 0 &&
+         "a server with attempts in progress is kept");
+  --Server->InProgress;
+  if (A.Trial)
+    Server->TrialInProgress = false;
+  Queues[A.Info.Service].Shares.finished(A.Payer, A.Charged, Now - A.StartedAt);
+}
+
+} // namespace teaselhitch
--- /dev/null
+++ b/lib/Guard/ServerTable.cpp
@@ -0,0 +1,233 @@
+#include "ServerTable.h"
+
+#include "AnnouncementCheck.h"
+
+#include <algorithm>
+#include <string>
+
+namespace teaselhitch {
+
+namespace {
+
+/// Instances are small; the planned number is 13. The bound keeps a faulty
+/// announcer that changes its name from filling the memory.
+constexpr std::size_t MaxServers = 256;
+/// Gone servers are kept this long, so that a late announcement of an older
+/// incarnation is still refused.
+constexpr Duration GoneRetention = Duration::seconds(600);
+/// Time between trial requests to an ejected server.
+constexpr Duration TrialInterval = Duration(500);
+/// Slow start begins at this share of the full load and rises in equal steps;
+/// each step publishes one record.
+constexpr std::uint32_t SlowStartStepPercent = 10;
+constexpr std::uint32_t FullPercent = 100;
+
+std::uint32_t slowStartPercent(Duration Elapsed, Duration Whole) {
+  if (Elapsed >= Whole)
+    return FullPercent;
+  constexpr double Steps =
+      static_cast<double>(FullPercent) / SlowStartStepPercent - 1;
+  double Done = std::max(0.0, Elapsed.ms() / Whole.ms());
+  return SlowStartStepPercent * (1 + static_cast<std::uint32_t>(Done * Steps));
+}
+
+bool differs(const BackendServerRecord &A, BackendServerRecord B) {
+  B.Version = A.Version;
+  return A != B;
+}
+
+} // namespace
+
+std::uint32_t GuardedServer::usableSlots() const {
+  return std::max(1U, Record.Slots * Record.Weight / FullPercent);
+}
+
+std::uint32_t GuardedServer::freeSlots(Time Now) const {
+  if (!isUsable() || Now < PausedUntil || InProgress >= usableSlots())
+    return 0;
+  return usableSlots() - InProgress;
+}
+
+bool GuardedServer::isTrialDue(Time Now) const {
+  return Record.State == BackendServerState::Ready &&
+         Record.Health == BackendServerHealth::Ejected && !TrialInProgress &&
+         InProgress < Record.Slots && Now >= NextTrialAt && Now >= PausedUntil;
+}
+
+Result<ServerTable::Announced> ServerTable::announce(const Announcement &A,
+                                                     Time Now) {
+  if (Result<void> Checked = checkAnnouncement(A); !Checked)
+    return Checked.error();
+  if (!Born)
+    Born = Now;
+  auto It = Servers.find(A.Name);
+  bool Known = It != Servers.end();
+  if (!Known && Servers.size() >= MaxServers)
+    return makeError(ErrorCode::Exhausted,
+                     "name: more than " + std::to_string(MaxServers) +
+                         " backend servers on this instance");
+  if (Known && A.Incarnation < It->second.Incarnation)
+    return makeError(ErrorCode::InvalidInput,
+                     "incarnation: " + std::to_string(A.Incarnation) +
+                         " is older than " +
+                         std::to_string(It->second.Incarnation));
+  if (Known && A.Incarnation == It->second.Incarnation &&
+      A.Service != It->second.Record.Service)
+    return makeError(ErrorCode::InvalidInput,
+                     "service: changed from '" +
+                         It->second.Record.Service.str() + "' to '" +
+                         A.Service.str() + "' without a new incarnation");
+
+  GuardedServer &Server = Servers[A.Name];
+  Announced Change;
+  Change.Before = Known ? Server.Record.State : BackendServerState::Gone;
+  Change.ServiceBefore = Known ? Server.Record.Service : A.Service;
+  Change.Restarted = Known && A.Incarnation != Server.Incarnation;
+  bool Fresh = !Known || Change.Restarted;
+  if (Fresh) {
+    Server.Record.Health = BackendServerHealth::Healthy;
+    Server.HealthWeight = FullPercent;
+    Server.PausedUntil = Time();
+    Server.SlowStartAt.reset();
+    // A server that is ready when the guard itself has just started was most
+    // likely running before.
+    bool Warm =
+        !Known && A.State != BackendServerState::Starting && isYoung(Now);
+    Server.SlowStartWeight = Warm ? FullPercent : SlowStartStepPercent;
+  }
+  Server.Record.Id = {Settings.Node, A.Name};
+  Server.Record.Domain = Settings.Domain;
+  Server.Record.Service = A.Service;
+  Server.Record.Label = A.Label;
+  Server.Record.Slots = A.Slots;
+  Server.Record.State = A.State;
+  Server.Address = A.Address;
+  Server.Incarnation = A.Incarnation;
+  Server.LastHeard = Now;
+  if (A.State == BackendServerState::Ready && !Server.SlowStartAt &&
+      Server.SlowStartWeight < FullPercent)
+    Server.SlowStartAt = Now;
+  updateWeight(Server, Now);
+  return Change;
+}
+
+GuardedServer *ServerTable::find(const BackendServerName &Name) {
+  auto It = Servers.find(Name);
+  return It == Servers.end() ? nullptr : &It->second;
+}
+
+void ServerTable::setHealth(GuardedServer &Server, BackendServerHealth Health,
+                            std::uint32_t Weight, Time Now) {
+  bool Readmitted = Server.Record.Health == BackendServerHealth::Ejected &&
+                    Health != BackendServerHealth::Ejected;
+  if (Readmitted)
+    beginSlowStart(Server, Now);
+  Server.Record.Health = Health;
+  Server.HealthWeight = std::clamp(Weight, 1U, FullPercent);
+  updateWeight(Server, Now);
+}
+
+void ServerTable::setGone(GuardedServer &Server) {
+  Server.Record.State = BackendServerState::Gone;
+}
+
+void ServerTable::tick(Time Now) {
+  if (!Born)
+    Born = Now;
+  for (auto It = Servers.begin(); It != Servers.end();) {
+    GuardedServer &Server = It->second;
+    Duration Silent = Now - Server.LastHeard;
+    if (Silent > Settings.AnnouncementTimeout)
+      setGone(Server);
+    updateWeight(Server, Now);
+    if (Silent > GoneRetention && Server.InProgress == 0) {
+      LastPublished.erase(It->first);
+      It = Servers.erase(It);
+      continue;
+    }
+    ++It;
+  }
+}
+
+void ServerTable::publish(GuardActions &Out) {
+  for (auto &[Name, Server] : Servers) {
+    auto It = LastPublished.find(Name);
+    if (It != LastPublished.end() && !differs(It->second, Server.Record))
+      continue;
+    Server.Record.Version = {Settings.Incarnation, ++Sequence};
+    LastPublished.insert_or_assign(Name, Server.Record);
+    Out.emplace_back(PublishRecord{Server.Record});
+  }
+}
+
+GuardedServer *ServerTable::choose(const ServiceName &Service,
+                                   const BackendServerName &Preferred,
+                                   Time Now) {
+  GuardedServer *Best = nullptr;
+  for (auto &[Name, Server] : Servers) {
+    std::uint32_t Free = Server.freeSlots(Now);
+    if (Server.Record.Service != Service || Free == 0)
+      continue;
+    if (Name == Preferred)
+      return &Server;
+    if (Best == nullptr || Free > Best->freeSlots(Now))
+      Best = &Server;
+  }
+  return Best;
+}
+
+GuardedServer *ServerTable::chooseForTrial(const ServiceName &Service,
+                                           const BackendServerName &Preferred,
+                                           Time Now) {
+  GuardedServer *Best = nullptr;
+  for (auto &[Name, Server] : Servers) {
+    if (Server.Record.Service != Service || !Server.isTrialDue(Now))
+      continue;
+    if (Best == nullptr || Name == Preferred)
+      Best = &Server;
+  }
+  if (Best != nullptr)
+    Best->NextTrialAt = Now + TrialInterval;
+  return Best;
+}
+
+bool ServerTable::isServed(const ServiceName &Service) const {
+  return slots(Service) != 0;
+}
+
+bool ServerTable::isDraining(const ServiceName &Service) const {
+  return std::any_of(Servers.begin(), Servers.end(), [&](const auto &Entry) {
+    const BackendServerRecord &R = Entry.second.Record;
+    return R.Service == Service && R.State == BackendServerState::Draining;
+  });
+}
+
+std::uint32_t ServerTable::slots(const ServiceName &Service) const {
+  std::uint32_t Sum = 0;
+  for (const auto &[Name, Server] : Servers)
+    if (Server.Record.Service == Service && Server.isUsable())
+      Sum += Server.Record.Slots;
+  return Sum;
+}
+
+void ServerTable::beginSlowStart(GuardedServer &Server, Time Now) {
+  Server.SlowStartAt = Now;
+  Server.SlowStartWeight = SlowStartStepPercent;
+}
+
+void ServerTable::updateWeight(GuardedServer &Server, Time Now) {
+  if (Server.SlowStartAt) {
+    Server.SlowStartWeight =
+        slowStartPercent(Now - *Server.SlowStartAt, Settings.SlowStart);
+    if (Server.SlowStartWeight == FullPercent)
+      Server.SlowStartAt.reset();
+  }
+  Server.Record.Weight =
+      std::max(1U, Server.SlowStartWeight * Server.HealthWeight / FullPercent);
+}
+
+bool ServerTable::isYoung(Time Now) const {
+  return Now - *Born <= Settings.AnnouncementTimeout;
+}
+
+} // namespace teaselhitch
