--- a/include/teaselhitch/Config/Objects.h
+++ b/include/teaselhitch/Config/Objects.h
@@ -82,7 +82,7 @@
   ServiceName Service;
   /// Requests that may wait at one guard for each slot it has.
   std::uint32_t QueuePerSlot = 4;
-  std::uint64_t MaxBodyBytes = 1024 * 1024;
+  std::uint64_t MaxBodyBytes = 1024ULL * 1024;
   /// Retries as a share of requests, in percent.
   std::uint32_t RetryPercent = 20;
 
--- a/include/teaselhitch/Config/Publisher.h
+++ b/include/teaselhitch/Config/Publisher.h
@@ -37,6 +37,8 @@
   LostRace,
   /// The base is above the head.
   UnknownBase,
+  /// The texts of the request are not UTF-8.
+  InvalidRequest,
   /// The store did not answer in all tries.
   StoreUnavailable,
   /// The store refused, or holds data that does not parse.
@@ -61,7 +63,7 @@
   /// Pieces written, the manifest included, and their size.
   std::size_t PiecesWritten = 0;
   std::size_t BytesWritten = 0;
-  /// StoreUnavailable, StoreFault: the last error.
+  /// InvalidRequest, StoreUnavailable, StoreFault: the last error.
   std::string Detail;
 };
 
--- a/lib/Config/Publisher.cpp
+++ b/lib/Config/Publisher.cpp
@@ -47,6 +47,8 @@
     return "lost-race";
   case PublishStatus::UnknownBase:
     return "unknown-base";
+  case PublishStatus::InvalidRequest:
+    return "invalid-request";
   case PublishStatus::StoreUnavailable:
     return "store-unavailable";
   case PublishStatus::StoreFault:
@@ -104,6 +106,14 @@
 };
 
 PublishOutcome ConfigPublisher::Attempt::run() {
+  // Text that does not parse again, such as invalid UTF-8, must not reach the
+  // row that all nodes read.
+  if (auto Parsed = runOnce([&] { return parseHead(toJsonText(nextHead())); });
+      !Parsed) {
+    Outcome.Status = PublishStatus::InvalidRequest;
+    Outcome.Detail = "who and message must be UTF-8";
+    return Outcome;
+  }
   auto Head = retry([&] { return readHead(Owner.Table); });
   if (!Head) {
     fail(Head.Failure);
@@ -240,10 +250,6 @@
 ConfigPublisher::Attempt::Step ConfigPublisher::Attempt::writeHead() {
   PublishedHead Next = nextHead();
   std::string Json = toJsonText(Next);
-  // Text that does not parse again, such as invalid UTF-8, must not reach the
-  // row that all nodes read.
-  if (auto Parsed = runOnce([&] { return parseHead(Json); }); !Parsed)
-    return fail(Parsed.Failure);
   Error Last;
   for (unsigned Try = 0; Try != MaxTries; ++Try) {
     if (Try != 0)
