Add tests for routing, entry and settings, and the commands of the program

Cause: the entry decides on retries and outcomes, and had no tests yet.

Change: table-driven tests for routes, balancers, retries, outcomes, claims and guard-bound keys, and for faults in settings; the commands node, status and audit with popt.

--- a/tools/teaselhitch/Main.cpp
+++ b/tools/teaselhitch/Main.cpp
@@ -1,6 +1,76 @@
 /// \file
 /// The program `teaselhitch`: runs a node and gives operators their commands.
 
-#include "teaselhitch/Support/Log.h"
+#include "ConfigCommands.h"
+#include "NodeCommand.h"
+#include "NodeQueries.h"
 
-int main() { return 2; }
+#include "teaselhitch/Platform/HttpStores.h"
+#include "teaselhitch/Settings/NodeSettings.h"
+#include "teaselhitch/Support/NearestName.h"
+
+#include <iostream>
+
+using namespace teaselhitch;
+
+namespace {
+
+constexpr const char *Usage =
+    R"(usage: teaselhitch COMMAND [OPTION...]
+
+commands
+  node --settings FILE   run a node
+  config check           check object files as one set
+  config publish         check and publish object files
+  config show            print the published objects
+  config diff            compare object files with the published objects
+  config history         list the published versions
+  status --node ADDRESS  what a running node believes, and why
+  audit --node ADDRESS   changes and decisions of a running node
+
+'teaselhitch COMMAND --help' lists the options of a command.
+exit codes: 0 done, 1 refused or failed, 2 bad input, 3 platform or node
+unreachable
+)";
+
+Result<ConfigStores> openStores(const std::string &Platform) {
+  std::optional<Endpoint> Address = parseEndpoint(Platform);
+  if (!Address)
+    return makeError(ErrorCode::InvalidInput,
+                     "'" + Platform + "' is not an IP address and port");
+  ConfigStores Stores;
+  BOOST_LEAF_AUTO(Table, createHttpTableStore(*Address));
+  BOOST_LEAF_AUTO(Objects, createHttpObjectStore(*Address));
+  Stores.Table = std::move(Table);
+  Stores.Objects = std::move(Objects);
+  return Stores;
+}
+
+} // namespace
+
+int main(int Argc, char **Argv) {
+  std::vector<std::string> Args(Argv + 1, Argv + Argc);
+  if (Args.empty()) {
+    std::cerr << Usage;
+    return ExitBadInput;
+  }
+  std::string Command = Args.front();
+  Args.erase(Args.begin());
+  if (Command == "--help" || Command == "-h") {
+    std::cout << Usage;
+    return ExitDone;
+  }
+  if (Command == "node")
+    return runNodeCommand(Args);
+  if (Command == "config")
+    return runConfig(Args, systemConfigEnvironment(std::cout, std::cerr,
+                                                   openStores));
+  if (Command == "status")
+    return runStatusCommand(Args);
+  if (Command == "audit")
+    return runAuditCommand(Args);
+  std::cerr << "unknown command '" << Command << "'"
+            << suggestName(Command, {"node", "config", "status", "audit"})
+            << '\n';
+  return ExitBadInput;
+}
--- /dev/null
+++ b/tools/teaselhitch/NodeCommand.cpp
@@ -0,0 +1,98 @@
+#include "NodeCommand.h"
+
+#include "ConfigCommands.h"
+#include "Options.h"
+
+#include "teaselhitch/Node/Node.h"
+#include "teaselhitch/Routing/Balancer.h"
+#include "teaselhitch/Support/Log.h"
+
+#include <fstream>
+#include <iostream>
+#include <optional>
+#include <sstream>
+
+namespace teaselhitch {
+
+namespace {
+
+std::optional<std::string> readFile(const std::string &Path) {
+  std::ifstream In(Path, std::ios::binary);
+  if (!In)
+    return std::nullopt;
+  std::ostringstream Text;
+  Text << In.rdbuf();
+  return Text.str();
+}
+
+/// The settings, or nothing after the faults were printed.
+std::optional<NodeSettings> loadSettings(const std::string &Path) {
+  std::optional<std::string> Text = readFile(Path);
+  if (!Text) {
+    std::cerr << Path << ": cannot be read\n";
+    return std::nullopt;
+  }
+  CheckedSettings Checked = readNodeSettings(*Text);
+  if (Checked.Faults.empty() &&
+      !BalancerRegistry::has(Checked.Settings.Balancer))
+    Checked.Faults.push_back(
+        SettingsFault{0, "policy.balancer",
+                      "unknown balancer '" + Checked.Settings.Balancer + "'"});
+  for (const SettingsFault &Fault : Checked.Faults)
+    std::cerr << describeFault(Path, Fault) << '\n';
+  if (!Checked.Faults.empty())
+    return std::nullopt;
+  return Checked.Settings;
+}
+
+int runNode(const NodeSettings &Settings) {
+  configureLogging(Settings.Level, Settings.LogPath);
+  int Code = handleError(
+      [&]() -> Result<int> {
+        BOOST_LEAF_AUTO(Created, Node::create(Settings));
+        return Created->run() ? ExitDone : ExitRefused;
+      },
+      [](const Error &E) {
+        std::cerr << "teaselhitch node: " << E.Message << '\n';
+        return static_cast<int>(ExitRefused);
+      });
+  shutdownLogging();
+  return Code;
+}
+
+} // namespace
+
+int runNodeCommand(const std::vector<std::string> &Args) {
+  std::string Path;
+  bool CheckOnly = false;
+  std::string Fault;
+  ReadOptions Read = handleError(
+      [&] {
+        return readOptions(
+            "teaselhitch node", Args,
+            {{"settings", "file with the settings of the node", "FILE", &Path,
+              nullptr},
+             {"check", "check the settings and exit", nullptr, nullptr,
+              &CheckOnly}});
+      },
+      [&](const Error &E) {
+        Fault = E.Message;
+        return ReadOptions();
+      });
+  if (Read.HelpShown)
+    return ExitDone;
+  if (Fault.empty() && !Read.Rest.empty())
+    Fault = "unexpected argument '" + Read.Rest.front() + "'";
+  if (Fault.empty() && Path.empty())
+    Fault = "--settings FILE is missing";
+  if (!Fault.empty()) {
+    std::cerr << "teaselhitch node: " << Fault << '\n';
+    return ExitBadInput;
+  }
+  std::optional<NodeSettings> Settings = loadSettings(Path);
+  if (!Settings)
+    return ExitBadInput;
+  return CheckOnly ? static_cast<int>(ExitDone) : runNode(*Settings);
+}
+
+} // namespace teaselhitch
--- /dev/null
+++ b/unittests/Entry/EntryTest.cpp
@@ -0,0 +1,385 @@
+#include "teaselhitch/Entry/Entry.h"
+
+#include "teaselhitch/Support/Random.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+
+using namespace teaselhitch;
+
+namespace {
+
+constexpr std::uint64_t Seed = 11;
+
+/// Three backend servers on three nodes; /read is idempotent, /pay is not.
+std::shared_ptr<const ActiveConfig> makeConfig() {
+  auto Config = std::make_shared<ActiveConfig>();
+  Config->Version = 1;
+  Service S;
+  S.Name = ServiceName("seats");
+  Group G;
+  G.Name = GroupName("all");
+  G.Service = S.Name;
+  Rule Pay;
+  Pay.Name = RuleName("pay");
+  Pay.PathPrefix = "/pay";
+  Pay.Group = G.Name;
+  Pay.Paid = true;
+  Rule Read;
+  Read.Name = RuleName("read");
+  Read.Method = "GET";
+  Read.PathPrefix = "/read";
+  Read.Group = G.Name;
+  Read.Idempotent = true;
+  Config->Objects = ObjectSet{{S}, {G}, {Pay, Read}, {}, {}};
+  return Config;
+}
+
+std::shared_ptr<const FleetView> makeView() {
+  auto View = std::make_shared<FleetView>();
+  auto Nodes = std::make_shared<std::map<NodeName, NodeRecord>>();
+  auto Servers = std::make_shared<ServiceView>();
+  for (const char *Name : {"n1", "n2", "n3"}) {
+    NodeRecord Node;
+    Node.Name = NodeName(Name);
+    Node.Version.Incarnation = 5;
+    Nodes->emplace(Node.Name, Node);
+    BackendServerRecord Server;
+    Server.Id = BackendServerId{Node.Name, BackendServerName("b")};
+    Server.Service = ServiceName("seats");
+    Server.Slots = 4;
+    Server.State = BackendServerState::Ready;
+    Servers->push_back(Server);
+  }
+  View->Nodes = Nodes;
+  View->Services[ServiceName("seats")] = Servers;
+  return View;
+}
+
+template <typename T> const T *find(const EntryActions &Actions) {
+  for (const EntryAction &Action : Actions)
+    if (const T *Found = std::get_if<T>(&Action))
+      return Found;
+  return nullptr;
+}
+
+AttemptFailed failure(const AttemptId &Attempt, Reason Why, Outcome Result,
+                      bool Crashed = false) {
+  AttemptFailed F;
+  F.Attempt = Attempt;
+  F.Why = Why;
+  F.Result = Result;
+  F.Crashed = Crashed;
+  return F;
+}
+
+TableReply tableReply(const TableRequest &To, TableStatus Status,
+                      const std::string &Value = "") {
+  TableReply Reply;
+  Reply.Token = To.Token;
+  Reply.Status = Status;
+  Reply.Row = TableRow{To.Key, Value, 7};
+  return Reply;
+}
+
+class EntryTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(EntryTest);
+  CPPUNIT_TEST(refusesWithReasons);
+  CPPUNIT_TEST(retriesByOutcome);
+  CPPUNIT_TEST(neverReportsNotRunAfterUnknown);
+  CPPUNIT_TEST(dropsStrayAnswers);
+  CPPUNIT_TEST(deadlineTellsWhetherItMayHaveRun);
+  CPPUNIT_TEST(retryBudgetBoundsRetries);
+  CPPUNIT_TEST(callerGoneCancels);
+  CPPUNIT_TEST(claimComesBeforeDispatch);
+  CPPUNIT_TEST(claimOutcomes);
+  CPPUNIT_TEST(lostClaimAnswerIsReadBack);
+  CPPUNIT_TEST(refusedClaimIsReleased);
+  CPPUNIT_TEST(guardKeyGoesToItsGuardOnly);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void setUp() override {
+    Random = std::make_unique<SeededRandom>(Seed);
+    EntrySettings Settings;
+    Settings.Node = NodeName("n1");
+    Settings.Incarnation = 5;
+    handleError(
+        [&]() -> Result<int> {
+          BOOST_LEAF_ASSIGN(Core, Entry::create(Settings, *Random));
+          return 0;
+        },
+        [](const Error &E) {
+          CPPUNIT_FAIL(E.Message);
+          return 0;
+        });
+    Core->configure(makeConfig());
+    Core->updateView(makeView());
+  }
+
+private:
+  EntryActions accept(const char *Method, const char *Path,
+                      const char *Key = "") {
+    CallerRequest Request;
+    Request.Method = Method;
+    Request.Path = Path;
+    Request.Organisation = OrganisationName("org");
+    Request.Key = Key;
+    EntryActions Actions;
+    LastId = Core->accept(Request, Now, Actions);
+    return Actions;
+  }
+
+  std::string claimedByLast() const {
+    return R"({"claimant":")" + toString(LastId) + R"(","state":"claimed"})";
+  }
+
+  std::unique_ptr<RandomSource> Random;
+  std::unique_ptr<Entry> Core;
+  Time Now{1000};
+  RequestId LastId;
+
+  /// Guards against refusals without their documented reason and proof.
+  void refusesWithReasons() {
+    struct Case {
+      const char *Method;
+      const char *Path;
+      Reason Expected;
+    };
+    for (const Case &C : {Case{"GET", "/other", Reason::NoRule},
+                          Case{"POST", "/read", Reason::NoRule},
+                          Case{"GET", "/reader", Reason::NoRule}}) {
+      EntryActions Actions = accept(C.Method, C.Path);
+      const auto *Reply = find<ReplyFailure>(Actions);
+      CPPUNIT_ASSERT(Reply && Reply->Why == C.Expected);
+      CPPUNIT_ASSERT(Reply->Result == Outcome::NotRun);
+    }
+    Core->drain();
+    EntryActions Actions = accept("GET", "/read");
+    CPPUNIT_ASSERT(find<ReplyFailure>(Actions)->Why == Reason::Draining);
+  }
+
+  /// Guards against a second run of work that is not idempotent, and against
+  /// giving up where a retry is safe.
+  void retriesByOutcome() {
+    struct Case {
+      const char *Method;
+      const char *Path;
+      Reason Why;
+      Outcome Result;
+      bool Crashed;
+      bool ExpectRetry;
+    };
+    const Case Cases[] = {
+        {"POST", "/pay", Reason::QueueFull, Outcome::NotRun, false, true},
+        {"POST", "/pay", Reason::LinkLost, Outcome::Unknown, false, false},
+        {"GET", "/read/1", Reason::LinkLost, Outcome::Unknown, false, true},
+        {"GET", "/read/1", Reason::BackendServerFailed, Outcome::Unknown, true,
+         false},
+        {"GET", "/read/1", Reason::Quarantined, Outcome::NotRun, false, false},
+    };
+    for (const Case &C : Cases) {
+      setUp();
+      EntryActions First = accept(C.Method, C.Path);
+      const auto *Sent = find<SendAttempt>(First);
+      CPPUNIT_ASSERT(Sent);
+      EntryActions Next = Core->failed(
+          failure(Sent->Info.Attempt, C.Why, C.Result, C.Crashed), Now);
+      const auto *Again = find<SendAttempt>(Next);
+      CPPUNIT_ASSERT_EQUAL(C.ExpectRetry, Again != nullptr);
+      if (Again) {
+        CPPUNIT_ASSERT(Again->Guard != Sent->Guard);
+        CPPUNIT_ASSERT(Again->Info.Attempt != Sent->Info.Attempt);
+        continue;
+      }
+      const auto *Reply = find<ReplyFailure>(Next);
+      CPPUNIT_ASSERT(Reply && Reply->Result == C.Result);
+      CPPUNIT_ASSERT(Core->isIdle());
+    }
+  }
+
+  /// Guards against "not run" for a request whose first attempt may have run.
+  void neverReportsNotRunAfterUnknown() {
+    EntryActions First = accept("GET", "/read");
+    EntryActions Second =
+        Core->failed(failure(find<SendAttempt>(First)->Info.Attempt,
+                             Reason::LinkLost, Outcome::Unknown),
+                     Now);
+    EntryActions Third =
+        Core->failed(failure(find<SendAttempt>(Second)->Info.Attempt,
+                             Reason::Quarantined, Outcome::NotRun),
+                     Now);
+    CPPUNIT_ASSERT(find<ReplyFailure>(Third)->Result == Outcome::Unknown);
+  }
+
+  /// Guards against a late or repeated answer that reaches another request.
+  void dropsStrayAnswers() {
+    EntryActions First = accept("GET", "/read");
+    AttemptAnswer Answer;
+    Answer.Attempt = find<SendAttempt>(First)->Info.Attempt;
+    Answer.Answer.Status = 200;
+    AttemptAnswer Earlier = Answer;
+    Earlier.Attempt.Request.Incarnation = 4;
+    CPPUNIT_ASSERT(Core->answered(Earlier, Now).empty());
+    AttemptAnswer Other = Answer;
+    Other.Attempt.Number = 9;
+    CPPUNIT_ASSERT(Core->answered(Other, Now).empty());
+    EntryActions Accepted = Core->answered(Answer, Now);
+    CPPUNIT_ASSERT(find<ReplyAnswer>(Accepted));
+    CPPUNIT_ASSERT(Core->answered(Answer, Now).empty());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(3), Core->strayMessages());
+  }
+
+  /// Guards against a wrong outcome at the deadline.
+  void deadlineTellsWhetherItMayHaveRun() {
+    accept("GET", "/read");
+    EntryActions Running = Core->tick(Now + Duration::seconds(11));
+    CPPUNIT_ASSERT(find<SendCancel>(Running));
+    const auto *First = find<ReplyFailure>(Running);
+    CPPUNIT_ASSERT(First->Why == Reason::DeadlineExpiredRunning);
+    CPPUNIT_ASSERT(First->Result == Outcome::Unknown);
+    accept("POST", "/pay", "key");
+    EntryActions Claiming = Core->tick(Now + Duration::seconds(11));
+    const auto *Second = find<ReplyFailure>(Claiming);
+    CPPUNIT_ASSERT(Second->Why == Reason::DeadlineExpired);
+    CPPUNIT_ASSERT(Second->Result == Outcome::NotRun);
+  }
+
+  /// Guards against retries that multiply an overload: at most 20% of the
+  /// requests and the fixed allowance are retried.
+  void retryBudgetBoundsRetries() {
+    constexpr int Count = 1000;
+    int Retries = 0;
+    for (int I = 0; I != Count; ++I) {
+      EntryActions Actions = accept("GET", "/read");
+      while (const auto *Sent = find<SendAttempt>(Actions)) {
+        Retries += Sent->Info.Attempt.Number > 1 ? 1 : 0;
+        Actions = Core->failed(
+            failure(Sent->Info.Attempt, Reason::QueueFull, Outcome::NotRun),
+            Now);
+      }
+    }
+    CPPUNIT_ASSERT(Retries <= Count / 5 + 2);
+    CPPUNIT_ASSERT(Retries >= Count / 5 - 2);
+  }
+
+  /// Guards against work for a caller that has gone.
+  void callerGoneCancels() {
+    accept("GET", "/read");
+    EntryActions Actions = Core->callerGone(LastId, Now);
+    CPPUNIT_ASSERT(find<SendCancel>(Actions));
+    CPPUNIT_ASSERT(Core->isIdle());
+  }
+
+  /// Guards against a dispatch before the key is claimed.
+  void claimComesBeforeDispatch() {
+    EntryActions First = accept("POST", "/pay", "key-1");
+    const auto *Insert = find<TableRequest>(First);
+    CPPUNIT_ASSERT(Insert && Insert->Operation == TableOperation::Insert);
+    CPPUNIT_ASSERT(!find<SendAttempt>(First));
+    EntryActions Next =
+        Core->tableReply(tableReply(*Insert, TableStatus::Ok), Now);
+    CPPUNIT_ASSERT(find<SendAttempt>(Next));
+  }
+
+  /// Guards against a run under a key that is taken or cannot be claimed.
+  void claimOutcomes() {
+    struct Case {
+      TableStatus Insert;
+      TableStatus Read;
+      const char *Row;
+      Reason Expected;
+    };
+    const Case Cases[] = {
+        {TableStatus::Unavailable, TableStatus::Ok, "",
+         Reason::ClaimStoreUnavailable},
+        {TableStatus::Conflict, TableStatus::Ok,
+         R"({"claimant":"n9-1-1","state":"claimed"})", Reason::KeyAlreadyUsed},
+        {TableStatus::Conflict, TableStatus::Ok, "not json",
+         Reason::KeyAlreadyUsed},
+        {TableStatus::Unknown, TableStatus::Unavailable, "",
+         Reason::ClaimStoreUnavailable},
+    };
+    for (const Case &C : Cases) {
+      setUp();
+      EntryActions First = accept("POST", "/pay", "key-1");
+      EntryActions Next = Core->tableReply(
+          tableReply(*find<TableRequest>(First), C.Insert), Now);
+      const auto *Read = find<TableRequest>(Next);
+      if (Read && !find<ReplyFailure>(Next))
+        Next = Core->tableReply(tableReply(*Read, C.Read, C.Row), Now);
+      CPPUNIT_ASSERT(!find<SendAttempt>(Next));
+      const auto *Reply = find<ReplyFailure>(Next);
+      CPPUNIT_ASSERT(Reply && Reply->Why == C.Expected);
+    }
+  }
+
+  /// Guards against refusing a caller whose own claim took effect although the
+  /// answer of the table was lost.
+  void lostClaimAnswerIsReadBack() {
+    EntryActions First = accept("POST", "/pay", "key-1");
+    EntryActions Next = Core->tableReply(
+        tableReply(*find<TableRequest>(First), TableStatus::Unknown), Now);
+    const auto *Read = find<TableRequest>(Next);
+    CPPUNIT_ASSERT(Read && Read->Operation == TableOperation::Read);
+    EntryActions Last = Core->tableReply(
+        tableReply(*Read, TableStatus::Ok, claimedByLast()), Now);
+    CPPUNIT_ASSERT(find<SendAttempt>(Last));
+  }
+
+  /// Guards against a key that stays used although nothing ran.
+  void refusedClaimIsReleased() {
+    EntryActions Actions = accept("POST", "/pay", "key-1");
+    Actions = Core->tableReply(
+        tableReply(*find<TableRequest>(Actions), TableStatus::Ok), Now);
+    while (const auto *Sent = find<SendAttempt>(Actions))
+      Actions = Core->failed(
+          failure(Sent->Info.Attempt, Reason::Draining, Outcome::NotRun), Now);
+    CPPUNIT_ASSERT(find<ReplyFailure>(Actions)->Result == Outcome::NotRun);
+    const auto *Read = find<TableRequest>(Actions);
+    CPPUNIT_ASSERT(Read && Read->Operation == TableOperation::Read);
+    Actions = Core->tableReply(
+        tableReply(*Read, TableStatus::Ok, claimedByLast()), Now);
+    const auto *Release = find<TableRequest>(Actions);
+    CPPUNIT_ASSERT(Release && Release->Operation == TableOperation::Replace);
+    CPPUNIT_ASSERT(Release->Value.find("released") != std::string::npos);
+  }
+
+  /// Guards against a key that runs at a node that did not issue it.
+  void guardKeyGoesToItsGuardOnly() {
+    struct Case {
+      const char *Key;
+      bool Sent;
+      Reason Expected;
+    };
+    const std::string Mac(64, '0');
+    const std::string Good = "th1.n2.5.1.99999." + Mac;
+    const std::string OldIncarnation = "th1.n2.4.1.99999." + Mac;
+    const std::string UnknownNode = "th1.n9.5.1.99999." + Mac;
+    const Case Cases[] = {
+        {Good.c_str(), true, Reason::Overloaded},
+        {OldIncarnation.c_str(), false, Reason::KeyOwnerGone},
+        {UnknownNode.c_str(), false, Reason::KeyOwnerGone},
+        {"th1.n2", false, Reason::BadRequest},
+    };
+    for (const Case &C : Cases) {
+      EntryActions Actions = accept("POST", "/pay", C.Key);
+      const auto *Sent = find<SendAttempt>(Actions);
+      CPPUNIT_ASSERT_EQUAL(C.Sent, Sent != nullptr);
+      if (!Sent) {
+        CPPUNIT_ASSERT(find<ReplyFailure>(Actions)->Why == C.Expected);
+        continue;
+      }
+      CPPUNIT_ASSERT(Sent->Guard == NodeName("n2"));
+      CPPUNIT_ASSERT(Sent->Info.GuardKey == C.Key);
+      EntryActions Next = Core->failed(
+          failure(Sent->Info.Attempt, Reason::QueueFull, Outcome::NotRun), Now);
+      CPPUNIT_ASSERT(!find<SendAttempt>(Next));
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(EntryTest);
+
+} // namespace
