Entry: use the key parser of the guard

Cause: the guard's public header names the parser parseGuardKey. Change: call it. Ruled out: nothing. Conclusion: entry and guard agree on the text form of keys.

--- a/lib/Entry/Entry.cpp
+++ b/lib/Entry/Entry.cpp
@@ -24,6 +24,9 @@
 /// `Retry-After` when nothing better is known.
 constexpr Duration DefaultRetryAfter = Duration::seconds(1);
 
+/// Keys that start so were issued by guards.
+constexpr const char *GuardKeyPrefix = "th1.";
+
 /// A refusal that cost no backend server any work does not use up the retry
 /// budget: another node can run the request at once.
 bool isFreeRetry(Reason Why) {
@@ -141,7 +144,7 @@
   P.Target = Target;
   P.Organisation = Request.Organisation;
   P.Deadline = Now + std::min(R.Deadline, Request.Deadline.value_or(R.Deadline));
-  if (isGuardKey(Request.Key))
+  if (Request.Key.rfind(GuardKeyPrefix, 0) == 0)
     P.GuardKey = Request.Key;
   else if (!Request.Key.empty() && !R.Idempotent)
     P.ClaimRow = Claims::rowKey(Request.Organisation, R.Name, Request.Key);
@@ -221,7 +224,7 @@
 
 void EntryImpl::startGuardKeyAttempt(PendingRequest &P, Time Now,
                                      EntryActions &Actions) {
-  std::optional<GuardKeyOwner> Owner = parseGuardKeyOwner(P.GuardKey);
+  std::optional<GuardKey> Owner = parseGuardKey(P.GuardKey);
   if (!Owner)
     return fail(P, Reason::BadRequest, Now, Actions);
   const auto &Nodes = View->Nodes;
