Add the platform's store clients and its stand-in

Cause: nodes and operators' commands need the table service and the object store, and tests need a platform whose faults can be switched.

Change: HTTP clients with a time limit for each call and one kept connection, stores in memory, plug-ins "http" and "memory", runTableRequest, and `teaselhitch-standin platform`. A write is never sent twice; its lost answer is Timeout. Before each request the client peeks at the kept connection, so a connection that the service closed while idle costs a reconnect instead of an unknown result.

Ruled out: repeating writes on a closed connection (the service may have acted), and registering the plug-ins beside their implementations (the linker drops such objects from a static library).

--- /dev/null
+++ b/lib/Platform/HttpConnection.cpp
@@ -0,0 +1,143 @@
+#include "HttpConnection.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <cerrno>
+#include <sys/socket.h>
+
+namespace teaselhitch {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+/// Largest answer. A manifest of 10,000 routes stays far below it.
+constexpr std::uint64_t MaxAnswerBytes = 64ULL * 1024 * 1024;
+/// HTTP/1.1 in Beast's notation.
+constexpr unsigned HttpVersion = 11;
+
+bool isHttpError(const beast::error_code &Code) {
+  return Code.category() == make_error_code(http::error::bad_value).category();
+}
+
+/// The answer is not HTTP, as opposed to a connection that ended early.
+bool isMalformed(const beast::error_code &Code) {
+  return isHttpError(Code) && Code != http::error::end_of_stream &&
+         Code != http::error::partial_message;
+}
+
+bool isClosed(const beast::error_code &Code) {
+  return Code == http::error::end_of_stream ||
+         Code == asio::error::connection_reset ||
+         Code == asio::error::broken_pipe || Code == asio::error::eof;
+}
+
+} // namespace
+
+HttpConnection::HttpConnection(TcpEndpoint Peer, Duration Timeout)
+    : Peer(std::move(Peer)), Timeout(Timeout),
+      Host(this->Peer.address().to_string()) {}
+
+Result<HttpAnswer> HttpConnection::exchange(Request Message, Effect Kind) {
+  Message.version(HttpVersion);
+  Message.set(http::field::host, Host);
+  Message.prepare_payload();
+  Deadline =
+      std::chrono::steady_clock::now() +
+      std::chrono::microseconds(static_cast<std::int64_t>(Timeout.ms() * 1000));
+  bool Reused = isUsable();
+  Attempt Last = attempt(Message);
+  if (Last.Code && Reused && Last.ClosedEarly && Kind == Effect::Read)
+    Last = attempt(Message);
+  if (!Last.Code)
+    return std::move(Last.Answer);
+  std::string Text = "platform at " + Host + ": " + Last.Code.message();
+  if (isMalformed(Last.Code))
+    return makeError(ErrorCode::Corrupt, std::move(Text));
+  if (Kind == Effect::Write && Last.Connected)
+    return makeError(ErrorCode::Timeout, std::move(Text));
+  return makeError(ErrorCode::Unavailable, std::move(Text));
+}
+
+HttpConnection::Attempt HttpConnection::attempt(Request &Message) {
+  if (!isUsable()) {
+    if (ErrorCondition Code = connect()) {
+      close();
+      Attempt Failed;
+      Failed.Code = Code;
+      return Failed;
+    }
+  }
+  Attempt Done = transfer(Message);
+  if (Done.Code)
+    close();
+  return Done;
+}
+
+HttpConnection::ErrorCondition HttpConnection::connect() {
+  close();
+  ErrorCondition Result;
+  Stream.expires_at(Deadline);
+  Stream.async_connect(Peer, [&](ErrorCondition Code) { Result = Code; });
+  wait();
+  if (!Result)
+    Stream.socket().set_option(asio::ip::tcp::no_delay(true), Result);
+  return Result;
+}
+
+HttpConnection::Attempt HttpConnection::transfer(Request &Message) {
+  Attempt Done;
+  Done.Connected = true;
+  Stream.expires_at(Deadline);
+  http::async_write(Stream, Message, [&](ErrorCondition Code, std::size_t) {
+    Done.Code = Code;
+  });
+  wait();
+  if (Done.Code) {
+    Done.ClosedEarly = isClosed(Done.Code);
+    return Done;
+  }
+  beast::flat_buffer Buffer;
+  http::response_parser<http::string_body> Parser;
+  Parser.body_limit(MaxAnswerBytes);
+  Stream.expires_at(Deadline);
+  http::async_read(Stream, Buffer, Parser,
+                   [&](ErrorCondition Code, std::size_t) { Done.Code = Code; });
+  wait();
+  Done.ClosedEarly = !Parser.got_some() && isClosed(Done.Code);
+  if (Done.Code)
+    return Done;
+  Done.Answer.Status = Parser.get().result_int();
+  Done.Answer.Body = std::move(Parser.get().body());
+  if (!Parser.get().keep_alive())
+    close();
+  return Done;
+}
+
+void HttpConnection::wait() {
+  Context.restart();
+  Context.run();
+}
+
+/// False when there is no connection, or the peer has closed it or sent bytes
+/// that nothing asked for. Found out before a write is sent, a closed
+/// connection costs a reconnect instead of an unknown result.
+bool HttpConnection::isUsable() {
+  if (!Stream.socket().is_open())
+    return false;
+  char Byte = 0;
+  ssize_t Count = ::recv(Stream.socket().native_handle(), &Byte, 1,
+                         MSG_PEEK | MSG_DONTWAIT);
+  return Count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+void HttpConnection::close() { Stream.close(); }
+
+} // namespace teaselhitch
--- /dev/null
+++ b/lib/Platform/HttpStores.cpp
@@ -0,0 +1,268 @@
+#include "teaselhitch/Platform/HttpStores.h"
+
+#include "HttpConnection.h"
+#include "teaselhitch/Platform/Url.h"
+
+#include <boost/asio/ip/address.hpp>
+#include <boost/beast/http/verb.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+
+namespace teaselhitch {
+
+namespace {
+
+namespace json = boost::json;
+using boost::beast::http::field;
+using boost::beast::http::verb;
+
+bool isSuccess(unsigned Status) { return Status >= 200 && Status < 300; }
+
+/// The error that an answer other than success, 404 or 409 stands for.
+boost::leaf::error_id statusError(const HttpAnswer &Answer, Effect Kind) {
+  std::string Text = "platform answered " + std::to_string(Answer.Status);
+  // 503 and 429 say that the operation was refused; another status of the 5xx
+  // class says nothing about its effect.
+  bool Refused = Answer.Status == 503 || Answer.Status == 429;
+  if (Answer.Status >= 500 && !Refused && Kind == Effect::Write)
+    return makeError(ErrorCode::Timeout, std::move(Text));
+  if (Answer.Status >= 500 || Refused)
+    return makeError(ErrorCode::Unavailable, std::move(Text));
+  if (Answer.Status == 409 || Answer.Status == 412)
+    return makeError(ErrorCode::Conflict, std::move(Text));
+  return makeError(ErrorCode::InvalidInput, std::move(Text));
+}
+
+boost::leaf::error_id corrupt(const char *What) {
+  return makeError(ErrorCode::Corrupt,
+                   std::string("platform answer has no valid ") + What);
+}
+
+Result<json::object> parseObject(const HttpAnswer &Answer) {
+  json::error_code Code;
+  json::value Parsed = json::parse(Answer.Body, Code);
+  if (Code || !Parsed.is_object())
+    return corrupt("JSON object");
+  return std::move(Parsed.as_object());
+}
+
+Result<std::uint64_t> versionOf(const json::object &Object) {
+  const json::value *Version = Object.if_contains("version");
+  if (!Version)
+    return corrupt("version");
+  json::error_code Code;
+  auto Number = Version->to_number<std::uint64_t>(Code);
+  if (Code)
+    return corrupt("version");
+  return std::uint64_t(Number);
+}
+
+Result<TableRow> rowOf(const json::object &Object) {
+  const json::value *Key = Object.if_contains("key");
+  const json::value *Value = Object.if_contains("value");
+  if (!Key || !Key->is_string())
+    return corrupt("key");
+  if (!Value)
+    return corrupt("value");
+  BOOST_LEAF_AUTO(Version, versionOf(Object));
+  return TableRow{std::string(Key->get_string()), json::serialize(*Value),
+                  Version};
+}
+
+Result<const json::array *> arrayOf(const json::object &Object,
+                                    const char *Name) {
+  const json::value *Value = Object.if_contains(Name);
+  if (!Value || !Value->is_array())
+    return corrupt(Name);
+  return &Value->get_array();
+}
+
+std::string listQuery(const std::string &Prefix, const std::string &After,
+                      unsigned Limit) {
+  return "?prefix=" + percentEncode(Prefix) + "&after=" + percentEncode(After) +
+         "&limit=" + std::to_string(Limit);
+}
+
+HttpConnection::Request makeRequest(verb Method, const std::string &Target) {
+  HttpConnection::Request Message;
+  Message.method(Method);
+  Message.target(Target);
+  return Message;
+}
+
+/// Entity tag of a row version.
+std::string entityTag(std::uint64_t Version) {
+  return "\"" + std::to_string(Version) + "\"";
+}
+
+class HttpTableStore final : public TableStore {
+public:
+  HttpTableStore(const HttpConnection::TcpEndpoint &Peer, Duration Timeout)
+      : Connection(Peer, Timeout) {}
+
+  Result<std::optional<TableRow>> read(const std::string &Table,
+                                       const std::string &Key) override {
+    BOOST_LEAF_AUTO(Answer, Connection.exchange(
+                                makeRequest(verb::get, rowTarget(Table, Key)),
+                                Effect::Read));
+    if (Answer.Status == 404)
+      return std::optional<TableRow>();
+    if (!isSuccess(Answer.Status))
+      return statusError(Answer, Effect::Read);
+    BOOST_LEAF_AUTO(Object, parseObject(Answer));
+    BOOST_LEAF_AUTO(Row, rowOf(Object));
+    return std::optional<TableRow>(std::move(Row));
+  }
+
+  Result<std::vector<TableRow>> range(const std::string &Table,
+                                      const std::string &Prefix,
+                                      const std::string &After,
+                                      unsigned Limit) override {
+    std::string Target =
+        "/table/" + percentEncode(Table) + listQuery(Prefix, After, Limit);
+    BOOST_LEAF_AUTO(Answer, Connection.exchange(makeRequest(verb::get, Target),
+                                                Effect::Read));
+    if (!isSuccess(Answer.Status))
+      return statusError(Answer, Effect::Read);
+    BOOST_LEAF_AUTO(Object, parseObject(Answer));
+    BOOST_LEAF_AUTO(Rows, arrayOf(Object, "rows"));
+    std::vector<TableRow> Found;
+    for (const json::value &Value : *Rows) {
+      if (!Value.is_object())
+        return corrupt("row");
+      BOOST_LEAF_AUTO(Row, rowOf(Value.get_object()));
+      Found.push_back(std::move(Row));
+    }
+    return Found;
+  }
+
+  Result<std::uint64_t> insert(const std::string &Table, const std::string &Key,
+                               const std::string &Value) override {
+    auto Message = makeRequest(verb::put, rowTarget(Table, Key));
+    Message.set(field::if_none_match, "*");
+    return put(std::move(Message), Value);
+  }
+
+  Result<std::uint64_t> replace(const std::string &Table,
+                                const std::string &Key,
+                                const std::string &Value,
+                                std::uint64_t Expected) override {
+    auto Message = makeRequest(verb::put, rowTarget(Table, Key));
+    Message.set(field::if_match, entityTag(Expected));
+    return put(std::move(Message), Value);
+  }
+
+  Result<void> erase(const std::string &Table, const std::string &Key,
+                     std::uint64_t Expected) override {
+    auto Message = makeRequest(verb::delete_, rowTarget(Table, Key));
+    Message.set(field::if_match, entityTag(Expected));
+    BOOST_LEAF_AUTO(Answer,
+                    Connection.exchange(std::move(Message), Effect::Write));
+    if (!isSuccess(Answer.Status))
+      return statusError(Answer, Effect::Write);
+    return {};
+  }
+
+private:
+  static std::string rowTarget(const std::string &Table,
+                               const std::string &Key) {
+    return "/table/" + percentEncode(Table) + "/" + percentEncode(Key);
+  }
+
+  Result<std::uint64_t> put(HttpConnection::Request Message,
+                            const std::string &Value) {
+    Message.set(field::content_type, "application/json");
+    Message.body() = Value;
+    BOOST_LEAF_AUTO(Answer,
+                    Connection.exchange(std::move(Message), Effect::Write));
+    if (!isSuccess(Answer.Status))
+      return statusError(Answer, Effect::Write);
+    BOOST_LEAF_AUTO(Object, parseObject(Answer));
+    return versionOf(Object);
+  }
+
+  HttpConnection Connection;
+};
+
+class HttpObjectStore final : public ObjectStore {
+public:
+  HttpObjectStore(const HttpConnection::TcpEndpoint &Peer, Duration Timeout)
+      : Connection(Peer, Timeout) {}
+
+  Result<std::optional<std::string>> read(const std::string &Key) override {
+    BOOST_LEAF_AUTO(
+        Answer, Connection.exchange(makeRequest(verb::get, objectTarget(Key)),
+                                    Effect::Read));
+    if (Answer.Status == 404)
+      return std::optional<std::string>();
+    if (!isSuccess(Answer.Status))
+      return statusError(Answer, Effect::Read);
+    return std::optional<std::string>(std::move(Answer.Body));
+  }
+
+  Result<void> write(const std::string &Key, const std::string &Data) override {
+    auto Message = makeRequest(verb::put, objectTarget(Key));
+    Message.set(field::content_type, "application/octet-stream");
+    Message.body() = Data;
+    // Objects are immutable, but a lost answer is still reported as Timeout:
+    // the caller decides whether to write again.
+    BOOST_LEAF_AUTO(Answer,
+                    Connection.exchange(std::move(Message), Effect::Write));
+    if (!isSuccess(Answer.Status))
+      return statusError(Answer, Effect::Write);
+    return {};
+  }
+
+  Result<std::vector<std::string>> list(const std::string &Prefix,
+                                        const std::string &After,
+                                        unsigned Limit) override {
+    std::string Target = "/objects" + listQuery(Prefix, After, Limit);
+    BOOST_LEAF_AUTO(Answer, Connection.exchange(makeRequest(verb::get, Target),
+                                                Effect::Read));
+    if (!isSuccess(Answer.Status))
+      return statusError(Answer, Effect::Read);
+    BOOST_LEAF_AUTO(Object, parseObject(Answer));
+    BOOST_LEAF_AUTO(Keys, arrayOf(Object, "keys"));
+    std::vector<std::string> Found;
+    for (const json::value &Key : *Keys) {
+      if (!Key.is_string())
+        return corrupt("key");
+      Found.emplace_back(Key.get_string());
+    }
+    return Found;
+  }
+
+private:
+  static std::string objectTarget(const std::string &Key) {
+    return "/objects/" + percentEncode(Key);
+  }
+
+  HttpConnection Connection;
+};
+
+Result<HttpConnection::TcpEndpoint> resolve(const Endpoint &Service) {
+  boost::system::error_code Code;
+  auto Address = boost::asio::ip::make_address(Service.Address, Code);
+  if (Code)
+    return makeError(ErrorCode::InvalidInput,
+                     "'" + Service.Address + "' is not an IP address");
+  return HttpConnection::TcpEndpoint(Address, Service.Port);
+}
+
+} // namespace
+
+Result<std::unique_ptr<TableStore>>
+createHttpTableStore(const Endpoint &Service, Duration Timeout) {
+  BOOST_LEAF_AUTO(Peer, resolve(Service));
+  return std::unique_ptr<TableStore>(
+      std::make_unique<HttpTableStore>(Peer, Timeout));
+}
+
+Result<std::unique_ptr<ObjectStore>>
+createHttpObjectStore(const Endpoint &Service, Duration Timeout) {
+  BOOST_LEAF_AUTO(Peer, resolve(Service));
+  return std::unique_ptr<ObjectStore>(
+      std::make_unique<HttpObjectStore>(Peer, Timeout));
+}
+
+} // namespace teaselhitch
--- /dev/null
+++ b/tools/teaselhitch-standin/Timer.h
@@ -0,0 +1,40 @@
+#ifndef TEASELHITCH_STANDIN_TIMER_H
+#define TEASELHITCH_STANDIN_TIMER_H
+
+/// \file
+/// Delayed calls on an event loop.
+
+#include "teaselhitch/Support/Clock.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <utility>
+
+namespace teaselhitch::standin {
+
+inline std::chrono::microseconds toChrono(Duration D) {
+  return std::chrono::microseconds(static_cast<std::int64_t>(D.ms() * 1000));
+}
+
+using TimerPtr = std::shared_ptr<boost::asio::steady_timer>;
+
+/// Calls Function once after Delay, unless the returned timer is cancelled.
+inline TimerPtr runAfter(boost::asio::io_context &Context, Duration Delay,
+                         std::function<void()> Function) {
+  auto Timer =
+      std::make_shared<boost::asio::steady_timer>(Context, toChrono(Delay));
+  Timer->async_wait([Timer, Function = std::move(Function)](
+                        const boost::system::error_code &Code) {
+    if (!Code)
+      Function();
+  });
+  return Timer;
+}
+
+} // namespace teaselhitch::standin
+
+#endif
--- /dev/null
+++ b/unittests/Platform/StoreFaultTest.cpp
@@ -0,0 +1,252 @@
+#include "StandInPlatform.h"
+#include "teaselhitch/Platform/HttpStores.h"
+#include "teaselhitch/Platform/Requests.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/read.hpp>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <atomic>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <vector>
+
+using namespace teaselhitch;
+
+namespace {
+
+namespace asio = boost::asio;
+using standin::PlatformFaultMode;
+
+/// Answers the requests of one connection after the other with scripted texts.
+/// An empty text closes the connection without an answer. Scripts make the
+/// server's part of an exchange exact.
+class ScriptedServer {
+public:
+  using Connections = std::vector<std::vector<std::string>>;
+
+  explicit ScriptedServer(Connections Script)
+      : Acceptor(Context, {asio::ip::make_address("127.0.0.1"), 0}),
+        Thread([this, Script = std::move(Script)] {
+          for (std::size_t Index = 0; Index < Script.size(); ++Index) {
+            serve(Script[Index]);
+            if (Index == 0)
+              FirstClosed.set_value();
+          }
+        }) {}
+  ~ScriptedServer() {
+    // Ends the wait for connections that a failed test did not open.
+    Stopping = true;
+    boost::system::error_code Ignored;
+    asio::ip::tcp::socket(Context).connect(Acceptor.local_endpoint(), Ignored);
+    Thread.join();
+  }
+  ScriptedServer(const ScriptedServer &) = delete;
+  ScriptedServer &operator=(const ScriptedServer &) = delete;
+
+  Endpoint address() const {
+    return {"127.0.0.1", Acceptor.local_endpoint().port()};
+  }
+
+  /// Returns when the first connection is closed.
+  void waitForClose() { FirstClosed.get_future().wait(); }
+
+private:
+  void serve(const std::vector<std::string> &Answers) {
+    boost::system::error_code Ignored;
+    asio::ip::tcp::socket Socket(Context);
+    Acceptor.accept(Socket, Ignored);
+    if (Stopping)
+      return;
+    boost::beast::flat_buffer Buffer;
+    for (const std::string &Answer : Answers) {
+      standin::HttpRequest Request;
+      boost::beast::http::read(Socket, Buffer, Request, Ignored);
+      asio::write(Socket, asio::buffer(Answer), Ignored);
+    }
+    Socket.shutdown(asio::ip::tcp::socket::shutdown_send, Ignored);
+    while (isUnacknowledged(Socket))
+      std::this_thread::yield();
+  }
+
+  /// True until the client's system has processed the end of the connection.
+  static bool isUnacknowledged(asio::ip::tcp::socket &Socket) {
+    tcp_info Info{};
+    socklen_t Size = sizeof(Info);
+    ::getsockopt(Socket.native_handle(), IPPROTO_TCP, TCP_INFO, &Info, &Size);
+    return Info.tcpi_state == TCP_FIN_WAIT1;
+  }
+
+  asio::io_context Context{1};
+  asio::ip::tcp::acceptor Acceptor;
+  std::promise<void> FirstClosed;
+  std::atomic<bool> Stopping{false};
+  std::thread Thread;
+};
+
+const std::string RowAnswer = "HTTP/1.1 200 x\r\nContent-Length: 33\r\n\r\n"
+                              "{\"key\":\"k\",\"value\":1,\"version\":1}";
+
+std::unique_ptr<TableStore>
+createTable(const Endpoint &Service, Duration Timeout = DefaultStoreTimeout) {
+  return handleError([&] { return createHttpTableStore(Service, Timeout); },
+                     [](const Error &) { return nullptr; });
+}
+
+std::string statusOf(TableStore &Table, TableOperation Operation) {
+  TableRequest Request{7, Operation, "t", "k", "1", 1};
+  TableReply Reply = runTableRequest(Table, Request);
+  CPPUNIT_ASSERT_EQUAL(Request.Token, Reply.Token);
+  switch (Reply.Status) {
+  case TableStatus::Ok:
+    return "ok";
+  case TableStatus::NotFound:
+    return "not-found";
+  case TableStatus::Conflict:
+    return "conflict";
+  case TableStatus::Unavailable:
+    return "unavailable";
+  case TableStatus::Unknown:
+    return "unknown";
+  }
+  return "";
+}
+
+class StoreFaultTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(StoreFaultTest);
+  CPPUNIT_TEST(answersOfTheServerAreClassified);
+  CPPUNIT_TEST(refusedConnectHasNoEffect);
+  CPPUNIT_TEST(silentServerEndsTheCall);
+  CPPUNIT_TEST(lostAnswerIsUnknownAndTookEffect);
+  CPPUNIT_TEST(readSurvivesClosedConnection);
+  CPPUNIT_TEST(writeIsNotRepeated);
+  CPPUNIT_TEST(writeAfterIdleCloseReconnects);
+  CPPUNIT_TEST_SUITE_END();
+
+  /// Guards against a write that may have taken effect being reported as
+  /// without effect, or the reverse, for each kind of bad answer.
+  void answersOfTheServerAreClassified() {
+    struct Case {
+      const char *Answer;
+      const char *Read;
+      const char *Write;
+    };
+    const Case Cases[] = {
+        {"HTTP/1.1 503 x\r\nConnection: close\r\nContent-Length: 0\r\n\r\n",
+         "unavailable", "unavailable"},
+        {"HTTP/1.1 500 x\r\nConnection: close\r\nContent-Length: 0\r\n\r\n",
+         "unavailable", "unknown"},
+        {"HTTP/1.1 400 x\r\nConnection: close\r\nContent-Length: 0\r\n\r\n",
+         "unavailable", "unavailable"},
+        {"HTTP/1.1 412 x\r\nConnection: close\r\nContent-Length: 0\r\n\r\n",
+         "conflict", "conflict"},
+        {"", "unavailable", "unknown"},
+        {"HTTP/1.1 200 x\r\nConnection: close\r\nContent-Length: "
+         "9\r\n\r\n{\"ver",
+         "unavailable", "unknown"},
+        {"not HTTP\r\n\r\n", "unavailable", "unknown"},
+        {"HTTP/1.1 200 x\r\nConnection: close\r\nContent-Length: 2\r\n\r\n[]",
+         "unavailable", "unknown"},
+        {"HTTP/1.1 200 x\r\nConnection: close\r\nContent-Length: "
+         "15\r\n\r\n{\"version\":-12}",
+         "unavailable", "unknown"},
+    };
+    for (const Case &C : Cases) {
+      ScriptedServer Server({{C.Answer}, {C.Answer}, {C.Answer}});
+      auto Table = createTable(Server.address());
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(C.Answer, std::string(C.Read),
+                                   statusOf(*Table, TableOperation::Read));
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(C.Answer, std::string(C.Write),
+                                   statusOf(*Table, TableOperation::Insert));
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(C.Answer, std::string(C.Write),
+                                   statusOf(*Table, TableOperation::Replace));
+    }
+  }
+
+  /// Guards against an unreachable platform making writes unknown.
+  void refusedConnectHasNoEffect() {
+    Endpoint Unused;
+    {
+      ScriptedServer Server({});
+      Unused = Server.address();
+    }
+    auto Table = createTable(Unused);
+    CPPUNIT_ASSERT_EQUAL(std::string("unavailable"),
+                         statusOf(*Table, TableOperation::Insert));
+  }
+
+  /// Guards against a call that blocks the platform thread for ever. The
+  /// server never answers, so that only the time limit can end the call.
+  void silentServerEndsTheCall() {
+    StandInPlatform Platform;
+    Platform.setFaults({PlatformFaultMode::Slow, Duration::seconds(86400), 1});
+    auto Table = createTable(Platform.address(), Duration(50));
+    CPPUNIT_ASSERT_EQUAL(std::string("unavailable"),
+                         statusOf(*Table, TableOperation::Read));
+    CPPUNIT_ASSERT_EQUAL(std::string("unknown"),
+                         statusOf(*Table, TableOperation::Insert));
+  }
+
+  /// Guards against a lost answer being taken for a write without effect, and
+  /// against the client repeating such a write.
+  void lostAnswerIsUnknownAndTookEffect() {
+    StandInPlatform Platform;
+    auto Table = createTable(Platform.address());
+    CPPUNIT_ASSERT_EQUAL(std::string("not-found"),
+                         statusOf(*Table, TableOperation::Read));
+    Platform.setFaults({PlatformFaultMode::LostAnswer, Duration(), 1});
+    CPPUNIT_ASSERT_EQUAL(std::string("unknown"),
+                         statusOf(*Table, TableOperation::Insert));
+    CPPUNIT_ASSERT_EQUAL(std::string("ok"),
+                         statusOf(*Table, TableOperation::Read));
+    Platform.setFaults({PlatformFaultMode::Down, Duration(), 1});
+    CPPUNIT_ASSERT_EQUAL(std::string("unavailable"),
+                         statusOf(*Table, TableOperation::Read));
+    Platform.setFaults({});
+    CPPUNIT_ASSERT_EQUAL(std::string("conflict"),
+                         statusOf(*Table, TableOperation::Insert));
+  }
+
+  /// Guards against a read that fails because the service closed the kept
+  /// connection, before or after the request was sent.
+  void readSurvivesClosedConnection() {
+    ScriptedServer Server({{RowAnswer}, {RowAnswer, ""}, {RowAnswer}});
+    auto Table = createTable(Server.address());
+    for (int Count = 0; Count < 3; ++Count)
+      CPPUNIT_ASSERT_EQUAL(std::string("ok"),
+                           statusOf(*Table, TableOperation::Read));
+  }
+
+  /// Guards against a write that is sent twice when the kept connection closes
+  /// without an answer. A second try would get the answer of the last
+  /// connection.
+  void writeIsNotRepeated() {
+    ScriptedServer Server({{RowAnswer, ""}, {RowAnswer}});
+    auto Table = createTable(Server.address());
+    CPPUNIT_ASSERT_EQUAL(std::string("ok"),
+                         statusOf(*Table, TableOperation::Read));
+    CPPUNIT_ASSERT_EQUAL(std::string("unknown"),
+                         statusOf(*Table, TableOperation::Replace));
+    CPPUNIT_ASSERT_EQUAL(std::string("ok"),
+                         statusOf(*Table, TableOperation::Read));
+  }
+
+  /// Guards against a write that is reported unknown only because the service
+  /// had closed the kept connection while it was idle.
+  void writeAfterIdleCloseReconnects() {
+    ScriptedServer Server({{RowAnswer}, {RowAnswer}});
+    auto Table = createTable(Server.address());
+    CPPUNIT_ASSERT_EQUAL(std::string("ok"),
+                         statusOf(*Table, TableOperation::Read));
+    Server.waitForClose();
+    CPPUNIT_ASSERT_EQUAL(std::string("ok"),
+                         statusOf(*Table, TableOperation::Replace));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(StoreFaultTest);
+
+} // namespace
