--- a/include/teaselhitch/Membership/Membership.h
+++ b/include/teaselhitch/Membership/Membership.h
@@ -125,7 +125,26 @@
   std::vector<Endpoint> Seeds;
 };
 
-/// The membership of one node.
+/// Faults that a node noticed in what its peers sent. All grow only.
+struct MembershipCounters {
+  /// Claims about records that only this node writes, with a version that it
+  /// has not written. Caused by an earlier process of the same name, by a
+  /// second one, or by a peer that writes what it must not.
+  std::uint64_t ForeignWrites = 0;
+  /// Records that differ although their versions are equal.
+  std::uint64_t Conflicts = 0;
+  /// Invalid records, or records beyond the bounds of the tables.
+  std::uint64_t Refused = 0;
+  /// Ticks that came so late that suspicions were put off.
+  std::uint64_t LateTicks = 0;
+  /// Suspicions about this node that it refuted.
+  std::uint64_t Refutations = 0;
+
+  auto operator<=>(const MembershipCounters &) const = default;
+};
+
+/// The membership of one node. Call tick() every 50 ms or more often: a gap of
+/// more than 200 ms counts as lateness of the own process.
 class Membership {
 public:
   /// \param Random must outlive the membership.
@@ -139,7 +158,8 @@
   virtual MembershipActions receive(const Datagram &Message,
                                     const Endpoint &From, Time Now) = 0;
 
-  /// Publishes the record of an own backend server.
+  /// Publishes the record of an own backend server. The version is set here;
+  /// a record that equals the published one apart from it is not sent again.
   virtual void publish(const BackendServerRecord &Record, Time Now) = 0;
   /// Spreads a configuration head that this node knows of.
   virtual void offerHead(const ConfigHead &Head, Time Now) = 0;
@@ -157,6 +177,11 @@
   /// The current snapshot. Dead nodes and their backend servers are left out,
   /// although their records are kept.
   virtual std::shared_ptr<const FleetView> view() const = 0;
+
+  /// The own record. Its incarnation grows when an earlier process of the same
+  /// name had a higher one.
+  virtual const NodeRecord &self() const = 0;
+  virtual MembershipCounters counters() const = 0;
 };
 
 } // namespace teaselhitch
--- /dev/null
+++ b/lib/Membership/GossipQueue.cpp
@@ -0,0 +1,38 @@
+#include "GossipQueue.h"
+
+namespace teaselhitch {
+
+void GossipQueue::add(const GossipItem &Item) {
+  remove(Item);
+  auto It = Items.emplace(Item, Progress{0, ++LastStamp}).first;
+  Order.insert({0, LastStamp, &It->first});
+}
+
+void GossipQueue::remove(const GossipItem &Item) {
+  auto It = Items.find(Item);
+  if (It == Items.end())
+    return;
+  Order.erase({It->second.Sent, It->second.Stamp, &It->first});
+  Items.erase(It);
+}
+
+void GossipQueue::noteDuplicate(const GossipItem &Item, std::uint32_t Limit) {
+  countSent(Item, 1, Limit);
+}
+
+void GossipQueue::countSent(const GossipItem &Item, std::uint32_t Copies,
+                            std::uint32_t Limit) {
+  auto It = Items.find(Item);
+  if (It == Items.end())
+    return;
+  Progress &P = It->second;
+  if (P.Sent + Copies >= Limit) {
+    remove(Item);
+    return;
+  }
+  Order.erase({P.Sent, P.Stamp, &It->first});
+  P.Sent += Copies;
+  Order.insert({P.Sent, P.Stamp, &It->first});
+}
+
+} // namespace teaselhitch
--- /dev/null
+++ b/lib/Membership/Membership.cpp
@@ -0,0 +1,243 @@
+#include "teaselhitch/Membership/Membership.h"
+
+#include "MembershipCore.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace teaselhitch {
+
+namespace {
+
+constexpr std::size_t MaxQuarantines = 4096;
+/// Longest label in bytes; the codec refuses more than 255.
+constexpr std::size_t MaxLabelLength = 128;
+constexpr std::uint32_t MaxWeight = 100;
+constexpr std::uint64_t MaxIncarnation = std::uint64_t(1) << 62;
+/// Raises of the own incarnation are this far apart, so that two processes with
+/// the same name do not flood the fleet.
+constexpr Duration RaiseInterval = Duration::seconds(1);
+/// A delta from anti-entropy with more new records than this means that this
+/// node was behind; its peers know them and are not told.
+constexpr std::size_t MaxLearnedToSpread = 32;
+/// Until the next anti-entropy while this node is behind.
+constexpr Duration CatchUpInterval = Duration(500);
+constexpr std::uint32_t MinDatagramBytes = 512;
+constexpr std::uint32_t MaxDatagramBytes = 1400;
+
+Result<void> check(const MembershipSettings &Settings, const NodeRecord &Self) {
+  if (!isValidName(Self.Name.str()))
+    return makeError(ErrorCode::InvalidInput,
+                     "invalid node name '" + Self.Name.str() + "'");
+  if (Self.Version.Incarnation == 0 ||
+      Self.Version.Incarnation >= MaxIncarnation)
+    return makeError(ErrorCode::InvalidInput, "incarnation out of range");
+  if (Settings.MaxDatagramBytes < MinDatagramBytes ||
+      Settings.MaxDatagramBytes > MaxDatagramBytes)
+    return makeError(ErrorCode::InvalidInput,
+                     "size of datagrams out of the range of 512 to 1400 bytes");
+  Duration Zero;
+  if (Settings.ProbeTimeout <= Zero || Settings.SuspicionTimeout <= Zero ||
+      Settings.GossipInterval <= Zero || Settings.SyncInterval <= Zero)
+    return makeError(ErrorCode::InvalidInput, "intervals must be positive");
+  if (Settings.ProbeInterval <= Settings.ProbeTimeout)
+    return makeError(ErrorCode::InvalidInput,
+                     "the probe interval must exceed the probe timeout");
+  return {};
+}
+
+} // namespace
+
+Result<std::unique_ptr<Membership>>
+Membership::create(MembershipSettings Settings, NodeRecord Self,
+                   RandomSource &Random, Time Now) {
+  BOOST_LEAF_CHECK(check(Settings, Self));
+  return std::unique_ptr<Membership>(std::make_unique<MembershipCore>(
+      std::move(Settings), std::move(Self), Random, Now));
+}
+
+MembershipCore::MembershipCore(MembershipSettings Chosen, NodeRecord Own,
+                               RandomSource &Random, Time Now)
+    : Settings(std::move(Chosen)), Random(Random), Records(Own.Name),
+      Self(Records.obtain(Own.Name, Now)) {
+  std::erase(Settings.Seeds, Own.Address);
+  Queue.add(GossipItem::node(Own.Name));
+  Records.setNode(*Self, std::move(Own), Now);
+  // Random phases, so that nodes that started together spread out.
+  NextProbe = Now + Settings.ProbeInterval * Random.uniform();
+  NextGossip = Now;
+  NextSync = Now;
+  NextOutsider = Now;
+  NextCleanup = Now;
+}
+
+void MembershipCore::publish(const BackendServerRecord &Record, Time Now) {
+  (void)Now;
+  if (Record.Id.Node != Self->Record.Name ||
+      !isValidName(Record.Id.Name.str()) ||
+      !isValidName(Record.Service.str())) {
+    ++Counters.Refused;
+    return;
+  }
+  BackendServerRecord Next = Record;
+  // Peers refuse a whole datagram with a value out of bounds.
+  Next.Label.resize(std::min(Next.Label.size(), MaxLabelLength));
+  Next.Weight = std::min(Next.Weight, MaxWeight);
+  auto It = Self->Servers.find(Next.Id.Name);
+  if (It != Self->Servers.end()) {
+    Next.Version = It->second.Version;
+    if (Next == It->second)
+      return;
+  }
+  writeServer(std::move(Next));
+}
+
+void MembershipCore::writeServer(BackendServerRecord Record) {
+  Record.Version = {Self->Record.Version.Incarnation, ++ServerSequence};
+  if (Records.setServer(*Self, Record))
+    Queue.add(GossipItem::server(Record.Id));
+  else
+    ++Counters.Refused;
+}
+
+void MembershipCore::mergeOwnServer(const BackendServerRecord &Record,
+                                    Time Now) {
+  const RecordVersion &Version = Record.Version;
+  std::uint64_t OwnIncarnation = Self->Record.Version.Incarnation;
+  auto It = Self->Servers.find(Record.Id.Name);
+  bool IsKnown = It != Self->Servers.end();
+  if (IsKnown && Record == It->second) {
+    Queue.noteDuplicate(GossipItem::server(Record.Id), transmitLimit());
+    return;
+  }
+  if (Version.Incarnation < OwnIncarnation ||
+      (IsKnown && Version < It->second.Version))
+    return;
+  ++Counters.ForeignWrites;
+  if (Version.Incarnation > OwnIncarnation) {
+    raiseIncarnation(Version.Incarnation, Now);
+    return;
+  }
+  if (Version.Sequence >= MaxIncarnation || !isValidName(Record.Id.Name.str()))
+    return;
+  ServerSequence = std::max(ServerSequence, Version.Sequence);
+  BackendServerRecord Correction = IsKnown ? It->second : Record;
+  if (!IsKnown)
+    Correction.State = BackendServerState::Gone;
+  writeServer(std::move(Correction));
+}
+
+void MembershipCore::refute(const RecordVersion &Claim, Time Now) {
+  const RecordVersion &Own = Self->Record.Version;
+  if (Claim.Incarnation > Own.Incarnation || Claim.Sequence >= MaxIncarnation) {
+    raiseIncarnation(Claim.Incarnation, Now);
+    return;
+  }
+  NodeRecord Next = Self->Record;
+  Next.Version.Sequence = Claim.Sequence + 1;
+  Records.setNode(*Self, Next, Now);
+  Queue.add(GossipItem::node(Next.Name));
+}
+
+/// Takes an incarnation above the claimed one, and writes all own records anew
+/// with it.
+void MembershipCore::raiseIncarnation(std::uint64_t Claimed, Time Now) {
+  if (Claimed >= MaxIncarnation ||
+      (LastRaise && Now - *LastRaise < RaiseInterval))
+    return;
+  LastRaise = Now;
+  auto Servers = Self->Servers;
+  NodeRecord Next = Self->Record;
+  Next.Version = {Claimed + 1, 1};
+  Records.setNode(*Self, Next, Now);
+  Queue.add(GossipItem::node(Next.Name));
+  for (auto &[Name, Record] : Servers)
+    writeServer(std::move(Record));
+}
+
+void MembershipCore::offerHead(const ConfigHead &Offered, Time Now) {
+  (void)Now;
+  if (Offered.Version <= Head.Version)
+    return;
+  Head = Offered;
+  Queue.add(GossipItem::head());
+}
+
+void MembershipCore::spreadQuarantine(const QuarantineRecord &Record,
+                                      Time Now) {
+  storeQuarantine(Record.Fingerprint, Now + Duration(Record.RemainingMs), Now);
+  Queue.add(GossipItem::quarantine(Record.Fingerprint));
+}
+
+void MembershipCore::storeQuarantine(std::uint64_t Fingerprint, Time Until,
+                                     Time Now) {
+  std::erase_if(Quarantines, [&](const auto &Q) { return Q.second <= Now; });
+  if (Quarantines.size() >= MaxQuarantines &&
+      Quarantines.count(Fingerprint) == 0) {
+    auto EndsFirst = [](const auto &A, const auto &B) {
+      return A.second < B.second;
+    };
+    Quarantines.erase(
+        std::min_element(Quarantines.begin(), Quarantines.end(), EndsFirst));
+  }
+  Quarantines[Fingerprint] = Until;
+}
+
+void MembershipCore::leave(Time Now) {
+  if (Self->Record.State == NodeState::Leaving)
+    return;
+  NodeRecord Next = Self->Record;
+  Next.State = NodeState::Leaving;
+  ++Next.Version.Sequence;
+  Records.setNode(*Self, Next, Now);
+  Queue.add(GossipItem::node(Next.Name));
+}
+
+Digest MembershipCore::digest() const { return Records.digest(Head); }
+
+std::vector<Delta> MembershipCore::deltasFor(const Digest &Other,
+                                             std::size_t MaxRecords) const {
+  std::vector<Delta> Parts = Records.deltasFor(Other, MaxRecords);
+  Digest Own = digest();
+  bool IsBehind = false;
+  for (std::size_t I = 0; I != Roster::NodeBuckets; ++I)
+    IsBehind |= Other.Buckets[I] == 0 && Own.Buckets[I] != 0;
+  // A node that joined late has missed the gossip about quarantines. Their time
+  // counts from the last tick, which is at most one tick too long.
+  Time Now = LastTick.value_or(Time());
+  if (IsBehind) {
+    for (const auto &[Fingerprint, Until] : Quarantines) {
+      if (Until <= Now)
+        continue;
+      if (Parts.empty() || Parts.back().Quarantines.size() >= MaxRecords)
+        Parts.emplace_back();
+      auto Rest = static_cast<std::uint32_t>((Until - Now).ms());
+      Parts.back().Quarantines.push_back({Fingerprint, Rest});
+    }
+  }
+  if (Head.Version > Other.Head.Version) {
+    if (Parts.empty())
+      Parts.emplace_back();
+    Parts.front().Head = Head;
+  }
+  return Parts;
+}
+
+MembershipActions MembershipCore::apply(const Delta &Changes, Time Now) {
+  MembershipActions Out;
+  Merge M{Source::Sync, nullptr, Now, Out, {}};
+  merge(Changes, M);
+  if (M.Learned.size() > MaxLearnedToSpread) {
+    NextSync = std::min(NextSync, Now + CatchUpInterval);
+    return Out;
+  }
+  for (const GossipItem &Item : M.Learned)
+    Queue.add(Item);
+  return Out;
+}
+
+std::shared_ptr<const FleetView> MembershipCore::view() const {
+  return Records.view();
+}
+
+} // namespace teaselhitch
--- /dev/null
+++ b/lib/Membership/MembershipCore.cpp
@@ -0,0 +1,455 @@
+#include "MembershipCore.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace teaselhitch {
+
+namespace {
+
+/// A tick that comes later than this after the one before shows that the own
+/// process was held up, so silence of others proves nothing.
+constexpr Duration MaxTickGap = Duration(200);
+/// How often nodes outside the own view may be contacted: a seed while there
+/// are no peers, and one unreachable node, which finds the end of a partition.
+constexpr Duration OutsiderInterval = Duration::seconds(1);
+/// Part of the intervals in which outsiders are contacted although the fleet
+/// looks whole; keeps the traffic small while single nodes stay dead for hours.
+constexpr double IdleContactShare = 0.1;
+/// The share of unreachable nodes from which on each interval is used.
+constexpr double PartitionShare = 0.25;
+constexpr Duration CleanupInterval = Duration::seconds(5);
+/// Probes of nodes that a peer holds for dead, per gossip interval.
+constexpr std::size_t MaxVerifications = 4;
+/// Corrections of outdated peers per tick. Bounds the traffic when two nodes
+/// disagree for good.
+constexpr unsigned MaxReplies = 16;
+constexpr std::size_t MaxRelays = 1024;
+/// Random picks per helper that is sought in another failure domain.
+constexpr unsigned PicksPerHelper = 8;
+
+} // namespace
+
+MembershipActions MembershipCore::tick(Time Now) {
+  MembershipActions Out;
+  RepliesLeft = MaxReplies;
+  checkLateness(Now);
+  checkProbes(Now, Out);
+  checkSuspicions(Now, Out);
+  startDueProbes(Now, Out);
+  startDueSync(Now, Out);
+  contactOutsiders(Now, Out);
+  gossip(Now, Out);
+  if (Now >= NextCleanup) {
+    NextCleanup = Now + CleanupInterval;
+    dropExpired(Now);
+  }
+  return Out;
+}
+
+void MembershipCore::checkLateness(Time Now) {
+  bool IsLate = LastTick && Now - *LastTick > MaxTickGap;
+  Duration Gap = LastTick ? Now - *LastTick : Duration();
+  LastTick = Now;
+  if (!IsLate)
+    return;
+  ++Counters.LateTicks;
+  // The acknowledgements may be waiting in the socket buffer. Suspicions get
+  // the lost time back, and a whole period to read refutations.
+  Pending.clear();
+  for (const NodeName &Name : Suspects) {
+    NodeEntry *Entry = Records.find(Name);
+    if (Entry != nullptr && Entry->SuspectedUntil)
+      Entry->SuspectedUntil = std::max(*Entry->SuspectedUntil + Gap,
+                                       Now + Settings.SuspicionTimeout);
+  }
+}
+
+void MembershipCore::checkProbes(Time Now, MembershipActions &Out) {
+  for (auto It = Pending.begin(); It != Pending.end();) {
+    PendingProbe &Probe = It->second;
+    NodeEntry *Target = Records.find(Probe.Target);
+    if (Target == nullptr || Target->isDead()) {
+      It = Pending.erase(It);
+      continue;
+    }
+    if (!Probe.IndirectSent && Now >= Probe.IndirectAt) {
+      Probe.IndirectSent = true;
+      // When the ticks are coarse, the indirect probes still get their time.
+      Probe.FailsAt = std::max(Probe.FailsAt, Now + Settings.ProbeTimeout);
+      sendIndirectProbes(It->first, *Target, Now, Out);
+    }
+    if (Now < Probe.FailsAt) {
+      ++It;
+      continue;
+    }
+    It = Pending.erase(It);
+    suspect(*Target, Now, Out);
+  }
+}
+
+void MembershipCore::checkSuspicions(Time Now, MembershipActions &Out) {
+  for (auto It = Suspects.begin(); It != Suspects.end();) {
+    NodeEntry *Entry = Records.find(*It);
+    if (Entry == nullptr || !Entry->SuspectedUntil || Entry->isDead()) {
+      It = Suspects.erase(It);
+      continue;
+    }
+    if (Now < *Entry->SuspectedUntil) {
+      ++It;
+      continue;
+    }
+    It = Suspects.erase(It);
+    setState(*Entry, NodeState::Dead, Now, Out);
+  }
+}
+
+void MembershipCore::startDueProbes(Time Now, MembershipActions &Out) {
+  if (Now >= NextProbe) {
+    NextProbe = Now + Settings.ProbeInterval;
+    if (NodeEntry *Target = nextProbeTarget())
+      startProbe(*Target, {}, Now, Out);
+  }
+  for (std::size_t I = 0; I != MaxVerifications && !ToVerify.empty(); ++I) {
+    auto Position = static_cast<std::ptrdiff_t>(Random.below(ToVerify.size()));
+    auto It = std::next(ToVerify.begin(), Position);
+    NodeEntry *Target = Records.find(*It);
+    ToVerify.erase(It);
+    if (Target == nullptr || Target->Record.State != NodeState::Alive)
+      continue;
+    // The node learns of the claim and refutes it.
+    NodeRecord Claim = Target->Record;
+    Claim.State = NodeState::Dead;
+    startProbe(*Target, {Claim}, Now, Out);
+  }
+}
+
+NodeEntry *MembershipCore::nextProbeTarget() {
+  NextIsRingProbe = !NextIsRingProbe;
+  // Random choice alone leaves a node unprobed for several intervals now and
+  // then; the predecessor on the ring probes it every second interval.
+  if (NextIsRingProbe)
+    return Records.ringSuccessor();
+  for (int Round = 0; Round != 2; ++Round) {
+    while (ProbePosition < ProbeOrder.size()) {
+      NodeEntry *Entry = Records.find(ProbeOrder[ProbePosition++]);
+      if (Entry != nullptr && Entry->LivePosition)
+        return Entry;
+    }
+    shuffleProbeOrder();
+  }
+  return nullptr;
+}
+
+void MembershipCore::shuffleProbeOrder() {
+  ProbeOrder.clear();
+  ProbePosition = 0;
+  for (const NodeEntry *Entry : Records.livePeers())
+    ProbeOrder.push_back(Entry->Record.Name);
+  for (std::size_t I = ProbeOrder.size(); I > 1; --I)
+    std::swap(ProbeOrder[I - 1], ProbeOrder[Random.below(I)]);
+}
+
+void MembershipCore::startProbe(const NodeEntry &Target,
+                                std::vector<NodeRecord> First, Time Now,
+                                MembershipActions &Out) {
+  Datagram Message;
+  if (First.empty() && Target.Record.State == NodeState::Suspected)
+    First.push_back(Target.Record);
+  Message = compose(DatagramKind::Probe, First, 1, Now);
+  Message.Sequence = ++LastSequence;
+  Pending[Message.Sequence] = {Target.Record.Name, Now + Settings.ProbeTimeout,
+                               Now + Settings.ProbeInterval, false};
+  Out.emplace_back(SendDatagram{Target.Record.Address, std::move(Message)});
+}
+
+void MembershipCore::sendIndirectProbes(std::uint64_t Sequence,
+                                        const NodeEntry &Target, Time Now,
+                                        MembershipActions &Out) {
+  // The direct path gets a second chance, because the loss of one datagram is
+  // the most frequent cause.
+  Datagram Again = compose(DatagramKind::Probe, {}, 1, Now);
+  Again.Sequence = Sequence;
+  Out.emplace_back(SendDatagram{Target.Record.Address, std::move(Again)});
+  for (const NodeEntry *Helper : chooseHelpers(Target)) {
+    Datagram Message =
+        compose(DatagramKind::IndirectProbe, {}, 1, Now, Target.Record.Name);
+    Message.Sequence = Sequence;
+    Out.emplace_back(SendDatagram{Helper->Record.Address, std::move(Message)});
+  }
+}
+
+std::vector<const NodeEntry *>
+MembershipCore::chooseHelpers(const NodeEntry &Target) {
+  const std::vector<NodeEntry *> &Live = Records.livePeers();
+  std::vector<const NodeEntry *> Chosen;
+  auto Pick = [&](bool OnlyOtherDomains) {
+    const NodeEntry *Entry = Live[Random.below(Live.size())];
+    bool IsUsable =
+        Entry != &Target && Entry->Record.State == NodeState::Alive &&
+        std::find(Chosen.begin(), Chosen.end(), Entry) == Chosen.end();
+    if (OnlyOtherDomains && Entry->Record.Domain == Self->Record.Domain)
+      IsUsable = false;
+    if (IsUsable && Chosen.size() < Settings.IndirectProbes)
+      Chosen.push_back(Entry);
+  };
+  if (Live.empty())
+    return Chosen;
+  for (unsigned I = 0; I != PicksPerHelper * Settings.IndirectProbes; ++I)
+    Pick(true);
+  for (unsigned I = 0; I != PicksPerHelper * Settings.IndirectProbes; ++I)
+    Pick(false);
+  return Chosen;
+}
+
+std::vector<const NodeEntry *> MembershipCore::randomPeers(std::size_t Count) {
+  const std::vector<NodeEntry *> &Live = Records.livePeers();
+  std::vector<const NodeEntry *> Chosen;
+  if (Live.size() <= Count) {
+    Chosen.assign(Live.begin(), Live.end());
+    return Chosen;
+  }
+  while (Chosen.size() != Count) {
+    const NodeEntry *Entry = Live[Random.below(Live.size())];
+    if (std::find(Chosen.begin(), Chosen.end(), Entry) == Chosen.end())
+      Chosen.push_back(Entry);
+  }
+  return Chosen;
+}
+
+void MembershipCore::gossip(Time Now, MembershipActions &Out) {
+  if (Now < NextGossip || Queue.empty() || Records.livePeers().empty())
+    return;
+  NextGossip = Now + Settings.GossipInterval;
+  std::vector<const NodeEntry *> Targets = randomPeers(Settings.GossipTargets);
+  Datagram Message = compose(DatagramKind::Gossip, {},
+                             static_cast<std::uint32_t>(Targets.size()), Now);
+  if (Message.Changes == Delta())
+    return;
+  for (const NodeEntry *Target : Targets)
+    Out.emplace_back(SendDatagram{Target->Record.Address, Message});
+}
+
+void MembershipCore::startDueSync(Time Now, MembershipActions &Out) {
+  if (Records.livePeers().empty() || (HasSynced && Now < NextSync))
+    return;
+  HasSynced = true;
+  // Random length, so that nodes that started together spread out.
+  NextSync = Now + Settings.SyncInterval * (0.9 + 0.2 * Random.uniform());
+  const NodeEntry *Hinted = Records.find(SyncHint);
+  SyncHint = NodeName();
+  bool UsesHint = Hinted != nullptr && Hinted->LivePosition;
+  const NodeEntry *With = UsesHint ? Hinted : randomPeers(1).front();
+  Out.emplace_back(StartSync{With->Record.Name});
+}
+
+void MembershipCore::contactOutsiders(Time Now, MembershipActions &Out) {
+  if (Now < NextOutsider)
+    return;
+  NextOutsider = Now + OutsiderInterval * (0.9 + 0.2 * Random.uniform());
+  const std::vector<NodeEntry *> &Live = Records.livePeers();
+  std::vector<const NodeEntry *> Lost = Records.unreachable();
+  double LostShare =
+      static_cast<double>(Lost.size()) / static_cast<double>(Live.size() + 1);
+  double Share = std::max(IdleContactShare, LostShare / PartitionShare);
+  if (!Lost.empty() && Random.uniform() < Share) {
+    const NodeEntry *Entry = Lost[Random.below(Lost.size())];
+    contact(Entry->Record.Address, {Entry->Record}, Now, Out);
+  }
+  if (!Live.empty() && Random.uniform() >= IdleContactShare)
+    return;
+  std::vector<Endpoint> Unknown;
+  for (const Endpoint &Seed : Settings.Seeds) {
+    auto IsSeed = [&](const NodeEntry *Entry) {
+      return Entry->Record.Address == Seed;
+    };
+    if (std::none_of(Live.begin(), Live.end(), IsSeed))
+      Unknown.push_back(Seed);
+  }
+  if (!Unknown.empty())
+    contact(Unknown[Random.below(Unknown.size())], {}, Now, Out);
+}
+
+void MembershipCore::contact(const Endpoint &To, std::vector<NodeRecord> First,
+                             Time Now, MembershipActions &Out) {
+  First.insert(First.begin(), Self->Record);
+  Datagram Message = compose(DatagramKind::Probe, First, 1, Now);
+  Message.Sequence = ++LastSequence;
+  Out.emplace_back(SendDatagram{To, std::move(Message)});
+}
+
+void MembershipCore::dropExpired(Time Now) {
+  Records.dropExpired(Now);
+  std::erase_if(Quarantines, [&](const auto &Q) { return Q.second <= Now; });
+  std::erase_if(Relays, [&](const auto &R) { return R.second.Until <= Now; });
+}
+
+MembershipActions MembershipCore::receive(const Datagram &Message,
+                                          const Endpoint &From, Time Now) {
+  MembershipActions Out;
+  if (Message.Sender == Self->Record.Name) {
+    if (Message.SenderIncarnation > Self->Record.Version.Incarnation) {
+      ++Counters.ForeignWrites;
+      raiseIncarnation(Message.SenderIncarnation, Now);
+    }
+    return Out;
+  }
+  Merge M{Source::Gossip, &From, Now, Out, {}};
+  merge(Message.Changes, M);
+  for (const GossipItem &Item : M.Learned)
+    Queue.add(Item);
+  switch (Message.Kind) {
+  case DatagramKind::Probe:
+    onProbe(Message, From, Now, Out);
+    return Out;
+  case DatagramKind::ProbeAck:
+    onProbeAck(Message, Now, Out);
+    break;
+  case DatagramKind::IndirectProbe:
+    onIndirectProbe(Message, From, Now, Out);
+    break;
+  case DatagramKind::Gossip:
+    break;
+  }
+  if (std::optional<NodeRecord> Claim = claimAbout(Message))
+    reply(From, *Claim, Now, Out);
+  return Out;
+}
+
+void MembershipCore::onProbe(const Datagram &Message, const Endpoint &From,
+                             Time Now, MembershipActions &Out) {
+  std::vector<NodeRecord> First;
+  // A sender that introduces itself may not know us either.
+  for (const NodeRecord &Record : Message.Changes.Nodes)
+    if (Record.Name == Message.Sender && First.empty())
+      First.push_back(Self->Record);
+  if (std::optional<NodeRecord> Claim = claimAbout(Message))
+    First.push_back(*Claim);
+  Datagram Ack = compose(DatagramKind::ProbeAck, First, 1, Now);
+  Ack.Sequence = Message.Sequence;
+  Out.emplace_back(SendDatagram{From, std::move(Ack)});
+}
+
+void MembershipCore::onProbeAck(const Datagram &Message, Time Now,
+                                MembershipActions &Out) {
+  if (auto It = Relays.find(Message.Sequence);
+      It != Relays.end() && It->second.Target == Message.Sender) {
+    Datagram Ack = compose(DatagramKind::ProbeAck, {}, 1, Now);
+    Ack.Sequence = It->second.Sequence;
+    Out.emplace_back(SendDatagram{It->second.Origin, std::move(Ack)});
+    Relays.erase(It);
+    return;
+  }
+  auto It = Pending.find(Message.Sequence);
+  if (It == Pending.end())
+    return;
+  // A helper may answer for the target once it was asked to.
+  if (It->second.Target != Message.Sender && !It->second.IndirectSent)
+    return;
+  NodeEntry *Target = Records.find(It->second.Target);
+  if (Target != nullptr && Target->Record.State == NodeState::Leaving)
+    Target->SuspectedUntil.reset();
+  Pending.erase(It);
+}
+
+void MembershipCore::onIndirectProbe(const Datagram &Message,
+                                     const Endpoint &From, Time Now,
+                                     MembershipActions &Out) {
+  const NodeEntry *Target = Records.find(Message.Target);
+  if (Target == nullptr || !Target->isKnown() || Relays.size() >= MaxRelays)
+    return;
+  Datagram Probe = compose(DatagramKind::Probe, {}, 1, Now);
+  Probe.Sequence = ++LastSequence;
+  Relays[Probe.Sequence] = {Message.Target, From, Message.Sequence,
+                            Now + Settings.ProbeInterval};
+  Out.emplace_back(SendDatagram{Target->Record.Address, std::move(Probe)});
+}
+
+/// What the sender should know of itself: that it is suspected, that a higher
+/// incarnation of it is known, or that its record is missing here.
+std::optional<NodeRecord>
+MembershipCore::claimAbout(const Datagram &Message) const {
+  const NodeEntry *Entry = Records.find(Message.Sender);
+  std::uint64_t Known =
+      Entry == nullptr ? 0 : Entry->Record.Version.Incarnation;
+  if (Known < Message.SenderIncarnation) {
+    NodeRecord Missing;
+    Missing.Name = Message.Sender;
+    Missing.State = NodeState::Dead;
+    return Missing;
+  }
+  if (Entry != nullptr &&
+      (Known > Message.SenderIncarnation ||
+       Entry->Record.State == NodeState::Suspected || Entry->isDead()))
+    return Entry->Record;
+  return std::nullopt;
+}
+
+Datagram MembershipCore::compose(DatagramKind Kind,
+                                 const std::vector<NodeRecord> &First,
+                                 std::uint32_t Copies, Time Now,
+                                 const NodeName &Target) {
+  Datagram Message;
+  Message.Kind = Kind;
+  Message.Sender = Self->Record.Name;
+  Message.SenderIncarnation = Self->Record.Version.Incarnation;
+  Message.Target = Target;
+  DatagramSize Size(Message.Sender);
+  Size.addTarget(Target, Settings.MaxDatagramBytes);
+  for (const NodeRecord &Record : First)
+    if (Size.add(Record, Settings.MaxDatagramBytes))
+      Message.Changes.Nodes.push_back(Record);
+  Queue.take(Copies, transmitLimit(), [&](const GossipItem &Item) {
+    return offer(Item, Message.Changes, Size, Now);
+  });
+  return Message;
+}
+
+GossipQueue::Verdict MembershipCore::offer(const GossipItem &Item,
+                                           Delta &Changes, DatagramSize &Size,
+                                           Time Now) const {
+  using enum GossipQueue::Verdict;
+  auto Add = [&](auto &List, const auto &Record) {
+    if (!Size.add(Record, Settings.MaxDatagramBytes))
+      return DoesNotFit;
+    List.push_back(Record);
+    return Taken;
+  };
+  if (Item.What == GossipItem::Kind::Head) {
+    if (!Size.add(Head, Settings.MaxDatagramBytes))
+      return DoesNotFit;
+    Changes.Head = Head;
+    return Taken;
+  }
+  if (Item.What == GossipItem::Kind::Quarantine) {
+    auto It = Quarantines.find(Item.Fingerprint);
+    if (It == Quarantines.end() || It->second <= Now)
+      return Obsolete;
+    auto Rest = static_cast<std::uint32_t>((It->second - Now).ms());
+    return Add(Changes.Quarantines, QuarantineRecord{Item.Fingerprint, Rest});
+  }
+  const NodeEntry *Entry = Records.find(Item.Node);
+  if (Entry == nullptr)
+    return Obsolete;
+  if (Item.What == GossipItem::Kind::Node)
+    return Add(Changes.Nodes, Entry->Record);
+  auto It = Entry->Servers.find(Item.Server);
+  return It == Entry->Servers.end() ? Obsolete
+                                    : Add(Changes.Servers, It->second);
+}
+
+void MembershipCore::reply(const Endpoint &To, const NodeRecord &First,
+                           Time Now, MembershipActions &Out) {
+  if (RepliesLeft == 0)
+    return;
+  --RepliesLeft;
+  Datagram Message = compose(DatagramKind::Gossip, {First}, 1, Now);
+  Out.emplace_back(SendDatagram{To, std::move(Message)});
+}
+
+std::uint32_t MembershipCore::transmitLimit() const {
+  auto Nodes = static_cast<double>(Records.livePeers().size() + 2);
+  return static_cast<std::uint32_t>(std::ceil(3 * std::log2(Nodes)));
+}
+
+} // namespace teaselhitch
--- /dev/null
+++ b/unittests/Membership/MembershipTest.cpp
@@ -0,0 +1,181 @@
+#include "teaselhitch/Membership/Membership.h"
+
+#include "TestNetwork.h"
+
+using namespace teaselhitch;
+
+namespace {
+
+constexpr std::size_t Nobody = 1000;
+
+/// Adds Count ready backend servers to each node and lets them spread.
+void addServers(TestNetwork &Net, std::size_t Count) {
+  for (std::size_t I = 0; I != Net.Nodes.size(); ++I)
+    for (std::size_t S = 0; S != Count; ++S)
+      Net.Nodes[I].Core->publish(
+          TestNetwork::server(I, "seats-" + std::to_string(S),
+                              BackendServerState::Ready),
+          Net.Now);
+  Net.advance(Duration::seconds(30));
+}
+
+const BackendServerRecord *findServer(const FleetView &View, std::size_t I,
+                                      const std::string &Name) {
+  auto It = View.Services.find(ServiceName("seats"));
+  if (It == View.Services.end())
+    return nullptr;
+  for (const BackendServerRecord &Record : *It->second)
+    if (Record.Id.Node == TestNetwork::nameOf(I) &&
+        Record.Id.Name.str() == Name)
+      return &Record;
+  return nullptr;
+}
+
+class MembershipTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(MembershipTest);
+  CPPUNIT_TEST(killedNodeIsKnownInTime);
+  CPPUNIT_TEST(leavingBackendServerIsKnownInTime);
+  CPPUNIT_TEST(snapshotsShareUnchangedServices);
+  CPPUNIT_TEST(publishedAgainIsNotSentAgain);
+  CPPUNIT_TEST(leavingNodeIsNotSuspected);
+  CPPUNIT_TEST(headOnlyGrows);
+  CPPUNIT_TEST(quarantinesReachEveryNode);
+  CPPUNIT_TEST(settingsAreChecked);
+  CPPUNIT_TEST_SUITE_END();
+
+  /// Guards against requests that keep going to a killed node: the bound of
+  /// the design is 5 s.
+  void killedNodeIsKnownInTime() {
+    for (std::uint64_t Seed : {1, 2, 3}) {
+      TestNetwork Net(100, Seed);
+      CPPUNIT_ASSERT(Net.allKnowAll());
+      for (std::size_t Victim : {17, 42, 63, 99}) {
+        Net.Nodes[Victim].IsRunning = false;
+        Duration Took = Net.advanceUntil(
+            Duration::seconds(20), [&] { return Net.goneEverywhere(Victim); });
+        CPPUNIT_ASSERT(Took <= Duration::seconds(5));
+      }
+    }
+  }
+
+  /// Guards against new requests to a backend server that is stopping: the
+  /// bound of the design is 3 s.
+  void leavingBackendServerIsKnownInTime() {
+    TestNetwork Net(100, 4);
+    addServers(Net, 1);
+    for (std::size_t I : {5, 50, 95}) {
+      Net.Nodes[I].Core->publish(
+          TestNetwork::server(I, "seats-0", BackendServerState::Draining),
+          Net.Now);
+      Duration Took = Net.advanceUntil(Duration::seconds(20), [&] {
+        return Net.everywhere(Nobody, [&](const FleetView &View) {
+          return findServer(View, I, "seats-0")->State ==
+                 BackendServerState::Draining;
+        });
+      });
+      CPPUNIT_ASSERT(Took <= Duration::seconds(3));
+    }
+  }
+
+  /// Guards against snapshots whose cost grows with the fleet.
+  void snapshotsShareUnchangedServices() {
+    TestNetwork Net(3, 5);
+    addServers(Net, 2);
+    Membership &Core = *Net.Nodes[0].Core;
+    BackendServerRecord Other =
+        TestNetwork::server(0, "refunds-0", BackendServerState::Ready);
+    Other.Service = ServiceName("refunds");
+    auto Before = Core.view();
+    Core.publish(Other, Net.Now);
+    auto After = Core.view();
+    CPPUNIT_ASSERT(After != Before);
+    CPPUNIT_ASSERT(After == Core.view());
+    CPPUNIT_ASSERT(After->Nodes == Before->Nodes);
+    CPPUNIT_ASSERT(After->Services.at(ServiceName("seats")) ==
+                   Before->Services.at(ServiceName("seats")));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), After->Services.count(Other.Service));
+    Other.State = BackendServerState::Gone;
+    Core.publish(Other, Net.Now);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0),
+                         Core.view()->Services.count(Other.Service));
+  }
+
+  /// Guards against a guard that repeats announcements each second and so
+  /// floods the fleet.
+  void publishedAgainIsNotSentAgain() {
+    TestNetwork Net(3, 6);
+    addServers(Net, 1);
+    auto Before = Net.Nodes[0].Core->digest();
+    addServers(Net, 1);
+    CPPUNIT_ASSERT(Before == Net.Nodes[0].Core->digest());
+  }
+
+  /// Guards against the loss of "leaving" while the node finishes requests, and
+  /// against nodes that stay in the view after they exited.
+  void leavingNodeIsNotSuspected() {
+    TestNetwork Net(10, 7);
+    Net.Nodes[3].Core->leave(Net.Now);
+    Net.advance(Duration::seconds(20));
+    CPPUNIT_ASSERT(Net.everywhere(Nobody, [](const FleetView &View) {
+      return View.Nodes->at(TestNetwork::nameOf(3)).State == NodeState::Leaving;
+    }));
+    Net.Nodes[3].IsRunning = false;
+    Net.advance(Duration::seconds(5));
+    CPPUNIT_ASSERT(Net.goneEverywhere(3));
+  }
+
+  /// Guards against a configuration that reverts.
+  void headOnlyGrows() {
+    TestNetwork Net(10, 8);
+    Net.Nodes[1].Core->offerHead({7, std::string(64, 'a')}, Net.Now);
+    Net.Nodes[2].Core->offerHead({6, std::string(64, 'b')}, Net.Now);
+    Net.advance(Duration::seconds(3));
+    for (const TestNetwork::Node &N : Net.Nodes)
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t(7), N.Core->digest().Head.Version);
+  }
+
+  /// Guards against a crashing request that reaches nodes which started after
+  /// it was quarantined.
+  void quarantinesReachEveryNode() {
+    TestNetwork Net(5, 9);
+    Net.Nodes[1].Core->spreadQuarantine({77, 600000}, Net.Now);
+    Net.advance(Duration::seconds(60));
+    Membership &Holder = *Net.Nodes[0].Core;
+    auto Parts = Holder.deltasFor(Digest(), 100);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Parts.at(0).Quarantines.size());
+    QuarantineRecord Held = Parts[0].Quarantines[0];
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(77), Held.Fingerprint);
+    CPPUNIT_ASSERT(Held.RemainingMs <= 542000 && Held.RemainingMs >= 538000);
+    auto Actions =
+        Net.Nodes[2].Core->apply({{}, {}, {{78, 5000}}, {}}, Net.Now);
+    MembershipActions Expected = {QuarantineSeen{{78, 5000}}};
+    CPPUNIT_ASSERT(Actions == Expected);
+  }
+
+  /// Guards against settings that make a node suspect all others.
+  void settingsAreChecked() {
+    SeededRandom Random(1);
+    NodeRecord Self;
+    Self.Name = NodeName("a");
+    Self.Version = {1, 1};
+    auto IsAccepted = [&](const MembershipSettings &S, const NodeRecord &Own) {
+      return handleError(
+          [&]() -> Result<bool> {
+            BOOST_LEAF_CHECK(Membership::create(S, Own, Random, Time()));
+            return true;
+          },
+          [](const Error &) { return false; });
+    };
+    MembershipSettings Good, Slow, Large;
+    Slow.ProbeTimeout = Slow.ProbeInterval;
+    Large.MaxDatagramBytes = 9000;
+    CPPUNIT_ASSERT(IsAccepted(Good, Self));
+    CPPUNIT_ASSERT(!IsAccepted(Slow, Self));
+    CPPUNIT_ASSERT(!IsAccepted(Large, Self));
+    CPPUNIT_ASSERT(!IsAccepted(Good, NodeRecord()));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(MembershipTest);
+
+} // namespace
--- /dev/null
+++ b/unittests/Membership/TestNetwork.h
@@ -0,0 +1,198 @@
+#ifndef TEASELHITCH_UNITTESTS_MEMBERSHIP_TESTNETWORK_H
+#define TEASELHITCH_UNITTESTS_MEMBERSHIP_TESTNETWORK_H
+
+/// \file
+/// Several memberships joined by an in-memory network in virtual time, with
+/// loss, blocked paths and paused nodes. Datagrams pass through the codec.
+
+#include "teaselhitch/Membership/Membership.h"
+#include "teaselhitch/Wire/DatagramCodec.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <functional>
+#include <map>
+
+namespace teaselhitch {
+
+/// Unwraps a result that the test expects to hold a value.
+template <typename T> T valueOf(Result<T> R) {
+  CPPUNIT_ASSERT(!!R);
+  return std::move(R.value());
+}
+
+class TestNetwork {
+public:
+  struct Node {
+    NodeRecord Record;
+    std::unique_ptr<SeededRandom> Random;
+    std::unique_ptr<Membership> Core;
+    bool IsRunning = true;
+    /// Ticks and received messages wait until then.
+    Time PausedUntil;
+    std::vector<std::function<void()>> Inbox;
+  };
+
+  TestNetwork(std::size_t Count, std::uint64_t Seed) : Random(Seed) {
+    for (std::size_t I = 0; I != Count; ++I)
+      Nodes.push_back(start(I, 1000 + I));
+    advance(Duration::seconds(15));
+    Deaths.clear();
+  }
+
+  static NodeName nameOf(std::size_t I) {
+    return NodeName("node-" + std::to_string(I));
+  }
+  static BackendServerRecord server(std::size_t I, const std::string &Name,
+                                    BackendServerState State) {
+    BackendServerRecord Record;
+    Record.Id = {nameOf(I), BackendServerName(Name)};
+    Record.Service = ServiceName("seats");
+    Record.Slots = 4;
+    Record.State = State;
+    return Record;
+  }
+
+  /// A new process of node I.
+  Node start(std::size_t I, std::uint64_t Incarnation) {
+    Node N;
+    N.Record.Name = nameOf(I);
+    N.Record.Address = {"10.0.0." + std::to_string(I), 7000};
+    N.Record.Domain = FailureDomain("domain-" + std::to_string(I % 4));
+    N.Record.Version = {Incarnation, 1};
+    MembershipSettings Settings;
+    Settings.Seeds = {{"10.0.0.0", 7000}, {"10.0.0.1", 7000}};
+    N.Random = std::make_unique<SeededRandom>(Random.next());
+    N.Core = valueOf(Membership::create(Settings, N.Record, *N.Random, Now));
+    return N;
+  }
+
+  void advance(Duration D) {
+    Time End = Now + D;
+    while (Now < End) {
+      Now = Now + TickInterval;
+      while (!Events.empty() && Events.begin()->first <= Now.ms()) {
+        auto Event = std::move(Events.begin()->second);
+        Events.erase(Events.begin());
+        Event();
+      }
+      for (std::size_t I = 0; I != Nodes.size(); ++I)
+        step(I);
+    }
+  }
+
+  /// Advances until Condition holds and gives the time that took, or Limit.
+  Duration advanceUntil(Duration Limit, const std::function<bool()> &Holds) {
+    Time Start = Now;
+    while (!Holds() && Now - Start < Limit)
+      advance(TickInterval);
+    return Now - Start;
+  }
+
+  /// True when every running node but Subject has a view that passes Check.
+  bool everywhere(std::size_t Subject,
+                  const std::function<bool(const FleetView &)> &Check) const {
+    for (std::size_t I = 0; I != Nodes.size(); ++I)
+      if (I != Subject && Nodes[I].IsRunning && !Check(*Nodes[I].Core->view()))
+        return false;
+    return true;
+  }
+  bool goneEverywhere(std::size_t I) const {
+    return everywhere(I, [&](const FleetView &View) {
+      return View.Nodes->count(nameOf(I)) == 0;
+    });
+  }
+  bool allKnowAll() const {
+    return everywhere(Nodes.size(), [&](const FleetView &View) {
+      return View.Nodes->size() == Nodes.size();
+    });
+  }
+
+  void send(std::size_t From, const SendDatagram &Out) {
+    auto To = static_cast<std::size_t>(
+        std::stoul(Out.To.Address.substr(Out.To.Address.rfind('.') + 1)));
+    std::string Bytes = encodeDatagram(Out.Message, Auth);
+    CPPUNIT_ASSERT(Bytes.size() <= MembershipSettings().MaxDatagramBytes);
+    DatagramBytes += Bytes.size();
+    if (IsBlocked(From, To) || Random.uniform() < Loss)
+      return;
+    Endpoint Origin = Nodes[From].Record.Address;
+    deliver(To, [this, To, Origin, Bytes] {
+      Datagram Message = valueOf(decodeDatagram(Bytes, Auth));
+      act(To, Nodes[To].Core->receive(Message, Origin, Now));
+    });
+  }
+
+  static constexpr Duration TickInterval = Duration(20);
+  Time Now = Time(1000);
+  SeededRandom Random;
+  std::vector<Node> Nodes;
+  /// Share of lost datagrams.
+  double Loss = 0;
+  std::function<bool(std::size_t, std::size_t)> IsBlocked =
+      [](std::size_t, std::size_t) { return false; };
+  std::size_t DatagramBytes = 0;
+  std::size_t SyncBytes = 0;
+  /// Observer and subject of each declaration of death.
+  std::vector<std::pair<std::size_t, NodeName>> Deaths;
+  DatagramAuth Auth{"fleet", "key", std::nullopt};
+
+private:
+  void step(std::size_t I) {
+    Node &N = Nodes[I];
+    if (!N.IsRunning || Now < N.PausedUntil)
+      return;
+    auto Waiting = std::move(N.Inbox);
+    N.Inbox.clear();
+    for (auto &Event : Waiting)
+      Event();
+    act(I, N.Core->tick(Now));
+  }
+
+  void deliver(std::size_t To, const std::function<void()> &Receive) {
+    if (To >= Nodes.size())
+      return;
+    Time At = Now + Duration(0.5 + 3 * Random.uniform());
+    Events.emplace(At.ms(), [this, To, Receive] {
+      if (Nodes[To].IsRunning)
+        Nodes[To].Inbox.push_back(Receive);
+    });
+  }
+
+  void act(std::size_t I, const MembershipActions &Actions) {
+    for (const MembershipAction &Action : Actions) {
+      if (const auto *Out = std::get_if<SendDatagram>(&Action))
+        send(I, *Out);
+      if (const auto *Sync = std::get_if<StartSync>(&Action))
+        sync(I, Sync->With);
+      if (const auto *Change = std::get_if<NodeStateChanged>(&Action))
+        if (Change->State == NodeState::Dead)
+          Deaths.emplace_back(I, Change->Node);
+    }
+  }
+
+  void sync(std::size_t From, const NodeName &With) {
+    std::size_t To = std::stoul(With.str().substr(5));
+    if (IsBlocked(From, To) || IsBlocked(To, From))
+      return;
+    std::string Sent = encodeDigest(Nodes[From].Core->digest());
+    SyncBytes += Sent.size();
+    deliver(To, [this, From, To, Sent] {
+      Digest Other = valueOf(decodeDigest(Sent));
+      for (const Delta &Part : Nodes[To].Core->deltasFor(Other, 1000)) {
+        std::string Bytes = encodeDelta(Part);
+        SyncBytes += Bytes.size();
+        deliver(From, [this, From, Bytes] {
+          Delta Received = valueOf(decodeDelta(Bytes));
+          act(From, Nodes[From].Core->apply(Received, Now));
+        });
+      }
+    });
+  }
+
+  std::multimap<double, std::function<void()>> Events;
+};
+
+} // namespace teaselhitch
+
+#endif
