--- /dev/null
+++ b/unittests/Detection/EjectionLeasesTest.cpp
@@ -0,0 +1,170 @@
+#include "teaselhitch/Detection/EjectionLeases.h"
+
+#include "LeaseWorld.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace teaselhitch;
+
+namespace {
+
+const ServiceName Service("deposits");
+const BackendServerName Server("a");
+
+std::shared_ptr<const ServiceView> viewOf(unsigned OthersReady) {
+  ServiceView View;
+  BackendServerRecord Record;
+  Record.State = BackendServerState::Ready;
+  Record.Id = {NodeName("n1"), Server};
+  View.push_back(Record);
+  for (unsigned I = 0; I < OthersReady; ++I) {
+    Record.Id = {NodeName("n2"), BackendServerName("b" + std::to_string(I))};
+    View.push_back(Record);
+  }
+  return std::make_shared<const ServiceView>(View);
+}
+
+/// One guard whose requests reach the table at once, unless Down.
+struct Holder {
+  Holder() {
+    EjectionSettings Settings;
+    Settings.Node = NodeName("n1");
+    Settings.Incarnation = 4;
+    auto Created = EjectionLeases::create(Settings);
+    Leases = std::move(*Created);
+  }
+
+  void handle(const LeaseActions &Actions, Time Now) {
+    for (const LeaseAction &Action : Actions) {
+      if (const auto *Out = std::get_if<Readmitted>(&Action))
+        LastReadmission = Out->Why;
+      if (std::get_if<Ejected>(&Action) != nullptr)
+        ++Ejections;
+      const auto *Request = std::get_if<TableRequest>(&Action);
+      if (Request == nullptr)
+        continue;
+      TableReply Reply{Request->Token, TableStatus::Unavailable, {}};
+      if (!Down)
+        Reply = Table.apply(*Request);
+      if (!Down && LoseAnswers && Request->Operation != TableOperation::Read)
+        Reply.Status = TableStatus::Unknown;
+      handle(Leases->reply(Reply, Now), Now);
+    }
+  }
+
+  void eject(Time Now) {
+    handle(Leases->view(Service, viewOf(3), 3, Now), Now);
+    handle(Leases->eject(Service, Server, Now), Now);
+  }
+
+  std::unique_ptr<EjectionLeases> Leases;
+  test::OneRowTable Table;
+  bool Down = false;
+  bool LoseAnswers = false;
+  unsigned Ejections = 0;
+  std::optional<ReadmitReason> LastReadmission;
+};
+
+class EjectionLeasesTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(EjectionLeasesTest);
+  CPPUNIT_TEST(writesTheDocumentedRow);
+  CPPUNIT_TEST(floorForbidsEjection);
+  CPPUNIT_TEST(expiresWithoutPlatform);
+  CPPUNIT_TEST(validityCountsFromTheRequest);
+  CPPUNIT_TEST(lostAnswerIsReadBack);
+  CPPUNIT_TEST(fallBelowFloorReadmits);
+  CPPUNIT_TEST(rejectsContradictingDurations);
+  CPPUNIT_TEST(corruptRowStays);
+  CPPUNIT_TEST_SUITE_END();
+
+  /// Guards against a row that other versions and tools cannot read.
+  void writesTheDocumentedRow() {
+    Holder H;
+    H.eject(Time(0));
+    CPPUNIT_ASSERT_EQUAL(std::string("{\"holders\":[{\"node\":\"n1\","
+                                     "\"incarnation\":4,\"server\":\"a\","
+                                     "\"renewal\":1}]}"),
+                         H.Table.Value);
+    CPPUNIT_ASSERT(H.Leases->holds(Service, Server, Time(29999)));
+  }
+
+  /// Guards against an ejection that leaves fewer than the floor.
+  void floorForbidsEjection() {
+    Holder H;
+    H.handle(H.Leases->view(Service, viewOf(2), 3, Time(0)), Time(0));
+    H.handle(H.Leases->eject(Service, Server, Time(0)), Time(0));
+    CPPUNIT_ASSERT_EQUAL(0U, H.Ejections);
+    // One more backend server makes room; the wish stands.
+    H.handle(H.Leases->view(Service, viewOf(3), 3, Time(2000)), Time(2000));
+    CPPUNIT_ASSERT_EQUAL(1U, H.Ejections);
+  }
+
+  /// Guards against a lease that outlives an outage of the platform.
+  void expiresWithoutPlatform() {
+    Holder H;
+    H.eject(Time(0));
+    H.Down = true;
+    for (double Ms = 50; Ms < 29999; Ms += 50)
+      H.handle(H.Leases->tick(Time(Ms)), Time(Ms));
+    CPPUNIT_ASSERT(!H.LastReadmission);
+    H.handle(H.Leases->tick(Time(30000)), Time(30000));
+    CPPUNIT_ASSERT(H.LastReadmission == ReadmitReason::LeaseExpired);
+  }
+
+  /// Guards against a lease that others may remove while its holder, whose
+  /// answer came late, still counts on it.
+  void validityCountsFromTheRequest() {
+    Holder H;
+    H.Leases->view(Service, viewOf(3), 3, Time(0));
+    auto Read = H.Leases->eject(Service, Server, Time(0));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Read.size());
+    auto Write = H.Leases->reply(
+        H.Table.apply(std::get<TableRequest>(Read.front())), Time(100));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Write.size());
+    const auto Reply = H.Table.apply(std::get<TableRequest>(Write.front()));
+    H.handle(H.Leases->reply(Reply, Time(20000)), Time(20000));
+    CPPUNIT_ASSERT(H.Leases->holds(Service, Server, Time(30099)));
+    CPPUNIT_ASSERT(!H.Leases->holds(Service, Server, Time(30100)));
+  }
+
+  /// Guards against an ejection that is listed but never takes effect because
+  /// the answer to its write was lost.
+  void lostAnswerIsReadBack() {
+    Holder H;
+    H.LoseAnswers = true;
+    H.eject(Time(0));
+    CPPUNIT_ASSERT_EQUAL(1U, H.Ejections);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, H.Table.Version);
+  }
+
+  /// Guards against an ejection that is kept while others leave.
+  void fallBelowFloorReadmits() {
+    Holder H;
+    H.eject(Time(0));
+    H.handle(H.Leases->view(Service, viewOf(2), 3, Time(100)), Time(100));
+    CPPUNIT_ASSERT(H.LastReadmission == ReadmitReason::FloorReached);
+    CPPUNIT_ASSERT_EQUAL(std::string("{\"holders\":[]}"), H.Table.Value);
+  }
+
+  /// Guards against settings with which a lease is removed while it is valid.
+  void rejectsContradictingDurations() {
+    EjectionSettings Settings;
+    Settings.Node = NodeName("n1");
+    Settings.RemoveAfter = Settings.Validity;
+    CPPUNIT_ASSERT(!EjectionLeases::create(Settings));
+  }
+
+  /// Guards against overwriting leases that this version cannot read.
+  void corruptRowStays() {
+    Holder H;
+    H.Table.Value = "{\"holders\":[{\"node\":7}]}";
+    H.Table.Version = 3;
+    H.eject(Time(0));
+    CPPUNIT_ASSERT_EQUAL(0U, H.Ejections);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, H.Table.Version);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(EjectionLeasesTest);
+
+} // namespace
