Add teaselhitch-bench with the command detection

Tables for each detector and preset over traffic of one service through GrayFailureControl, with bounds from the goals of the design.

--- a/lib/Detection/SequentialDetector.cpp
+++ b/lib/Detection/SequentialDetector.cpp
@@ -207,11 +207,9 @@
       EvidenceSince = Now;
     if (Score >= Limit.Failing)
       Current = Verdict::Failing;
-    else if (Score >= Limit.Suspected)
-      Current = Verdict::Suspected;
     else if (Score < Limit.Suspected / 2)
       Current = Verdict::Healthy;
-    else if (Current == Verdict::Failing)
+    else if (Score >= Limit.Suspected || Current == Verdict::Failing)
       Current = Verdict::Suspected;
   }
 
--- /dev/null
+++ b/tools/teaselhitch-bench/DetectionRows.cpp
@@ -0,0 +1,194 @@
+#include "DetectionRows.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace teaselhitch::bench {
+
+namespace {
+
+/// The goals of the design: seconds until a backend server is out of use.
+constexpr double TotalFailureGoal = 1;
+constexpr double HalfFailureGoal = 3;
+constexpr double TenfoldSlowGoal = 3;
+
+constexpr double Day = 86400;
+
+struct Deployment {
+  const char *Name;
+  std::vector<unsigned> Sizes;
+  unsigned Slots;
+  unsigned Domains;
+  double Rate;
+};
+
+/// The request rates of the deployments are assumed.
+const Deployment VentiloArmor = {"ventilo-armor", {6, 7, 8, 9}, 3, 3, 5};
+const Deployment Yukiakari = {"yukiakari", {8, 8, 8, 8}, 4, 4, 5};
+/// 130,000 requests a second over 18,000 backend servers; 14 domains.
+const Deployment Fleet = {"fleet-430x42", {42}, 3, 14, 7.2};
+
+bool isFleet(const Deployment &D) { return D.Sizes.front() == 42; }
+
+class RowList {
+public:
+  explicit RowList(bool Quick) : Quick(Quick) {}
+
+  Row &add(const Deployment &D, const std::string &Name, FaultKind Fault,
+           double Size) {
+    Row R;
+    R.Deployment = D.Name;
+    R.Name = Name;
+    R.Sizes = D.Sizes;
+    R.Base.Fault = Fault;
+    R.Base.Size = Size;
+    R.Base.Slots = D.Slots;
+    R.Base.Domains = D.Domains;
+    R.Base.Rate = D.Rate;
+    R.Base.Seed = 40000 + 1000 * Rows.size();
+    R.Trials = Quick ? 100 : 400;
+    if (isFleet(D))
+      R.Trials = Quick ? 43 : 430;
+    Rows.push_back(R);
+    return Rows.back();
+  }
+
+  Row &addLong(const Deployment &D, const std::string &Name, FaultKind Fault,
+               double ErrorRate) {
+    Row &R = add(D, Name, Fault, 0);
+    R.Base.ErrorRate = ErrorRate;
+    R.Base.Length = Quick ? Day / 12 : Day;
+    R.Trials = static_cast<unsigned>(D.Sizes.size());
+    if (isFleet(D)) {
+      R.Trials = Quick ? 43 : 430;
+      R.Base.Length = 60;
+    }
+    R.ForbidFalseEjections = true;
+    return R;
+  }
+
+  std::vector<Row> Rows;
+
+private:
+  bool Quick;
+};
+
+void addHealthy(RowList &List, const Deployment &D) {
+  List.addLong(D, "healthy, 0.1% errors", FaultKind::None, 0.001);
+  List.addLong(D, "healthy, 1% errors", FaultKind::None, 0.01);
+  List.addLong(D, "overloaded 10 of 20 min", FaultKind::Overload, 0.001);
+}
+
+void addFaults(RowList &List, const Deployment &D) {
+  List.add(D, "30% failing", FaultKind::Failing, 0.3);
+  List.add(D, "50% failing", FaultKind::Failing, 0.5).MedianBound =
+      HalfFailureGoal;
+  List.add(D, "100% failing", FaultKind::Failing, 1).MedianBound =
+      TotalFailureGoal;
+  List.add(D, "3x slow", FaultKind::Slow, 3);
+  List.add(D, "10x slow", FaultKind::Slow, 10).MedianBound = TenfoldSlowGoal;
+}
+
+void addDeployment(RowList &List, const Deployment &D) {
+  addHealthy(List, D);
+  addFaults(List, D);
+  List.add(D, "100% failing, peers at 1%", FaultKind::Failing, 1)
+      .Base.ErrorRate = 0.01;
+  for (const auto &[Name, Period] :
+       std::vector<std::pair<std::string, double>>{{"flapping, 2 s", 2},
+                                                   {"flapping, 10 s", 10},
+                                                   {"flapping, 60 s", 60}})
+    List.add(D, Name, FaultKind::Flapping, Period).Base.Length = 120;
+  List.add(D, "failing for one domain", FaultKind::OneDomain, 0)
+      .ForbidFalseEjections = true;
+  Row &Cold = List.add(D, "cold start of all", FaultKind::ColdStart, 0);
+  Cold.Base.WarmUp = 0;
+  Cold.ForbidFalseEjections = true;
+  Row &Deploy = List.add(D, "deploy wave", FaultKind::DeployWave, 0);
+  Deploy.Base.Length = 360;
+  Deploy.ForbidFalseEjections = true;
+  Row &Quiet =
+      List.add(D, "100% failing, 0.5 requests/s", FaultKind::Failing, 1);
+  Quiet.Base.Rate = 0.5;
+  Quiet.Base.WarmUp = 300;
+}
+
+double quantile(std::vector<double> Values, double Q) {
+  std::sort(Values.begin(), Values.end());
+  const auto Rank = static_cast<std::size_t>(
+      std::ceil(Q * static_cast<double>(Values.size())));
+  return Values[std::max<std::size_t>(Rank, 1) - 1];
+}
+
+bool hasDetection(const Row &R) {
+  const FaultKind Kind = R.Base.Fault;
+  return Kind == FaultKind::Failing || Kind == FaultKind::Slow ||
+         Kind == FaultKind::Flapping;
+}
+
+} // namespace
+
+const char *presetName(DetectionPreset Preset) {
+  switch (Preset) {
+  case DetectionPreset::FewFalseEjections:
+    return "few-false-ejections";
+  case DetectionPreset::Balanced:
+    return "balanced";
+  case DetectionPreset::FastDetection:
+    return "fast-detection";
+  }
+  return "balanced";
+}
+
+DetectionPreset presetOf(const Row &R) {
+  if (R.Deployment == VentiloArmor.Name)
+    return DetectionPreset::FewFalseEjections;
+  if (R.Deployment == Yukiakari.Name)
+    return DetectionPreset::FastDetection;
+  return DetectionPreset::Balanced;
+}
+
+std::vector<Row> detectionRows(bool Quick) {
+  RowList List(Quick);
+  addDeployment(List, VentiloArmor);
+  addDeployment(List, Yukiakari);
+  addHealthy(List, Fleet);
+  addFaults(List, Fleet);
+  return List.Rows;
+}
+
+Cell runCell(const Row &R, const std::string &Detector,
+             DetectionPreset Preset) {
+  Cell Result;
+  Result.Detector = Detector;
+  Result.Preset = Preset;
+  Result.Trials = R.Trials;
+  std::vector<double> Times;
+  std::vector<double> Lowered;
+  const auto OrNever = [](double Seconds) {
+    return Seconds < 0 ? std::numeric_limits<double>::infinity() : Seconds;
+  };
+  for (unsigned I = 0; I < R.Trials; ++I) {
+    Scenario S = R.Base;
+    S.Detector = Detector;
+    S.Preset = Preset;
+    S.Servers = R.Sizes[I % R.Sizes.size()];
+    S.Seed = R.Base.Seed + I;
+    const Findings F = runScenario(S, R.StopAtDetection);
+    Result.Detected += F.Detection >= 0 ? 1 : 0;
+    Result.FalseEjections += F.FalseEjections;
+    Result.ServerDays += F.ServerDays;
+    Result.Requests += F.Requests;
+    Times.push_back(OrNever(F.Detection));
+    Lowered.push_back(OrNever(F.Lowered));
+  }
+  if (!hasDetection(R))
+    return Result;
+  Result.P50 = quantile(Times, 0.5);
+  Result.P99 = quantile(Times, 0.99);
+  Result.LoweredP50 = quantile(Lowered, 0.5);
+  return Result;
+}
+
+} // namespace teaselhitch::bench
--- /dev/null
+++ b/tools/teaselhitch-bench/DetectionSpeed.h
@@ -0,0 +1,11 @@
+#ifndef TEASELHITCH_TOOLS_BENCH_DETECTIONSPEED_H
+#define TEASELHITCH_TOOLS_BENCH_DETECTIONSPEED_H
+
+namespace teaselhitch::bench {
+
+/// Runs the speed benchmarks of Detection and prints them.
+void runDetectionSpeed();
+
+} // namespace teaselhitch::bench
+
+#endif
--- a/unittests/Detection/EjectionLeasesTest.cpp
+++ b/unittests/Detection/EjectionLeasesTest.cpp
@@ -122,6 +122,8 @@
         H.Table.apply(std::get<TableRequest>(Read.front())), Time(100));
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Write.size());
     const auto Reply = H.Table.apply(std::get<TableRequest>(Write.front()));
+    // No renewal after this one.
+    H.Down = true;
     H.handle(H.Leases->reply(Reply, Time(20000)), Time(20000));
     CPPUNIT_ASSERT(H.Leases->holds(Service, Server, Time(30099)));
     CPPUNIT_ASSERT(!H.Leases->holds(Service, Server, Time(30100)));
