--- a/include/teaselhitch/Entry/Entry.h
+++ b/include/teaselhitch/Entry/Entry.h
@@ -2,9 +2,9 @@
 #define TEASELHITCH_ENTRY_ENTRY_H
 
 /// \file
-/// The life of requests at the node that received them: route, claim of the key,
-/// attempts, retries, outcome. Pure: events and the time go in, actions come
-/// out. Bodies stay outside.
+/// The life of requests at the node that received them: route, claim of the
+/// key, attempts, retries, outcome. Pure: events and the time go in, actions
+/// come out. Bodies stay outside.
 
 #include "teaselhitch/Config/Objects.h"
 #include "teaselhitch/Model/Messages.h"
@@ -88,9 +88,9 @@
   auto operator<=>(const ReplyKey &) const = default;
 };
 
-using EntryAction = std::variant<SendAttempt, SendCancel, SendMintKey,
-                                 ReplyAnswer, ReplyFailure, ReplyKey,
-                                 TableRequest>;
+using EntryAction =
+    std::variant<SendAttempt, SendCancel, SendMintKey, ReplyAnswer,
+                 ReplyFailure, ReplyKey, TableRequest>;
 using EntryActions = std::vector<EntryAction>;
 
 struct EntrySettings {
@@ -112,10 +112,10 @@
 
 /// The entry of a node.
 ///
-/// Guarantees: each request gets exactly one ReplyAnswer or ReplyFailure, unless
-/// its caller is gone; an attempt that is not idempotent is followed by another
-/// one only after a proof that it was not run; NotRun is reported only if every
-/// attempt was proved not run.
+/// Guarantees: each request gets exactly one ReplyAnswer or ReplyFailure,
+/// unless its caller is gone; an attempt that is not idempotent is followed by
+/// another one only after a proof that it was not run; NotRun is reported only
+/// if every attempt was proved not run.
 class Entry {
 public:
   /// \param Random must outlive the entry. NotFound if there is no such
--- a/include/teaselhitch/Membership/Membership.h
+++ b/include/teaselhitch/Membership/Membership.h
@@ -22,11 +22,15 @@
 
 namespace teaselhitch {
 
-/// A crashing request that the whole fleet refuses.
+/// A crashing request that the whole fleet refuses, or one crash that it caused.
 struct QuarantineRecord {
   std::uint64_t Fingerprint = 0;
   /// Milliseconds that it still lasts, as of sending.
   std::uint32_t RemainingMs = 0;
+  /// Identifies a crash; 0 for the quarantine itself.
+  std::uint64_t Crash = 0;
+  /// For a crash: it is the second of a request that was sent again.
+  bool Repeated = false;
 
   auto operator<=>(const QuarantineRecord &) const = default;
 };
--- a/include/teaselhitch/Net/HttpServer.h
+++ b/include/teaselhitch/Net/HttpServer.h
@@ -45,9 +45,10 @@
   using Refusal = std::function<HttpAnswer(Reason)>;
 
   /// Listens at once; Unavailable if the address cannot be bound.
-  static Result<std::unique_ptr<HttpServer>>
-  create(EventLoop &Loop, HttpServerSettings Settings, Handler Handle,
-         Refusal Refuse);
+  static Result<std::unique_ptr<HttpServer>> create(EventLoop &Loop,
+                                                    HttpServerSettings Settings,
+                                                    Handler Handle,
+                                                    Refusal Refuse);
   virtual ~HttpServer() = default;
 
   /// Closes idle connections and closes others after their answer. New
--- a/include/teaselhitch/Net/PeerLinks.h
+++ b/include/teaselhitch/Net/PeerLinks.h
@@ -47,7 +47,8 @@
   Duration SilenceLimit = Duration::seconds(2);
   /// A link that is not used closes after this time.
   Duration IdleTimeout = Duration::seconds(30);
-  /// A link with more bytes than this waiting to be sent takes no more messages.
+  /// A link with more bytes than this waiting to be sent takes no more
+  /// messages.
   std::uint64_t MaxPendingBytes = 8 * 1024 * 1024;
 };
 
@@ -62,8 +63,7 @@
 
   /// Sends on the link to Node, which is opened if needed. False if the link
   /// takes no more; then nothing was sent.
-  [[nodiscard]] virtual bool send(const NodeName &Node,
-                                  const Endpoint &Address,
+  [[nodiscard]] virtual bool send(const NodeName &Node, const Endpoint &Address,
                                   const PeerMessage &Message) = 0;
 
   /// Answers on a link that another node opened. Does nothing if it closed.
--- a/include/teaselhitch/Routing/LoadTracker.h
+++ b/include/teaselhitch/Routing/LoadTracker.h
@@ -37,8 +37,8 @@
 
   ServiceBaseline baseline(const ServiceName &Service) const;
 
-  /// Drops what is known of backend servers that are not in the view and have no
-  /// attempt in progress.
+  /// Drops what is known of backend servers that are not in the view and have
+  /// no attempt in progress.
   void prune(const FleetView &View);
 
 private:
--- a/include/teaselhitch/Routing/RuleTable.h
+++ b/include/teaselhitch/Routing/RuleTable.h
@@ -31,9 +31,9 @@
   /// \param Config a checked set; the table shares its ownership.
   explicit RuleTable(std::shared_ptr<const ActiveConfig> Config);
 
-  /// The route for a request, or null. The longest prefix of whole path segments
-  /// wins; at equal length a rule with a method goes before one without.
-  /// \param Path the path without the query.
+  /// The route for a request, or null. The longest prefix of whole path
+  /// segments wins; at equal length a rule with a method goes before one
+  /// without. \param Path the path without the query.
   const Route *match(std::string_view Method, std::string_view Path) const;
 
   /// True if the organisation may send requests. Every organisation may if the
--- a/lib/Config/Check.cpp
+++ b/lib/Config/Check.cpp
@@ -163,8 +163,8 @@
     std::string Text(Key.str());
     Faults.push_back({File, Key.source().begin.line, Key.source().begin.column,
                       "unknown table '" + Text + "'" +
-                          detail::suggestion(Text, {"service", "group", "rule",
-                                                    "organisation", "limit"})});
+                          suggestName(Text, {"service", "group", "rule",
+                                             "organisation", "limit"})});
   }
 
   template <typename T>
--- a/lib/Config/CrossCheck.cpp
+++ b/lib/Config/CrossCheck.cpp
@@ -53,7 +53,7 @@
   Faults.push_back(diagnostic(
       From.at(Key), std::string("unknown ") + Key + " '" + Name + "' in " +
                         Kind + " '" + From.Object.Name.str() + "'" +
-                        suggestion(Name, sortedNames(ByName))));
+                        suggestName(Name, sortedNames(ByName))));
 }
 
 /// Services need a group, and groups that are large enough for the floor.
--- a/lib/Config/Located.h
+++ b/lib/Config/Located.h
@@ -5,6 +5,7 @@
 /// Objects as read from files, with the places where they are written.
 
 #include "teaselhitch/Config/Check.h"
+#include "teaselhitch/Support/NearestName.h"
 
 #include <map>
 #include <string>
@@ -54,11 +55,6 @@
 /// Reports what is wrong between objects.
 void crossCheck(const LocatedSet &Set, std::vector<Diagnostic> &Faults);
 
-/// ", did you mean 'x'?" with the name of Known that is nearest to Text by edit
-/// distance, or ", known: a, b" if none is near and there are few, or nothing.
-std::string suggestion(const std::string &Text,
-                       const std::vector<std::string> &Known);
-
 } // namespace teaselhitch::detail
 
 #endif
--- a/lib/Config/TomlReader.cpp
+++ b/lib/Config/TomlReader.cpp
@@ -147,7 +147,7 @@
   const toml::node &Node = *Table.get(Key);
   if (std::find(Words.begin(), Words.end(), *Text) == Words.end()) {
     fault(placeOf(Node), "unknown " + std::string(Key) + " " + quoted(*Text) +
-                             " in " + Subject + suggestion(*Text, Words));
+                             " in " + Subject + suggestName(*Text, Words));
     return std::nullopt;
   }
   accept(Key, Node);
@@ -218,7 +218,7 @@
       continue;
     fault({File, Key.source().begin.line, Key.source().begin.column},
           "unknown key " + quoted(Text) + " in " + Subject +
-              suggestion(Text, Known));
+              suggestName(Text, Known));
   }
 }
 
--- a/lib/Entry/Claims.cpp
+++ b/lib/Entry/Claims.cpp
@@ -51,8 +51,7 @@
   return Out;
 }
 
-ClaimStep Claims::release(const RequestId &Request,
-                          const std::string &RowKey) {
+ClaimStep Claims::release(const RequestId &Request, const std::string &RowKey) {
   ClaimStep Out;
   // The row is read first: the version is needed, and the claim may never have
   // taken effect.
@@ -136,16 +135,16 @@
 void Claims::onWritten(Claim C, const TableReply &Reply, ClaimStep &Out) {
   if (Reply.Status == TableStatus::Ok)
     return decide(C, ClaimOutcome::Held, Out);
-  if (Reply.Status == TableStatus::Unavailable ||
-      C.Operations >= MaxOperations)
+  if (Reply.Status == TableStatus::Unavailable || C.Operations >= MaxOperations)
     return decide(C, ClaimOutcome::Unavailable, Out);
-  // Conflict: see who holds the key. Unknown: see whether the write took effect.
+  // Conflict: see who holds the key. Unknown: see whether the write took
+  // effect.
   send(std::move(C), Step::Read, "", 0, Out);
 }
 
 void Claims::onRead(Claim C, const TableReply &Reply, ClaimStep &Out) {
-  bool Answered = Reply.Status == TableStatus::Ok ||
-                  Reply.Status == TableStatus::NotFound;
+  bool Answered =
+      Reply.Status == TableStatus::Ok || Reply.Status == TableStatus::NotFound;
   if (!Answered || C.Operations >= MaxOperations)
     return decide(C, ClaimOutcome::Unavailable, Out);
   std::string Mine = Row::write(C.Request, false);
--- a/lib/Entry/Entry.cpp
+++ b/lib/Entry/Entry.cpp
@@ -1,7 +1,6 @@
 #include "teaselhitch/Entry/Entry.h"
 
 #include "RequestTable.h"
-
 #include "teaselhitch/Entry/Claims.h"
 #include "teaselhitch/Entry/RetryBudget.h"
 #include "teaselhitch/Guard/GuardKey.h"
@@ -58,9 +57,7 @@
 
   void drain() override { Draining = true; }
 
-  bool isIdle() const override {
-    return Requests.isEmpty() && Mints.empty();
-  }
+  bool isIdle() const override { return Requests.isEmpty() && Mints.empty(); }
 
   RequestId accept(const CallerRequest &Request, Time Now,
                    EntryActions &Actions) override;
@@ -81,8 +78,7 @@
   PendingRequest makePending(const CallerRequest &Request, const Route &Target,
                              Time Now) const;
   void startAttempt(PendingRequest &P, Time Now, EntryActions &Actions);
-  void startGuardKeyAttempt(PendingRequest &P, Time Now,
-                            EntryActions &Actions);
+  void startGuardKeyAttempt(PendingRequest &P, Time Now, EntryActions &Actions);
   void startClaim(PendingRequest &P, Time Now, EntryActions &Actions);
   void send(PendingRequest &P, const NodeName &GuardNode,
             const BackendServerName &Preferred, Time Now,
@@ -116,9 +112,8 @@
   bool Draining = false;
 };
 
-std::optional<Reason>
-EntryImpl::refuseEarly(const CallerRequest &Request,
-                       const Route *Target) const {
+std::optional<Reason> EntryImpl::refuseEarly(const CallerRequest &Request,
+                                             const Route *Target) const {
   if (Draining)
     return Reason::Draining;
   if (!Rules)
@@ -143,14 +138,14 @@
   P.Rules = Rules;
   P.Target = Target;
   P.Organisation = Request.Organisation;
-  P.Deadline = Now + std::min(R.Deadline, Request.Deadline.value_or(R.Deadline));
+  P.Deadline =
+      Now + std::min(R.Deadline, Request.Deadline.value_or(R.Deadline));
   if (Request.Key.rfind(GuardKeyPrefix, 0) == 0)
     P.GuardKey = Request.Key;
   else if (!Request.Key.empty() && !R.Idempotent)
     P.ClaimRow = Claims::rowKey(Request.Organisation, R.Name, Request.Key);
-  std::string Identity = Request.Key.empty()
-                             ? std::to_string(Request.BodyHash)
-                             : "key " + Request.Key;
+  std::string Identity = Request.Key.empty() ? std::to_string(Request.BodyHash)
+                                             : "key " + Request.Key;
   P.Fingerprint = hash64(Request.Organisation.str() + "\n" + R.Name.str() +
                          "\n" + Request.Path + "\n" + Identity);
   return P;
@@ -238,8 +233,7 @@
   send(P, Owner->Node, BackendServerName(), Now, Actions);
 }
 
-void EntryImpl::startClaim(PendingRequest &P, Time Now,
-                           EntryActions &Actions) {
+void EntryImpl::startClaim(PendingRequest &P, Time Now, EntryActions &Actions) {
   P.ClaimedAt = Now;
   P.ClaimSent = true;
   applyClaims(KeyClaims.claim(P.Id, P.ClaimRow), Now, Actions);
--- a/lib/Membership/DatagramSize.cpp
+++ b/lib/Membership/DatagramSize.cpp
@@ -85,7 +85,8 @@
 }
 
 bool DatagramSize::add(const QuarantineRecord &Record, std::size_t Limit) {
-  return commit(sizeof(Record.Fingerprint) + varintBytes(Record.RemainingMs),
+  return commit(sizeof(Record.Fingerprint) + varintBytes(Record.RemainingMs) +
+                    sizeof(Record.Crash) + 1,
                 Limit);
 }
 
--- a/lib/Membership/GossipQueue.h
+++ b/lib/Membership/GossipQueue.h
@@ -23,20 +23,23 @@
   NodeName Node;
   /// For Server.
   BackendServerName Server;
-  /// For Quarantine.
+  // For Quarantine, as in QuarantineRecord.
   std::uint64_t Fingerprint = 0;
+  std::uint64_t Crash = 0;
+  bool Repeated = false;
 
   auto operator<=>(const GossipItem &) const = default;
 
   static GossipItem head() { return {}; }
   static GossipItem node(NodeName Name) {
-    return {Kind::Node, std::move(Name), {}, 0};
+    return {Kind::Node, std::move(Name), {}, 0, 0, false};
   }
   static GossipItem server(BackendServerId Id) {
-    return {Kind::Server, std::move(Id.Node), std::move(Id.Name), 0};
+    return {Kind::Server, std::move(Id.Node), std::move(Id.Name), 0, 0, false};
   }
-  static GossipItem quarantine(std::uint64_t Fingerprint) {
-    return {Kind::Quarantine, {}, {}, Fingerprint};
+  static GossipItem quarantine(std::uint64_t Fingerprint,
+                               std::uint64_t Crash = 0, bool Repeated = false) {
+    return {Kind::Quarantine, {}, {}, Fingerprint, Crash, Repeated};
   }
 };
 
--- a/lib/Membership/Membership.cpp
+++ b/lib/Membership/Membership.cpp
@@ -165,22 +165,23 @@
 
 void MembershipCore::spreadQuarantine(const QuarantineRecord &Record,
                                       Time Now) {
-  storeQuarantine(Record.Fingerprint, Now + Duration(Record.RemainingMs), Now);
-  Queue.add(GossipItem::quarantine(Record.Fingerprint));
+  QuarantineKey Key = keyOf(Record);
+  storeQuarantine(Key, Now + Duration(Record.RemainingMs), Now);
+  Queue.add(itemOf(Key));
 }
 
-void MembershipCore::storeQuarantine(std::uint64_t Fingerprint, Time Until,
+void MembershipCore::storeQuarantine(const QuarantineKey &Key, Time Until,
                                      Time Now) {
   std::erase_if(Quarantines, [&](const auto &Q) { return Q.second <= Now; });
   if (Quarantines.size() >= MaxQuarantines &&
-      Quarantines.count(Fingerprint) == 0) {
+      Quarantines.count(Key) == 0) {
     auto EndsFirst = [](const auto &A, const auto &B) {
       return A.second < B.second;
     };
     Quarantines.erase(
         std::min_element(Quarantines.begin(), Quarantines.end(), EndsFirst));
   }
-  Quarantines[Fingerprint] = Until;
+  Quarantines[Key] = Until;
 }
 
 void MembershipCore::leave(Time Now) {
@@ -206,13 +207,12 @@
   // counts from the last tick, which is at most one tick too long.
   Time Now = LastTick.value_or(Time());
   if (IsBehind) {
-    for (const auto &[Fingerprint, Until] : Quarantines) {
+    for (const auto &[Key, Until] : Quarantines) {
       if (Until <= Now)
         continue;
       if (Parts.empty() || Parts.back().Quarantines.size() >= MaxRecords)
         Parts.emplace_back();
-      auto Rest = static_cast<std::uint32_t>((Until - Now).ms());
-      Parts.back().Quarantines.push_back({Fingerprint, Rest});
+      Parts.back().Quarantines.push_back(recordOf(Key, Until - Now));
     }
   }
   if (Head.Version > Other.Head.Version) {
--- a/lib/Membership/MembershipCore.cpp
+++ b/lib/Membership/MembershipCore.cpp
@@ -422,11 +422,10 @@
     return Taken;
   }
   if (Item.What == GossipItem::Kind::Quarantine) {
-    auto It = Quarantines.find(Item.Fingerprint);
+    auto It = Quarantines.find({Item.Fingerprint, Item.Crash, Item.Repeated});
     if (It == Quarantines.end() || It->second <= Now)
       return Obsolete;
-    auto Rest = static_cast<std::uint32_t>((It->second - Now).ms());
-    return Add(Changes.Quarantines, QuarantineRecord{Item.Fingerprint, Rest});
+    return Add(Changes.Quarantines, recordOf(It->first, It->second - Now));
   }
   const NodeEntry *Entry = Records.find(Item.Node);
   if (Entry == nullptr)
--- a/lib/Membership/MembershipCore.h
+++ b/lib/Membership/MembershipCore.h
@@ -14,6 +14,28 @@
 
 namespace teaselhitch {
 
+/// Identity of a QuarantineRecord.
+struct QuarantineKey {
+  std::uint64_t Fingerprint = 0;
+  std::uint64_t Crash = 0;
+  bool Repeated = false;
+
+  auto operator<=>(const QuarantineKey &) const = default;
+};
+
+inline QuarantineKey keyOf(const QuarantineRecord &Record) {
+  return {Record.Fingerprint, Record.Crash, Record.Repeated};
+}
+
+inline GossipItem itemOf(const QuarantineKey &Key) {
+  return GossipItem::quarantine(Key.Fingerprint, Key.Crash, Key.Repeated);
+}
+
+inline QuarantineRecord recordOf(const QuarantineKey &Key, Duration Rest) {
+  return {Key.Fingerprint, static_cast<std::uint32_t>(Rest.ms()), Key.Crash,
+          Key.Repeated};
+}
+
 class MembershipCore final : public Membership {
 public:
   MembershipCore(MembershipSettings Chosen, NodeRecord Own,
@@ -122,7 +144,7 @@
   void refute(const RecordVersion &Claim, Time Now);
   void raiseIncarnation(std::uint64_t Claimed, Time Now);
   void writeServer(BackendServerRecord Record);
-  void storeQuarantine(std::uint64_t Fingerprint, Time Until, Time Now);
+  void storeQuarantine(const QuarantineKey &Key, Time Until, Time Now);
 
   MembershipSettings Settings;
   RandomSource &Random;
@@ -132,7 +154,7 @@
   MembershipCounters Counters;
 
   ConfigHead Head;
-  std::map<std::uint64_t, Time> Quarantines;
+  std::map<QuarantineKey, Time> Quarantines;
 
   std::map<std::uint64_t, PendingProbe> Pending;
   std::map<std::uint64_t, Relay> Relays;
--- a/lib/Membership/MembershipMerge.cpp
+++ b/lib/Membership/MembershipMerge.cpp
@@ -238,16 +238,15 @@
   Time Until = M.Now + Rest;
   if (Rest <= Duration())
     return;
-  auto It = Quarantines.find(Record.Fingerprint);
+  QuarantineKey Key = keyOf(Record);
+  auto It = Quarantines.find(Key);
   if (It != Quarantines.end() && Until <= It->second + QuarantineTolerance) {
-    Queue.noteDuplicate(GossipItem::quarantine(Record.Fingerprint),
-                        transmitLimit());
+    Queue.noteDuplicate(itemOf(Key), transmitLimit());
     return;
   }
-  storeQuarantine(Record.Fingerprint, Until, M.Now);
-  M.Learned.push_back(GossipItem::quarantine(Record.Fingerprint));
-  M.Out.emplace_back(QuarantineSeen{
-      {Record.Fingerprint, static_cast<std::uint32_t>(Rest.ms())}});
+  storeQuarantine(Key, Until, M.Now);
+  M.Learned.push_back(itemOf(Key));
+  M.Out.emplace_back(QuarantineSeen{recordOf(Key, Rest)});
 }
 
 void MembershipCore::mergeHead(const ConfigHead &Received, Merge &M) {
--- a/lib/Net/BackendClient.cpp
+++ b/lib/Net/BackendClient.cpp
@@ -2,7 +2,6 @@
 
 #include "Asio.h"
 #include "Http.h"
-
 #include "teaselhitch/Net/HttpServer.h"
 
 #include <boost/asio/post.hpp>
@@ -82,8 +81,8 @@
 
   void start(const AttemptId &Attempt, const Endpoint &Server,
              HttpRequest Request) override {
-    auto E = std::make_shared<Exchange>(*this, Attempt, Server,
-                                        std::move(Request));
+    auto E =
+        std::make_shared<Exchange>(*this, Attempt, Server, std::move(Request));
     Running.emplace(Attempt, E);
     E->run(takeIdle(Server));
   }
@@ -173,15 +172,15 @@
     return;
   }
   Link->Stream.expires_after(toChrono(ConnectTimeout));
-  Link->Stream.async_connect(
-      *Address, [Self = shared_from_this()](ErrorCodeT Fault) {
-        if (Self->Ended)
-          return;
-        if (Fault)
-          return Self->end(RunEnd::ConnectFailed);
-        configureSocket(Self->Link->Stream.socket());
-        Self->write();
-      });
+  Link->Stream.async_connect(*Address,
+                             [Self = shared_from_this()](ErrorCodeT Fault) {
+                               if (Self->Ended)
+                                 return;
+                               if (Fault)
+                                 return Self->end(RunEnd::ConnectFailed);
+                               configureSocket(Self->Link->Stream.socket());
+                               Self->write();
+                             });
 }
 
 void Exchange::write() {
@@ -201,11 +200,10 @@
   Parser.emplace();
   Parser->body_limit(Client.MaxAnswerBytes);
   Parser->skip(IsHead);
-  http::async_read(
-      Link->Stream, Link->Buffer, *Parser,
-      [Self = shared_from_this()](ErrorCodeT Fault, std::size_t) {
-        Self->onRead(Fault);
-      });
+  http::async_read(Link->Stream, Link->Buffer, *Parser,
+                   [Self = shared_from_this()](ErrorCodeT Fault, std::size_t) {
+                     Self->onRead(Fault);
+                   });
 }
 
 void Exchange::onRead(ErrorCodeT Fault) {
@@ -263,11 +261,9 @@
 
 } // namespace
 
-std::unique_ptr<BackendClient> BackendClient::create(EventLoop &Loop,
-                                                     std::uint64_t MaxBytes,
-                                                     Done OnDone) {
-  return std::make_unique<BackendClientImpl>(Loop, MaxBytes,
-                                             std::move(OnDone));
+std::unique_ptr<BackendClient>
+BackendClient::create(EventLoop &Loop, std::uint64_t MaxBytes, Done OnDone) {
+  return std::make_unique<BackendClientImpl>(Loop, MaxBytes, std::move(OnDone));
 }
 
 } // namespace teaselhitch
--- a/lib/Net/EventLoop.cpp
+++ b/lib/Net/EventLoop.cpp
@@ -5,11 +5,10 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <csignal>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
-#include <csignal>
-
 namespace teaselhitch {
 
 namespace {
--- a/lib/Net/Http.cpp
+++ b/lib/Net/Http.cpp
@@ -20,8 +20,8 @@
   HeaderList Headers;
   for (const auto &Field : M)
     if (!isHopByHop(Field.name_string()))
-      Headers.push_back(Header{std::string(Field.name_string()),
-                               std::string(Field.value())});
+      Headers.push_back(
+          Header{std::string(Field.name_string()), std::string(Field.value())});
   return Headers;
 }
 
@@ -30,9 +30,8 @@
 bool isHopByHop(string_view Name) {
   // Content-Length is set anew, because bodies are passed on whole.
   static constexpr std::array<const char *, 9> Names = {
-      "Connection",          "Keep-Alive", "Proxy-Connection",
-      "Transfer-Encoding",   "TE",         "Trailer",
-      "Upgrade",             "Expect",     "Content-Length"};
+      "Connection", "Keep-Alive", "Proxy-Connection", "Transfer-Encoding", "TE",
+      "Trailer",    "Upgrade",    "Expect",           "Content-Length"};
   return std::any_of(Names.begin(), Names.end(),
                      [&](const char *N) { return iequals(N, Name); });
 }
--- a/lib/Net/HttpServer.cpp
+++ b/lib/Net/HttpServer.cpp
@@ -146,11 +146,11 @@
     asio::write(Stream.socket(),
                 asio::buffer("HTTP/1.1 100 Continue\r\n\r\n", 25), Ignored);
   }
-  http::async_read(Stream, Buffer, *Parser,
-                   [Self = shared_from_this()](ErrorCodeT BodyFault,
-                                               std::size_t) {
-                     Self->onBody(BodyFault);
-                   });
+  http::async_read(
+      Stream, Buffer, *Parser,
+      [Self = shared_from_this()](ErrorCodeT BodyFault, std::size_t) {
+        Self->onBody(BodyFault);
+      });
 }
 
 void Session::onBody(ErrorCodeT Fault) {
@@ -188,8 +188,8 @@
   char Byte = 0;
   ErrorCodeT Fault;
   Stream.socket().non_blocking(true, Fault);
-  std::size_t Count = Stream.socket().receive(
-      asio::buffer(&Byte, 1), tcp::socket::message_peek, Fault);
+  std::size_t Count = Stream.socket().receive(asio::buffer(&Byte, 1),
+                                              tcp::socket::message_peek, Fault);
   // More bytes are a pipelined request, which is read after this one.
   if (Count > 0 || Fault == asio::error::would_block)
     return;
@@ -282,8 +282,8 @@
 } // namespace
 
 Result<std::unique_ptr<HttpServer>>
-HttpServer::create(EventLoop &Loop, HttpServerSettings Settings,
-                   Handler Handle, Refusal Refuse) {
+HttpServer::create(EventLoop &Loop, HttpServerSettings Settings, Handler Handle,
+                   Refusal Refuse) {
   Endpoint Listen = Settings.Listen;
   std::optional<tcp::endpoint> Address = toTcp(Listen);
   if (!Address)
--- a/lib/Net/PeerLinks.cpp
+++ b/lib/Net/PeerLinks.cpp
@@ -1,7 +1,6 @@
 #include "teaselhitch/Net/PeerLinks.h"
 
 #include "Asio.h"
-
 #include "teaselhitch/Support/Log.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -172,14 +171,14 @@
   Reader.append(std::string_view(Input.data(), Count));
   bool Corrupt = false;
   while (!IsClosed && !Corrupt) {
-    std::optional<PeerMessage> Message = handleError(
-        [&] { return Reader.next(); },
-        [&](const Error &E) -> std::optional<PeerMessage> {
-          logEvent(LogLevel::Warning, "net", "bad-frame",
-                   {{"node", Remote.str()}, {"error", E.Message}});
-          Corrupt = true;
-          return std::nullopt;
-        });
+    std::optional<PeerMessage> Message =
+        handleError([&] { return Reader.next(); },
+                    [&](const Error &E) -> std::optional<PeerMessage> {
+                      logEvent(LogLevel::Warning, "net", "bad-frame",
+                               {{"node", Remote.str()}, {"error", E.Message}});
+                      Corrupt = true;
+                      return std::nullopt;
+                    });
     if (!Message)
       break;
     handle(std::move(*Message));
--- a/lib/Node/Announcement.cpp
+++ b/lib/Node/Announcement.cpp
@@ -58,9 +58,8 @@
   for (const auto &Item : Object) {
     std::string Name(Item.key());
     if (std::find(Known.begin(), Known.end(), Name) == Known.end())
-      return makeError(ErrorCode::InvalidInput,
-                       "unknown field '" + Name + "'" +
-                           suggestName(Name, Known));
+      return makeError(ErrorCode::InvalidInput, "unknown field '" + Name + "'" +
+                                                    suggestName(Name, Known));
   }
   return {};
 }
--- a/lib/Node/BackendsDuty.cpp
+++ b/lib/Node/BackendsDuty.cpp
@@ -41,34 +41,43 @@
   Core.Incarnation = Incarnation;
   Core.KeySecret = Settings.Secret;
   BOOST_LEAF_ASSIGN(Made->Core, Guard::create(std::move(Core)));
-  Made->Client = BackendClient::create(
-      Made->Loop, Settings.MaxAnswerBytes,
-      [Self](const AttemptId &Attempt, const RunResult &Result,
-             HttpAnswer Answer) {
-        Self->onDone(Attempt, Result, std::move(Answer));
-      });
+  HealthSettings Health;
+  Health.Node = Settings.Node;
+  EjectionSettings Leases;
+  Leases.Node = Settings.Node;
+  Leases.Incarnation = Incarnation;
+  BOOST_LEAF_ASSIGN(Made->Control, GrayFailureControl::create(Health, Leases));
+  Made->Client =
+      BackendClient::create(Made->Loop, Settings.MaxAnswerBytes,
+                            [Self](const AttemptId &Attempt,
+                                   const RunResult &Result, HttpAnswer Answer) {
+                              Self->onDone(Attempt, Result, std::move(Answer));
+                            });
   HttpServerSettings Http;
   Http.Listen = Settings.BackendServers;
-  BOOST_LEAF_ASSIGN(
-      Made->Server,
-      HttpServer::create(
-          Made->Loop, Http,
-          [Self](const std::shared_ptr<HttpExchange> &E) {
-            Self->handleAnnouncement(E);
-          },
-          [](Reason Why) {
-            return makeJson(reasonInfo(Why).Status,
-                            errorBody(reasonInfo(Why).Detail));
-          }));
+  BOOST_LEAF_ASSIGN(Made->Server,
+                    HttpServer::create(
+                        Made->Loop, Http,
+                        [Self](const std::shared_ptr<HttpExchange> &E) {
+                          Self->handleAnnouncement(E);
+                        },
+                        [](Reason Why) {
+                          return makeJson(reasonInfo(Why).Status,
+                                          errorBody(reasonInfo(Why).Detail));
+                        }));
   Self->Duty::receive(Rings.CallersToBackends, [Self](GuardMessage &&M) {
     Self->receive(std::nullopt, std::move(M));
   });
   Self->Duty::receive(Rings.PeersToBackendsRing, [Self](PeersToBackends &&M) {
     Self->receive(std::move(M));
   });
+  Self->Duty::receive(Rings.PlatformToBackends, [Self](TableReply &&Reply) {
+    Self->run(Self->Control->reply(Reply, Self->now()));
+  });
   Self->Loop.every(TickInterval, [Self] {
     Self->refresh();
     Self->run(Self->Core->tick(Self->now()));
+    Self->run(Self->Control->tick(Self->now()));
     Self->Idle = Self->Core->isIdle();
   });
   Self->Loop.every(StatusInterval, [Self] { Self->publishStatus(); });
@@ -82,10 +91,23 @@
 
 void BackendsDuty::refresh() {
   std::uint64_t NewConfig = Rings.Config.generation();
-  if (NewConfig == ConfigGeneration)
+  if (NewConfig != ConfigGeneration) {
+    ConfigGeneration = NewConfig;
+    std::shared_ptr<const ActiveConfig> Config = Rings.Config.current();
+    run(Core->configure(Config, now()));
+    run(handleError([&] { return Control->configure(Config, now()); },
+                    [](const Error &E) {
+                      logEvent(LogLevel::Error, "backends", "bad-detector",
+                               {{"error", E.Message}});
+                      return ControlActions();
+                    }));
+  }
+  std::uint64_t NewView = Rings.View.generation();
+  if (NewView == ViewGeneration)
     return;
-  ConfigGeneration = NewConfig;
-  run(Core->configure(Rings.Config.current(), now()));
+  ViewGeneration = NewView;
+  View = Rings.View.current();
+  run(Control->view(*View, now()));
 }
 
 void BackendsDuty::handleAnnouncement(
@@ -95,9 +117,10 @@
     return Exchange->reply(
         makeJson(NotFound, errorBody("expected POST /v1/announce")));
   std::string Fault;
+  Announcement Parsed;
   GuardActions Actions = handleError(
       [&]() -> Result<GuardActions> {
-        BOOST_LEAF_AUTO(Parsed, parseAnnouncement(Request.Body));
+        BOOST_LEAF_ASSIGN(Parsed, parseAnnouncement(Request.Body));
         return Core->announce(Parsed, now());
       },
       [&](const Error &E) {
@@ -107,6 +130,8 @@
   if (!Fault.empty())
     return Exchange->reply(makeJson(BadRequest, errorBody(Fault)));
   run(std::move(Actions));
+  run(Control->announced(Parsed.Service, Parsed.Name, Parsed.State,
+                         Parsed.Incarnation, now()));
   boost::json::object Body;
   Body["node"] = Settings.Node.str();
   Body["repeat_ms"] = 1000;
@@ -115,29 +140,33 @@
 
 void BackendsDuty::receive(std::optional<LinkId> Origin, GuardMessage Message) {
   std::visit(
-      Overloaded{
-          [&](Dispatch &M) {
-            AttemptId Attempt = M.Info.Attempt;
-            Running R;
-            R.Origin = Origin;
-            R.Request = std::move(M.Request);
-            // A repeated attempt id is a fault of the sender; the first stays.
-            if (!Attempts.emplace(Attempt, std::move(R)).second)
-              return;
-            run(Core->dispatch(M.Info, now()));
-          },
-          [&](Cancel &M) { run(Core->cancel(M.Attempt, now())); },
-          [&](MintKey &M) { reply(Origin, Core->mintKey(M, now())); }},
+      Overloaded{[&](Dispatch &M) {
+                   AttemptId Attempt = M.Info.Attempt;
+                   Running R;
+                   R.Origin = Origin;
+                   R.Request = std::move(M.Request);
+                   R.Service = M.Info.Service;
+                   R.Organisation = M.Info.Organisation;
+                   // A repeated attempt id is a fault of the sender; the first
+                   // stays.
+                   if (!Attempts.emplace(Attempt, std::move(R)).second)
+                     return;
+                   Control->dispatched(M.Info.Service, Attempt.Request.Entry,
+                                       M.Info.Baseline, now());
+                   run(Core->dispatch(M.Info, now()));
+                 },
+                 [&](Cancel &M) { run(Core->cancel(M.Attempt, now())); },
+                 [&](MintKey &M) { reply(Origin, Core->mintKey(M, now())); }},
       Message);
 }
 
 void BackendsDuty::receive(PeersToBackends Message) {
-  std::visit(Overloaded{[&](FromEntry &M) {
-                          receive(M.Link, std::move(M.Message));
-                        },
-                        [&](EntryLost &M) { entryLost(M.Link); },
-                        [&](Quarantine &M) { Core->quarantine(M, now()); }},
-             Message);
+  std::visit(
+      Overloaded{[&](FromEntry &M) { receive(M.Link, std::move(M.Message)); },
+                 [&](EntryLost &M) { entryLost(M.Link); },
+                 [&](Quarantine &M) { Core->quarantine(M, now()); },
+                 [&](CrashMark &M) { Core->crashMark(M, now()); }},
+      Message);
 }
 
 void BackendsDuty::entryLost(LinkId Link) {
@@ -166,9 +195,8 @@
   R.Server = Action.Server;
   HttpRequest Request = std::move(R.Request);
   auto RemainingMs = static_cast<std::int64_t>(Action.Remaining.ms());
-  Request.Headers.push_back(
-      Header{DeadlineHeader, std::to_string(std::max<std::int64_t>(
-                                 RemainingMs, 1))});
+  Request.Headers.push_back(Header{
+      DeadlineHeader, std::to_string(std::max<std::int64_t>(RemainingMs, 1))});
   Request.Headers.push_back(
       Header{RequestIdHeader, toString(Action.Attempt.Request)});
   Client->start(Action.Attempt, Action.Address, std::move(Request));
@@ -185,6 +213,7 @@
   if (!It->second.IsSettled)
     reply(It->second.Origin, Action);
   It->second.IsSettled = true;
+  It->second.IsOverdue = Action.Why == Reason::DeadlineExpiredRunning;
   // An attempt that was not started has no end to wait for.
   if (It->second.Server.empty())
     Attempts.erase(It);
@@ -199,11 +228,77 @@
   if (!Rings.BackendsToPeersRing.trySend(R))
     logEvent(LogLevel::Error, "backends", "record-dropped",
              {{"server", R.Id.Name.str()}});
+  if (R.State == BackendServerState::Gone)
+    run(Control->announced(R.Service, R.Id.Name, R.State, R.Version.Incarnation,
+                           now()));
+}
+
+void BackendsDuty::run(ControlActions Actions) {
+  for (const ControlAction &Action : Actions)
+    std::visit([&](const auto &A) { perform(A); }, Action);
+}
+
+void BackendsDuty::perform(const SetHealth &Action) {
+  Rings.Audit.record(
+      std::string("backend-server-") + backendServerHealthName(Action.Health),
+      Action.Server.str(),
+      "weight " + std::to_string(Action.Weight) + ", " + Action.Why);
+  run(Core->setHealth(Action.Server, Action.Health, Action.Weight, now()));
+}
+
+void BackendsDuty::perform(const TableRequest &Action) {
+  if (Rings.BackendsToPlatform.trySend(TableRequest(Action)))
+    return;
+  TableReply Refused;
+  Refused.Token = Action.Token;
+  Refused.Status = TableStatus::Unavailable;
+  run(Control->reply(Refused, now()));
+}
+
+void BackendsDuty::perform(const CrashMark &Action) {
+  if (!Rings.BackendsToPeersRing.trySend(Action))
+    logEvent(LogLevel::Error, "backends", "crash-mark-dropped",
+             {{"fingerprint", Action.Fingerprint}});
+}
+
+void BackendsDuty::sample(const AttemptId &Attempt, const Running &R,
+                          const RunResult &Result) {
+  constexpr unsigned FirstServerError = 500;
+  RunSample S;
+  S.Service = R.Service;
+  S.Server = R.Server;
+  S.Entry = Attempt.Request.Entry;
+  S.Organisation = R.Organisation;
+  S.RunTime = Result.RunTime;
+  if (View && View->Nodes) {
+    auto It = View->Nodes->find(S.Entry);
+    if (It != View->Nodes->end())
+      S.EntryDomain = It->second.Domain;
+  }
+  switch (Result.End) {
+  case RunEnd::Answered:
+    S.End = Result.Status < FirstServerError ? SampleEnd::Succeeded
+                                             : SampleEnd::Failed;
+    break;
+  case RunEnd::Shed:
+    S.End = SampleEnd::Shed;
+    break;
+  case RunEnd::ConnectFailed:
+  case RunEnd::ConnectionLost:
+    S.End = SampleEnd::Failed;
+    break;
+  case RunEnd::Crashed:
+    S.End = SampleEnd::Crashed;
+    break;
+  case RunEnd::Aborted:
+    S.End = R.IsOverdue ? SampleEnd::Failed : SampleEnd::CallerGone;
+    break;
+  }
+  run(Control->sample(S, now()));
 }
 
 void BackendsDuty::perform(const Quarantine &Action) {
-  Rings.Audit.record("request-quarantined",
-                     std::to_string(Action.Fingerprint),
+  Rings.Audit.record("request-quarantined", std::to_string(Action.Fingerprint),
                      "second crash with this fingerprint");
   if (!Rings.BackendsToPeersRing.trySend(Action))
     logEvent(LogLevel::Error, "backends", "quarantine-dropped",
@@ -213,8 +308,10 @@
 void BackendsDuty::onDone(const AttemptId &Attempt, const RunResult &Result,
                           HttpAnswer Answer) {
   auto It = Attempts.find(Attempt);
-  BackendServerName Server =
-      It == Attempts.end() ? BackendServerName() : It->second.Server;
+  if (It == Attempts.end())
+    return;
+  BackendServerName Server = It->second.Server;
+  sample(Attempt, It->second, Result);
   run(Core->finished(Attempt, Result, now()));
   It = Attempts.find(Attempt);
   if (It == Attempts.end())
@@ -232,23 +329,26 @@
 }
 
 std::uint32_t BackendsDuty::inProgress(const BackendServerName &Server) const {
-  auto Count = std::count_if(
-      Attempts.begin(), Attempts.end(),
-      [&](const auto &Item) { return Item.second.Server == Server; });
+  auto Count =
+      std::count_if(Attempts.begin(), Attempts.end(), [&](const auto &Item) {
+        return Item.second.Server == Server;
+      });
   return static_cast<std::uint32_t>(Count);
 }
 
 void BackendsDuty::reply(std::optional<LinkId> Origin, EntryMessage Message) {
-  bool Sent =
-      Origin ? Rings.BackendsToPeersRing.trySend(
-                   ToEntry{*Origin, std::move(Message)})
-             : Rings.BackendsToCallers.trySend(Message);
+  bool Sent = Origin ? Rings.BackendsToPeersRing.trySend(
+                           ToEntry{*Origin, std::move(Message)})
+                     : Rings.BackendsToCallers.trySend(Message);
   // The entry ends the request as unknown at its deadline.
   if (!Sent)
     logEvent(LogLevel::Error, "backends", "answer-dropped");
 }
 
 void BackendsDuty::publishStatus() {
+  std::map<BackendServerName, std::string> Evidence;
+  for (MonitoredServer &S : Control->status(now()))
+    Evidence[S.Server] = std::move(S.Evidence);
   boost::json::array Servers;
   for (const GuardedServerStatus &S : Core->status()) {
     boost::json::object Server;
@@ -258,6 +358,7 @@
     Server["state"] = backendServerStateName(S.Record.State);
     Server["health"] = backendServerHealthName(S.Record.Health);
     Server["weight"] = S.Record.Weight;
+    Server["evidence"] = Evidence[S.Record.Id.Name];
     Server["slots"] = S.Record.Slots;
     Server["in_progress"] = S.InProgress;
     Server["waiting"] = S.Waiting;
--- a/lib/Node/BackendsDuty.h
+++ b/lib/Node/BackendsDuty.h
@@ -7,7 +7,7 @@
 
 #include "Channels.h"
 #include "Duty.h"
-
+#include "teaselhitch/Detection/GrayFailureControl.h"
 #include "teaselhitch/Guard/Guard.h"
 #include "teaselhitch/Net/BackendClient.h"
 #include "teaselhitch/Net/HttpServer.h"
@@ -38,9 +38,14 @@
     /// Link of the entry; nothing if the entry is of this node.
     std::optional<LinkId> Origin;
     HttpRequest Request;
+    ServiceName Service;
+    OrganisationName Organisation;
+    /// Empty until the attempt starts.
     BackendServerName Server;
     /// The entry has its answer or is gone.
     bool IsSettled = false;
+    /// Aborted because its deadline passed.
+    bool IsOverdue = false;
   };
 
   void handleAnnouncement(const std::shared_ptr<HttpExchange> &Exchange);
@@ -53,6 +58,12 @@
   void perform(const AttemptFailed &Action);
   void perform(const PublishRecord &Action);
   void perform(const Quarantine &Action);
+  void perform(const CrashMark &Action);
+  void run(ControlActions Actions);
+  void perform(const SetHealth &Action);
+  void perform(const TableRequest &Action);
+  void sample(const AttemptId &Attempt, const Running &R,
+              const RunResult &Result);
   void onDone(const AttemptId &Attempt, const RunResult &Result,
               HttpAnswer Answer);
   void reply(std::optional<LinkId> Origin, EntryMessage Message);
@@ -63,8 +74,11 @@
   NodeSettings Settings;
   Channels &Rings;
   std::unique_ptr<Guard> Core;
+  std::unique_ptr<GrayFailureControl> Control;
   std::map<AttemptId, Running> Attempts;
   std::uint64_t ConfigGeneration = 0;
+  std::uint64_t ViewGeneration = 0;
+  std::shared_ptr<const FleetView> View;
   std::atomic<bool> Idle{true};
   std::unique_ptr<BackendClient> Client;
   std::unique_ptr<HttpServer> Server;
--- a/lib/Node/CallersDuty.cpp
+++ b/lib/Node/CallersDuty.cpp
@@ -1,7 +1,6 @@
 #include "CallersDuty.h"
 
 #include "Problem.h"
-
 #include "teaselhitch/Platform/Url.h"
 #include "teaselhitch/Support/Hash.h"
 
@@ -64,8 +63,8 @@
   if (Deadline.empty())
     return Described;
   std::uint32_t Ms = 0;
-  auto [End, Fault] = std::from_chars(
-      Deadline.data(), Deadline.data() + Deadline.size(), Ms);
+  auto [End, Fault] =
+      std::from_chars(Deadline.data(), Deadline.data() + Deadline.size(), Ms);
   if (Fault != std::errc() || End != Deadline.data() + Deadline.size())
     return std::nullopt;
   Described.Deadline = Duration(Ms);
@@ -77,10 +76,9 @@
 CallersDuty::CallersDuty(const NodeSettings &Settings, Channels &Rings)
     : Settings(Settings), Rings(Rings),
       Random(std::make_unique<SeededRandom>(std::random_device()())),
-      Latency(Rings.Metrics.latency(
-          "teaselhitch_request_seconds",
-          "Time from a whole request to its answer, backend server included.")) {
-}
+      Latency(Rings.Metrics.latency("teaselhitch_request_seconds",
+                                    "Time from a whole request to its answer, "
+                                    "backend server included.")) {}
 
 Result<std::unique_ptr<CallersDuty>>
 CallersDuty::create(const NodeSettings &Settings, std::uint64_t Incarnation,
@@ -100,16 +98,15 @@
   Http.MaxBodyBytes = Settings.MaxBodyBytes;
   Http.MaxConnections = Settings.MaxCallerConnections;
   CallersDuty *Self = Made.get();
-  BOOST_LEAF_ASSIGN(
-      Made->Server,
-      HttpServer::create(
-          Made->Loop, Http,
-          [Self](std::shared_ptr<HttpExchange> E) {
-            Self->handle(std::move(E));
-          },
-          [](Reason Why) {
-            return makeProblem(Why, Outcome::NotRun, "", Duration());
-          }));
+  BOOST_LEAF_ASSIGN(Made->Server, HttpServer::create(
+                                      Made->Loop, Http,
+                                      [Self](std::shared_ptr<HttpExchange> E) {
+                                        Self->handle(std::move(E));
+                                      },
+                                      [](Reason Why) {
+                                        return makeProblem(Why, Outcome::NotRun,
+                                                           "", Duration());
+                                      }));
   auto Receive = [Self](EntryMessage &&M) { Self->receive(std::move(M)); };
   Self->Duty::receive(Rings.BackendsToCallers, Receive);
   Self->Duty::receive(Rings.PeersToCallers, Receive);
@@ -193,19 +190,17 @@
 }
 
 void CallersDuty::receive(EntryMessage Message) {
-  std::visit(
-      Overloaded{[&](AttemptFailed &M) { run(Core->failed(M, now())); },
-                 [&](AttemptAnswer &M) { answer(std::move(M)); },
-                 [&](KeyMinted &M) { run(Core->keyMinted(M, now())); }},
-      Message);
+  std::visit(Overloaded{[&](AttemptFailed &M) { run(Core->failed(M, now())); },
+                        [&](AttemptAnswer &M) { answer(std::move(M)); },
+                        [&](KeyMinted &M) { run(Core->keyMinted(M, now())); }},
+             Message);
 }
 
 void CallersDuty::run(EntryActions Actions) {
   for (EntryAction &Action : Actions)
     std::visit(Overloaded{[&](SendAttempt &A) { perform(std::move(A)); },
                           [&](TableRequest &A) { perform(std::move(A)); },
-                          [](ReplyAnswer &) {},
-                          [&](auto &A) { perform(A); }},
+                          [](ReplyAnswer &) {}, [&](auto &A) { perform(A); }},
                Action);
 }
 
@@ -221,7 +216,8 @@
     return;
   AttemptId Attempt = Action.Info.Attempt;
   // The request is kept, because another attempt may follow.
-  if (sendTo(Action.Guard, Dispatch{std::move(Action.Info), It->second.Request}))
+  if (sendTo(Action.Guard,
+             Dispatch{std::move(Action.Info), It->second.Request}))
     return;
   AttemptFailed Refused;
   Refused.Attempt = Attempt;
@@ -267,8 +263,8 @@
   std::shared_ptr<HttpExchange> Exchange = std::move(It->second);
   Mints.erase(It);
   if (Action.Key.empty())
-    return Exchange->reply(makeProblem(Reason::NoBackendServer,
-                                       Outcome::NotRun, "", Duration()));
+    return Exchange->reply(
+        makeProblem(Reason::NoBackendServer, Outcome::NotRun, "", Duration()));
   boost::json::object Body;
   Body["key"] = Action.Key;
   Body["expires_in_ms"] = static_cast<std::int64_t>(Action.ValidFor.ms());
--- a/lib/Node/CallersDuty.h
+++ b/lib/Node/CallersDuty.h
@@ -6,7 +6,6 @@
 
 #include "Channels.h"
 #include "Duty.h"
-
 #include "teaselhitch/Entry/Entry.h"
 #include "teaselhitch/Net/HttpServer.h"
 #include "teaselhitch/Settings/NodeSettings.h"
--- a/lib/Node/Channels.h
+++ b/lib/Node/Channels.h
@@ -42,7 +42,8 @@
   LinkId Link = 0;
 };
 
-using PeersToBackends = std::variant<FromEntry, EntryLost, Quarantine>;
+using PeersToBackends =
+    std::variant<FromEntry, EntryLost, Quarantine, CrashMark>;
 
 /// Backends to peers: an answer for the entry of another node.
 struct ToEntry {
@@ -50,7 +51,8 @@
   EntryMessage Message;
 };
 
-using BackendsToPeers = std::variant<ToEntry, BackendServerRecord, Quarantine>;
+using BackendsToPeers =
+    std::variant<ToEntry, BackendServerRecord, Quarantine, CrashMark>;
 
 /// Peers to platform: read a piece of the configuration.
 struct ReadPiece {
--- a/lib/Node/ConfigFetcher.cpp
+++ b/lib/Node/ConfigFetcher.cpp
@@ -10,10 +10,11 @@
   return plan(Adoption.headSeen(Head, Now), View, Random);
 }
 
-std::vector<PieceFetch>
-ConfigFetcher::pieceArrived(const PieceHash &Hash, std::string Bytes,
-                            const FleetView &View, RandomSource &Random,
-                            Time Now) {
+std::vector<PieceFetch> ConfigFetcher::pieceArrived(const PieceHash &Hash,
+                                                    std::string Bytes,
+                                                    const FleetView &View,
+                                                    RandomSource &Random,
+                                                    Time Now) {
   return plan(Adoption.pieceArrived(Hash, std::move(Bytes), Now), View, Random);
 }
 
--- a/lib/Node/ConfigFetcher.h
+++ b/lib/Node/ConfigFetcher.h
@@ -30,7 +30,8 @@
 
   explicit ConfigFetcher(NodeName Self) : Self(std::move(Self)) {}
 
-  /// \param FromPeer the head was heard from another node, which has the pieces.
+  /// \param FromPeer the head was heard from another node, which has the
+  /// pieces.
   std::vector<PieceFetch> headSeen(const ConfigHead &Head, bool FromPeer,
                                    const FleetView &View, RandomSource &Random,
                                    Time Now);
--- a/lib/Node/Node.cpp
+++ b/lib/Node/Node.cpp
@@ -5,7 +5,6 @@
 #include "OperatorsDuty.h"
 #include "PeersDuty.h"
 #include "PlatformDuty.h"
-
 #include "teaselhitch/Support/Log.h"
 
 namespace teaselhitch {
--- a/lib/Node/OperatorsDuty.cpp
+++ b/lib/Node/OperatorsDuty.cpp
@@ -1,7 +1,6 @@
 #include "OperatorsDuty.h"
 
 #include "Problem.h"
-
 #include "teaselhitch/Platform/Url.h"
 
 #include <boost/json/array.hpp>
@@ -59,16 +58,16 @@
   OperatorsDuty *Self = Made.get();
   HttpServerSettings Http;
   Http.Listen = Settings.Operators;
-  BOOST_LEAF_ASSIGN(
-      Made->Server,
-      HttpServer::create(
-          Made->Loop, Http,
-          [Self](const std::shared_ptr<HttpExchange> &E) {
-            E->reply(Self->handle(E->request()));
-          },
-          [](Reason Why) {
-            return error(reasonInfo(Why).Status, reasonInfo(Why).Detail);
-          }));
+  BOOST_LEAF_ASSIGN(Made->Server,
+                    HttpServer::create(
+                        Made->Loop, Http,
+                        [Self](const std::shared_ptr<HttpExchange> &E) {
+                          E->reply(Self->handle(E->request()));
+                        },
+                        [](Reason Why) {
+                          return error(reasonInfo(Why).Status,
+                                       reasonInfo(Why).Detail);
+                        }));
   return Made;
 }
 
--- a/lib/Node/OutstandingAttempts.cpp
+++ b/lib/Node/OutstandingAttempts.cpp
@@ -18,9 +18,8 @@
   if (It == ByGuard.end())
     return;
   std::visit(
-      Overloaded{
-          [&](const KeyMinted &M) { It->second.Mints.erase(M.Token); },
-          [&](const auto &M) { It->second.Attempts.erase(M.Attempt); }},
+      Overloaded{[&](const KeyMinted &M) { It->second.Mints.erase(M.Token); },
+                 [&](const auto &M) { It->second.Attempts.erase(M.Attempt); }},
       Message);
 }
 
--- a/lib/Node/PeersDuty.cpp
+++ b/lib/Node/PeersDuty.cpp
@@ -15,6 +15,8 @@
 constexpr Duration StatusInterval = Duration(500);
 /// Records in one frame of anti-entropy; about 100 bytes each.
 constexpr std::size_t SyncRecords = 500;
+/// How long a crash is passed on to nodes that join late, in milliseconds.
+constexpr std::uint32_t CrashMarkMs = 600000;
 /// Tokens of head reads; no other table requests are sent from this thread.
 constexpr std::uint64_t HeadToken = 1;
 
@@ -81,21 +83,20 @@
   LinkSettings.Self.Domain = Settings.Domain;
   BOOST_LEAF_ASSIGN(Made->Links,
                     PeerLinks::create(Made->Loop, LinkSettings, *Self));
-  BOOST_LEAF_ASSIGN(
-      Made->Datagrams,
-      DatagramSocket::create(Made->Loop, Settings.Peers,
-                             [Self](std::string_view Bytes,
-                                    const Endpoint &From) {
-                               Self->onDatagram(Bytes, From);
-                             }));
+  BOOST_LEAF_ASSIGN(Made->Datagrams,
+                    DatagramSocket::create(
+                        Made->Loop, Settings.Peers,
+                        [Self](std::string_view Bytes, const Endpoint &From) {
+                          Self->onDatagram(Bytes, From);
+                        }));
   Self->Duty::receive(Rings.CallersToPeers,
                       [Self](ToGuard &&M) { Self->receive(std::move(M)); });
-  Self->Duty::receive(
-      Rings.BackendsToPeersRing,
-      [Self](BackendsToPeers &&M) { Self->receive(std::move(M)); });
-  Self->Duty::receive(
-      Rings.PlatformToPeersRing,
-      [Self](PlatformToPeers &&M) { Self->receive(std::move(M)); });
+  Self->Duty::receive(Rings.BackendsToPeersRing, [Self](BackendsToPeers &&M) {
+    Self->receive(std::move(M));
+  });
+  Self->Duty::receive(Rings.PlatformToPeersRing, [Self](PlatformToPeers &&M) {
+    Self->receive(std::move(M));
+  });
   auto ReadHead = [&Rings] {
     // A full ring means that the platform is slow; the next poll asks again.
     (void)Rings.PeersToPlatformRing.trySend(headRequest());
@@ -104,12 +105,11 @@
                       [ReadHead](RefreshConfig &&) { ReadHead(); });
   Self->Loop.post(ReadHead);
   // A random first delay spreads the reads of a fleet that starts at once.
-  Self->Loop.after(Settings.HeadPollInterval * Made->Random->uniform(),
-                   [Self, ReadHead] {
-                     ReadHead();
-                     Self->Loop.every(Self->Settings.HeadPollInterval,
-                                      ReadHead);
-                   });
+  Self->Loop.after(
+      Settings.HeadPollInterval * Made->Random->uniform(), [Self, ReadHead] {
+        ReadHead();
+        Self->Loop.every(Self->Settings.HeadPollInterval, ReadHead);
+      });
   Self->Loop.every(TickInterval, [Self] { Self->tick(); });
   Self->Loop.every(StatusInterval, [Self] { Self->publishStatus(); });
   return Made;
@@ -165,48 +165,55 @@
 
 void PeersDuty::receive(BackendsToPeers Message) {
   std::visit(
-      Overloaded{
-          [&](ToEntry &M) {
-            Links->answer(M.Link, std::visit(
-                                      [](auto &Inner) {
-                                        return PeerMessage(std::move(Inner));
-                                      },
-                                      M.Message));
-          },
-          [&](BackendServerRecord &M) { Members->publish(M, now()); },
-          [&](Quarantine &M) {
-            Members->spreadQuarantine(
-                QuarantineRecord{M.Fingerprint,
-                                 static_cast<std::uint32_t>(M.For.ms())},
-                now());
-          }},
+      Overloaded{[&](ToEntry &M) {
+                   Links->answer(M.Link,
+                                 std::visit(
+                                     [](auto &Inner) {
+                                       return PeerMessage(std::move(Inner));
+                                     },
+                                     M.Message));
+                 },
+                 [&](BackendServerRecord &M) { Members->publish(M, now()); },
+                 [&](Quarantine &M) {
+                   Members->spreadQuarantine(
+                       QuarantineRecord{M.Fingerprint,
+                                        static_cast<std::uint32_t>(M.For.ms()),
+                                        0, false},
+                       now());
+                 },
+                 [&](CrashMark &M) {
+                   Members->spreadQuarantine(
+                       QuarantineRecord{M.Fingerprint, CrashMarkMs, M.Crash,
+                                        M.Repeated},
+                       now());
+                 }},
       Message);
 }
 
 void PeersDuty::receive(PlatformToPeers Message) {
   std::visit(
-      Overloaded{
-          [&](TableReply &M) {
-            if (M.Status != TableStatus::Ok)
-              return;
-            ConfigHead Head = handleError(
-                [&]() -> Result<ConfigHead> {
-                  BOOST_LEAF_AUTO(Published, parseHead(M.Row.Value));
-                  return Published.configHead();
-                },
-                [](const Error &E) {
-                  logEvent(LogLevel::Error, "peers", "bad-head",
-                           {{"error", E.Message}});
-                  return ConfigHead();
-                });
-            fetch(Config.headSeen(Head, false, *Members->view(), *Random,
-                                  now()));
-          },
-          [&](PieceRead &M) {
-            if (M.Bytes)
-              fetch(Config.pieceArrived(M.Hash, std::move(*M.Bytes),
-                                        *Members->view(), *Random, now()));
-          }},
+      Overloaded{[&](TableReply &M) {
+                   if (M.Status != TableStatus::Ok)
+                     return;
+                   ConfigHead Head = handleError(
+                       [&]() -> Result<ConfigHead> {
+                         BOOST_LEAF_AUTO(Published, parseHead(M.Row.Value));
+                         return Published.configHead();
+                       },
+                       [](const Error &E) {
+                         logEvent(LogLevel::Error, "peers", "bad-head",
+                                  {{"error", E.Message}});
+                         return ConfigHead();
+                       });
+                   fetch(Config.headSeen(Head, false, *Members->view(), *Random,
+                                         now()));
+                 },
+                 [&](PieceRead &M) {
+                   if (M.Bytes)
+                     fetch(Config.pieceArrived(M.Hash, std::move(*M.Bytes),
+                                               *Members->view(), *Random,
+                                               now()));
+                 }},
       Message);
 }
 
@@ -235,8 +242,11 @@
 }
 
 void PeersDuty::perform(const QuarantineSeen &Action) {
-  toBackends(Quarantine{Action.Record.Fingerprint,
-                        Duration(Action.Record.RemainingMs)});
+  const QuarantineRecord &R = Action.Record;
+  if (R.Crash != 0)
+    toBackends(CrashMark{R.Fingerprint, R.Crash, R.Repeated});
+  else
+    toBackends(Quarantine{R.Fingerprint, Duration(R.RemainingMs)});
 }
 
 void PeersDuty::perform(const NodeStateChanged &Action) {
@@ -253,8 +263,7 @@
       (void)Links->send(Fetch.From->Name, Fetch.From->Address,
                         PieceRequest{Fetch.Hash});
     else
-      (void)Rings.PeersToPlatformRing.trySend(
-          ReadPiece{Fetch.Hash});
+      (void)Rings.PeersToPlatformRing.trySend(ReadPiece{Fetch.Hash});
   }
   adopted();
 }
@@ -270,25 +279,53 @@
 }
 
 void PeersDuty::fromGuard(const NodeName &Node, PeerMessage Message) {
+  std::visit(Overloaded{[&](Delta &M) { run(Members->apply(M, now())); },
+                        [&](Piece &M) {
+                          if (!M.Bytes.empty())
+                            fetch(Config.pieceArrived(
+                                M.Hash, std::move(M.Bytes), *Members->view(),
+                                *Random, now()));
+                        },
+                        [&](AttemptFailed &M) {
+                          Outstanding.answered(Node, M);
+                          toCallers(std::move(M));
+                        },
+                        [&](AttemptAnswer &M) {
+                          Outstanding.answered(Node, M);
+                          toCallers(std::move(M));
+                        },
+                        [&](KeyMinted &M) {
+                          Outstanding.answered(Node, M);
+                          toCallers(std::move(M));
+                        },
+                        [&](auto &) {
+                          logEvent(LogLevel::Warning, "peers",
+                                   "unexpected-message",
+                                   {{"node", Node.str()}});
+                        }},
+             Message);
+}
+
+void PeersDuty::fromEntry(LinkId Link, const NodeName &Node,
+                          PeerMessage Message) {
   std::visit(
-      Overloaded{[&](Delta &M) { run(Members->apply(M, now())); },
-                 [&](Piece &M) {
-                   if (!M.Bytes.empty())
-                     fetch(Config.pieceArrived(M.Hash, std::move(M.Bytes),
-                                               *Members->view(), *Random,
-                                               now()));
+      Overloaded{[&](Dispatch &M) {
+                   AttemptId Attempt = M.Info.Attempt;
+                   if (!Rings.PeersToBackendsRing.trySend(
+                           FromEntry{Link, std::move(M)}))
+                     Links->answer(Link, notSent(Attempt, Reason::Overloaded));
                  },
-                 [&](AttemptFailed &M) {
-                   Outstanding.answered(Node, M);
-                   toCallers(std::move(M));
+                 [&](Cancel &M) {
+                   toBackends(FromEntry{Link, M});
                  },
-                 [&](AttemptAnswer &M) {
-                   Outstanding.answered(Node, M);
-                   toCallers(std::move(M));
+                 [&](MintKey &M) {
+                   if (!Rings.PeersToBackendsRing.trySend(FromEntry{Link, M}))
+                     Links->answer(Link, KeyMinted{M.Token, "", Duration()});
                  },
-                 [&](KeyMinted &M) {
-                   Outstanding.answered(Node, M);
-                   toCallers(std::move(M));
+                 [&](Digest &M) { answerDigest(Link, M); },
+                 [&](PieceRequest &M) {
+                   Links->answer(
+                       Link, Piece{M.Hash, Config.piece(M.Hash).value_or("")});
                  },
                  [&](auto &) {
                    logEvent(LogLevel::Warning, "peers", "unexpected-message",
@@ -297,33 +334,6 @@
       Message);
 }
 
-void PeersDuty::fromEntry(LinkId Link, const NodeName &Node,
-                          PeerMessage Message) {
-  std::visit(
-      Overloaded{
-          [&](Dispatch &M) {
-            AttemptId Attempt = M.Info.Attempt;
-            if (!Rings.PeersToBackendsRing.trySend(
-                    FromEntry{Link, std::move(M)}))
-              Links->answer(Link, notSent(Attempt, Reason::Overloaded));
-          },
-          [&](Cancel &M) { toBackends(FromEntry{Link, M}); },
-          [&](MintKey &M) {
-            if (!Rings.PeersToBackendsRing.trySend(FromEntry{Link, M}))
-              Links->answer(Link, KeyMinted{M.Token, "", Duration()});
-          },
-          [&](Digest &M) { answerDigest(Link, M); },
-          [&](PieceRequest &M) {
-            Links->answer(
-                Link, Piece{M.Hash, Config.piece(M.Hash).value_or("")});
-          },
-          [&](auto &) {
-            logEvent(LogLevel::Warning, "peers", "unexpected-message",
-                     {{"node", Node.str()}});
-          }},
-      Message);
-}
-
 void PeersDuty::answerDigest(LinkId Link, const Digest &Other) {
   std::vector<Delta> Parts = Members->deltasFor(Other, SyncRecords);
   // The other side waits for at least one reply.
--- a/lib/Node/PeersDuty.h
+++ b/lib/Node/PeersDuty.h
@@ -9,7 +9,6 @@
 #include "ConfigFetcher.h"
 #include "Duty.h"
 #include "OutstandingAttempts.h"
-
 #include "teaselhitch/Net/DatagramSocket.h"
 #include "teaselhitch/Net/PeerLinks.h"
 #include "teaselhitch/Settings/NodeSettings.h"
@@ -22,9 +21,9 @@
 
 class PeersDuty final : public Duty, private PeerLinksHandler {
 public:
-  static Result<std::unique_ptr<PeersDuty>>
-  create(const NodeSettings &Settings, std::uint64_t Incarnation,
-         Channels &Rings);
+  static Result<std::unique_ptr<PeersDuty>> create(const NodeSettings &Settings,
+                                                   std::uint64_t Incarnation,
+                                                   Channels &Rings);
 
   /// Tells the fleet that this node shuts down.
   void leave();
--- a/lib/Node/PlatformDuty.cpp
+++ b/lib/Node/PlatformDuty.cpp
@@ -20,12 +20,12 @@
 Result<std::unique_ptr<PlatformDuty>>
 PlatformDuty::create(const NodeSettings &Settings, Channels &Rings) {
   std::unique_ptr<PlatformDuty> Made(new PlatformDuty(Settings, Rings));
-  BOOST_LEAF_ASSIGN(Made->Table,
-                    createHttpTableStore(Settings.Platform,
-                                         Settings.PlatformTimeout));
-  BOOST_LEAF_ASSIGN(Made->Objects,
-                    createHttpObjectStore(Settings.Platform,
-                                          Settings.PlatformTimeout));
+  BOOST_LEAF_ASSIGN(
+      Made->Table,
+      createHttpTableStore(Settings.Platform, Settings.PlatformTimeout));
+  BOOST_LEAF_ASSIGN(
+      Made->Objects,
+      createHttpObjectStore(Settings.Platform, Settings.PlatformTimeout));
   PlatformDuty *Self = Made.get();
   // A receiver that does not take the reply counts the operation as unknown at
   // its own time limit.
@@ -37,12 +37,9 @@
   });
   Self->receive(Rings.PeersToPlatformRing, [Self](PeersToPlatform &&Message) {
     PlatformToPeers Reply = std::visit(
-        Overloaded{[&](TableRequest &M) {
-                     return PlatformToPeers(Self->runTable(M));
-                   },
-                   [&](ReadPiece &M) {
-                     return PlatformToPeers(Self->readPiece(M));
-                   }},
+        Overloaded{
+            [&](TableRequest &M) { return PlatformToPeers(Self->runTable(M)); },
+            [&](ReadPiece &M) { return PlatformToPeers(Self->readPiece(M)); }},
         Message);
     (void)Self->Rings.PlatformToPeersRing.trySend(Reply);
   });
@@ -69,14 +66,14 @@
   PieceRead Reply{Request.Hash, std::nullopt};
   if (isSuspended())
     return Reply;
-  Reply.Bytes = handleError(
-      [&] { return Objects->read(pieceObjectKey(Request.Hash)); },
-      [&](const Error &E) -> std::optional<std::string> {
-        logEvent(LogLevel::Warning, "platform", "piece-read-failed",
-                 {{"piece", Request.Hash}, {"error", E.Message}});
-        noteResult(false);
-        return std::nullopt;
-      });
+  Reply.Bytes =
+      handleError([&] { return Objects->read(pieceObjectKey(Request.Hash)); },
+                  [&](const Error &E) -> std::optional<std::string> {
+                    logEvent(LogLevel::Warning, "platform", "piece-read-failed",
+                             {{"piece", Request.Hash}, {"error", E.Message}});
+                    noteResult(false);
+                    return std::nullopt;
+                  });
   return Reply;
 }
 
--- a/lib/Node/PlatformDuty.h
+++ b/lib/Node/PlatformDuty.h
@@ -6,7 +6,6 @@
 
 #include "Channels.h"
 #include "Duty.h"
-
 #include "teaselhitch/Platform/Stores.h"
 #include "teaselhitch/Settings/NodeSettings.h"
 
--- /dev/null
+++ b/lib/Platform/HttpCall.cpp
@@ -0,0 +1,29 @@
+#include "teaselhitch/Platform/HttpCall.h"
+
+#include "HttpConnection.h"
+
+#include <boost/asio/ip/address.hpp>
+
+namespace teaselhitch {
+
+Result<HttpAnswer> callHttp(const Endpoint &Server, const HttpRequest &Request,
+                            Duration Timeout) {
+  boost::system::error_code Fault;
+  auto Address = boost::asio::ip::make_address(Server.Address, Fault);
+  if (Fault)
+    return makeError(ErrorCode::InvalidInput,
+                     "'" + Server.Address + "' is not an IP address");
+  HttpConnection Connection(HttpConnection::TcpEndpoint(Address, Server.Port),
+                            Timeout);
+  HttpConnection::Request Message;
+  Message.method_string(Request.Method);
+  Message.target(Request.Target);
+  for (const Header &H : Request.Headers)
+    Message.set(H.Name, H.Value);
+  Message.body() = Request.Body;
+  BOOST_LEAF_AUTO(Answer,
+                  Connection.exchange(std::move(Message), Effect::Read));
+  return HttpAnswer{Answer.Status, {}, std::move(Answer.Body)};
+}
+
+} // namespace teaselhitch
--- a/lib/Platform/HttpConnection.cpp
+++ b/lib/Platform/HttpConnection.cpp
@@ -45,7 +45,7 @@
     : Peer(std::move(Peer)), Timeout(Timeout),
       Host(this->Peer.address().to_string()) {}
 
-Result<HttpAnswer> HttpConnection::exchange(Request Message, Effect Kind) {
+Result<StoreAnswer> HttpConnection::exchange(Request Message, Effect Kind) {
   Message.version(HttpVersion);
   Message.set(http::field::host, Host);
   Message.prepare_payload();
--- a/lib/Platform/HttpConnection.h
+++ b/lib/Platform/HttpConnection.h
@@ -26,7 +26,7 @@
   Write,
 };
 
-struct HttpAnswer {
+struct StoreAnswer {
   unsigned Status = 0;
   std::string Body;
 };
@@ -43,7 +43,7 @@
   ///
   /// Errors: Unavailable (no connection, or a read failed), Timeout (a write
   /// was sent and its answer is lost), Corrupt (the answer is not HTTP).
-  Result<HttpAnswer> exchange(Request Message, Effect Kind);
+  Result<StoreAnswer> exchange(Request Message, Effect Kind);
 
 private:
   using ErrorCondition = boost::beast::error_code;
@@ -54,7 +54,7 @@
     bool Connected = false;
     /// The connection closed before any byte of the answer.
     bool ClosedEarly = false;
-    HttpAnswer Answer;
+    StoreAnswer Answer;
   };
 
   Attempt attempt(Request &Message);
--- a/lib/Platform/HttpStores.cpp
+++ b/lib/Platform/HttpStores.cpp
@@ -19,7 +19,7 @@
 bool isSuccess(unsigned Status) { return Status >= 200 && Status < 300; }
 
 /// The error that an answer other than success, 404 or 409 stands for.
-boost::leaf::error_id statusError(const HttpAnswer &Answer, Effect Kind) {
+boost::leaf::error_id statusError(const StoreAnswer &Answer, Effect Kind) {
   std::string Text = "platform answered " + std::to_string(Answer.Status);
   // 503 and 429 say that the operation was refused; another status of the 5xx
   // class says nothing about its effect.
@@ -38,7 +38,7 @@
                    std::string("platform answer has no valid ") + What);
 }
 
-Result<json::object> parseObject(const HttpAnswer &Answer) {
+Result<json::object> parseObject(const StoreAnswer &Answer) {
   json::error_code Code;
   json::value Parsed = json::parse(Answer.Body, Code);
   if (Code || !Parsed.is_object())
--- a/lib/Settings/NodeSettings.cpp
+++ b/lib/Settings/NodeSettings.cpp
@@ -1,11 +1,9 @@
 #include "teaselhitch/Settings/NodeSettings.h"
 
 #include "SettingsReader.h"
-
 #include "teaselhitch/Support/Name.h"
 
 #include <arpa/inet.h>
-
 #include <array>
 #include <charconv>
 
@@ -47,8 +45,8 @@
 void readPlatform(SettingsReader &Reader, NodeSettings &S) {
   Reader.section("platform");
   S.Platform = Reader.endpoint("address");
-  S.PlatformTimeout = Reader.duration("timeout_ms", S.PlatformTimeout, 10,
-                                      60000);
+  S.PlatformTimeout =
+      Reader.duration("timeout_ms", S.PlatformTimeout, 10, 60000);
   S.HeadPollInterval =
       Reader.duration("head_poll_ms", S.HeadPollInterval, 100, 3600000);
 }
@@ -59,9 +57,9 @@
   S.MaxHeaderBytes = static_cast<std::uint32_t>(
       Reader.integer("max_header_bytes", S.MaxHeaderBytes, 1024, MaxBytes));
   // A whole message has to fit into one frame between nodes.
-  S.MaxBodyBytes = static_cast<std::uint64_t>(Reader.integer(
-      "max_body_bytes", static_cast<std::int64_t>(S.MaxBodyBytes), 0,
-      MaxBytes));
+  S.MaxBodyBytes = static_cast<std::uint64_t>(
+      Reader.integer("max_body_bytes",
+                     static_cast<std::int64_t>(S.MaxBodyBytes), 0, MaxBytes));
   S.MaxAnswerBytes = static_cast<std::uint64_t>(Reader.integer(
       "max_answer_bytes", static_cast<std::int64_t>(S.MaxAnswerBytes), 1024,
       MaxBytes));
--- a/lib/Settings/SettingsReader.cpp
+++ b/lib/Settings/SettingsReader.cpp
@@ -28,8 +28,8 @@
   try {
     Parsed->Root = toml::parse(Text);
   } catch (const toml::parse_error &E) {
-    Faults.push_back(SettingsFault{E.source().begin.line, "",
-                                   std::string(E.description())});
+    Faults.push_back(
+        SettingsFault{E.source().begin.line, "", std::string(E.description())});
   }
 }
 
@@ -155,9 +155,9 @@
     if (Address)
       Result.push_back(*Address);
     else
-      Faults.push_back(SettingsFault{
-          lineOf(Item), Section + "." + Key,
-          "each item must be an IP address and port in quotes"});
+      Faults.push_back(
+          SettingsFault{lineOf(Item), Section + "." + Key,
+                        "each item must be an IP address and port in quotes"});
   }
   return Result;
 }
@@ -178,8 +178,7 @@
 Duration SettingsReader::duration(const std::string &Key, Duration Default,
                                   std::int64_t MinMs, std::int64_t MaxMs) {
   auto DefaultMs = static_cast<std::int64_t>(Default.ms());
-  return Duration(
-      static_cast<double>(integer(Key, DefaultMs, MinMs, MaxMs)));
+  return Duration(static_cast<double>(integer(Key, DefaultMs, MinMs, MaxMs)));
 }
 
 void SettingsReader::reportUnknown() {
@@ -190,9 +189,9 @@
     std::string Name(Key.str());
     auto Known = KnownKeys.find(Name);
     if (Known == KnownKeys.end()) {
-      Faults.push_back(SettingsFault{lineOf(Node), Name,
-                                     "unknown table or key" +
-                                         suggestName(Name, Sections)});
+      Faults.push_back(
+          SettingsFault{lineOf(Node), Name,
+                        "unknown table or key" + suggestName(Name, Sections)});
       continue;
     }
     const toml::table *Table = Node.as_table();
@@ -202,9 +201,9 @@
     for (const auto &[Inner, Value] : *Table) {
       std::string InnerName(Inner.str());
       if (Known->second.count(InnerName) == 0)
-        Faults.push_back(SettingsFault{lineOf(Value), Name + "." + InnerName,
-                                       "unknown key" +
-                                           suggestName(InnerName, Keys)});
+        Faults.push_back(
+            SettingsFault{lineOf(Value), Name + "." + InnerName,
+                          "unknown key" + suggestName(InnerName, Keys)});
     }
   }
 }
--- a/lib/Settings/SettingsReader.h
+++ b/lib/Settings/SettingsReader.h
@@ -25,8 +25,8 @@
   void section(const std::string &Name);
 
   // Each reads a key of the section, notes a fault if it is missing (unless
-  // there is a default), has the wrong type or is out of range, and then returns
-  // a placeholder.
+  // there is a default), has the wrong type or is out of range, and then
+  // returns a placeholder.
   std::string name(const std::string &Key, const std::string &Default = "");
   std::string text(const std::string &Key, const std::string &Default);
   std::string choice(const std::string &Key, const std::string &Default,
--- a/lib/Wire/FrameCodec.cpp
+++ b/lib/Wire/FrameCodec.cpp
@@ -1,7 +1,6 @@
 #include "teaselhitch/Wire/FrameCodec.h"
 
 #include "MessageSerialize.h"
-
 #include "teaselhitch/Wire/DatagramCodec.h"
 
 #include <cereal/archives/portable_binary.hpp>
--- a/lib/Wire/Serialize.h
+++ b/lib/Wire/Serialize.h
@@ -164,6 +164,7 @@
 void codeQuarantine(ArchiveT &Ar, RecordT &Record) {
   Ar(Record.Fingerprint);
   codeVarint(Ar, Record.RemainingMs);
+  Ar(Record.Crash, Record.Repeated);
 }
 
 /// A hash of 64 hexadecimal digits takes 32 bytes, other text is sent as it is.
--- a/tools/teaselhitch/Main.cpp
+++ b/tools/teaselhitch/Main.cpp
@@ -4,7 +4,6 @@
 #include "ConfigCommands.h"
 #include "NodeCommand.h"
 #include "NodeQueries.h"
-
 #include "teaselhitch/Platform/HttpStores.h"
 #include "teaselhitch/Settings/NodeSettings.h"
 #include "teaselhitch/Support/NearestName.h"
@@ -63,8 +62,8 @@
   if (Command == "node")
     return runNodeCommand(Args);
   if (Command == "config")
-    return runConfig(Args, systemConfigEnvironment(std::cout, std::cerr,
-                                                   openStores));
+    return runConfig(Args,
+                     systemConfigEnvironment(std::cout, std::cerr, openStores));
   if (Command == "status")
     return runStatusCommand(Args);
   if (Command == "audit")
--- a/tools/teaselhitch/NodeCommand.cpp
+++ b/tools/teaselhitch/NodeCommand.cpp
@@ -2,7 +2,6 @@
 
 #include "ConfigCommands.h"
 #include "Options.h"
-
 #include "teaselhitch/Node/Node.h"
 #include "teaselhitch/Routing/Balancer.h"
 #include "teaselhitch/Support/Log.h"
@@ -68,12 +67,11 @@
   std::string Fault;
   ReadOptions Read = handleError(
       [&] {
-        return readOptions(
-            "teaselhitch node", Args,
-            {{"settings", "file with the settings of the node", "FILE", &Path,
-              nullptr},
-             {"check", "check the settings and exit", nullptr, nullptr,
-              &CheckOnly}});
+        return readOptions("teaselhitch node", Args,
+                           {{"settings", "file with the settings of the node",
+                             "FILE", &Path, nullptr},
+                            {"check", "check the settings and exit", nullptr,
+                             nullptr, &CheckOnly}});
       },
       [&](const Error &E) {
         Fault = E.Message;
--- a/tools/teaselhitch/NodeQueries.cpp
+++ b/tools/teaselhitch/NodeQueries.cpp
@@ -2,7 +2,6 @@
 
 #include "ConfigCommands.h"
 #include "Options.h"
-
 #include "teaselhitch/Platform/HttpCall.h"
 #include "teaselhitch/Settings/NodeSettings.h"
 
@@ -62,9 +61,8 @@
   std::cout << "\nnodes\n";
   forEachObject(View.if_contains("nodes"), [](const json::object &Node) {
     std::cout << "  " << std::left << std::setw(20) << field(Node, "name")
-              << std::setw(16) << field(Node, "failure_domain")
-              << std::setw(24) << field(Node, "address")
-              << field(Node, "state") << '\n';
+              << std::setw(16) << field(Node, "failure_domain") << std::setw(24)
+              << field(Node, "address") << field(Node, "state") << '\n';
   });
   for (const auto &Service : objectField(View, "services")) {
     std::cout << "\nservice " << Service.key() << '\n';
@@ -103,16 +101,16 @@
   bool Json = false;
   auto Report = [&](const Error &E) {
     std::cerr << Name << ": " << E.Message << '\n';
-    return E.Code == ErrorCode::InvalidInput ? static_cast<int>(ExitBadInput)
-                                             : static_cast<int>(ExitUnreachable);
+    return E.Code == ErrorCode::InvalidInput
+               ? static_cast<int>(ExitBadInput)
+               : static_cast<int>(ExitUnreachable);
   };
   auto Run = [&]() -> Result<int> {
     BOOST_LEAF_AUTO(
-        Read,
-        readOptions(Name, Args,
-                    {{"node", "operator address of the node", "ADDRESS:PORT",
-                      &Address, nullptr},
-                     {"json", "print JSON", nullptr, nullptr, &Json}}));
+        Read, readOptions(Name, Args,
+                          {{"node", "operator address of the node",
+                            "ADDRESS:PORT", &Address, nullptr},
+                           {"json", "print JSON", nullptr, nullptr, &Json}}));
     if (Read.HelpShown)
       return static_cast<int>(ExitDone);
     std::optional<Endpoint> Node = parseEndpoint(Address);
--- a/unittests/Routing/RoutingTest.cpp
+++ b/unittests/Routing/RoutingTest.cpp
@@ -59,13 +59,13 @@
     Group G;
     G.Name = GroupName("g");
     G.Service = S.Name;
-    Config->Objects = ObjectSet{{S},
-                                {G},
-                                {makeRule("all", "", "/"),
-                                 makeRule("any", "", "/a/b"),
-                                 makeRule("get", "GET", "/a/b")},
-                                {},
-                                {}};
+    Config->Objects =
+        ObjectSet{{S},
+                  {G},
+                  {makeRule("all", "", "/"), makeRule("any", "", "/a/b"),
+                   makeRule("get", "GET", "/a/b")},
+                  {},
+                  {}};
     RuleTable Table(Config);
     struct Case {
       const char *Method;
@@ -133,8 +133,7 @@
         makeCandidates(6, Distance::OtherDomain);
     Candidates[2].Away = Distance::OwnInstance;
     for (int I = 0; I != 100; ++I)
-      CPPUNIT_ASSERT_EQUAL(std::size_t(2),
-                           *Chosen->choose(Candidates, Random));
+      CPPUNIT_ASSERT_EQUAL(std::size_t(2), *Chosen->choose(Candidates, Random));
     Candidates[2].InProgress = 12;
     int Elsewhere = 0;
     for (int I = 0; I != 100; ++I)
