Guard: add guard-bound keys and the quarantine of crashing requests

A guard-bound key must run at most one attempt without a platform write, and a request that crashes its backend server must not take one after the other.

GuardKeys counts keys when they are issued, so that an issued key can always be used and a used one is never forgotten before it expires. The key is checked before any other ground for refusal, because a caller that repeats a used key must not be told not-run.

CrashTable marks what ran at a crash, clears what is answered, lets one marked attempt run at a time, and holds a fingerprint after a second crash until the burst of crashes is over. Ruled out: quarantine at the second crash at once, which blamed ordinary requests in rolling waves; a crash of an idle server is therefore recorded too, from its silence or its restart.

--- a/include/teaselhitch/Guard/Guard.h
+++ b/include/teaselhitch/Guard/Guard.h
@@ -102,6 +102,7 @@
   std::uint64_t Fingerprint = 0;
   /// Identifies the crash: hash of node, backend server and its incarnation.
   std::uint64_t Crash = 0;
+  ServiceName Service;
   /// It is the second crash of a request that was sent again. Receivers refuse
   /// the request until the sending guard has decided on a quarantine.
   bool Repeated = false;
--- a/lib/Guard/GuardCore.cpp
+++ b/lib/Guard/GuardCore.cpp
@@ -5,7 +5,8 @@
 namespace teaselhitch {
 
 GuardCore::GuardCore(GuardSettings NewSettings)
-    : Settings(std::move(NewSettings)), Servers(Settings) {}
+    : Settings(std::move(NewSettings)), Servers(Settings), Keys(Settings),
+      Crashes(Settings) {}
 
 GuardActions GuardCore::configure(std::shared_ptr<const ActiveConfig> NewConfig,
                                   Time Now) {
@@ -24,9 +25,12 @@
   if (!Change)
     return Change.error();
   GuardActions Out;
-  if (Change->Restarted)
-    endInterrupted(A.Name, A.Incarnation,
-                   Change->Before != BackendServerState::Draining, Out);
+  if (Change->Restarted) {
+    bool Crashed = Change->Before != BackendServerState::Draining;
+    if (Crashed)
+      recordCrash(A.Name, Change->IncarnationBefore, Now, Out);
+    endInterrupted(A.Name, A.Incarnation, Crashed, Out);
+  }
   settle(A.Service, Now, Out);
   if (Change->ServiceBefore != A.Service)
     settle(Change->ServiceBefore, Now, Out);
@@ -34,8 +38,14 @@
   return Out;
 }
 
-KeyMinted GuardCore::mintKey(const MintKey &Request, Time) {
-  return {Request.Token, {}, {}};
+KeyMinted GuardCore::mintKey(const MintKey &Request, Time Now) {
+  KeyMinted Reply{Request.Token, {}, {}};
+  if (Draining || !Servers.isServed(Request.Service))
+    return Reply;
+  Reply.Key = Keys.mint(Now);
+  if (!Reply.Key.empty())
+    Reply.ValidFor = Settings.KeyLifetime;
+  return Reply;
 }
 
 GuardActions GuardCore::setHealth(const BackendServerName &Name,
@@ -51,9 +61,13 @@
   return Out;
 }
 
-void GuardCore::quarantine(const Quarantine &, Time) {}
+void GuardCore::quarantine(const Quarantine &Q, Time Now) {
+  Crashes.heardQuarantine(Q, Now);
+}
 
-void GuardCore::crashMark(const CrashMark &, Time) {}
+void GuardCore::crashMark(const CrashMark &Mark, Time Now) {
+  Crashes.heardMark(Mark, Now);
+}
 
 GuardActions GuardCore::drain(Time) {
   Draining = true;
@@ -71,14 +85,16 @@
 
 GuardActions GuardCore::tick(Time Now) {
   GuardActions Out;
-  Servers.tick(Now);
+  for (const BackendServerName &Name : Servers.tick(Now))
+    Crashes.crashed(crashId(Name, Servers.find(Name)->Incarnation), {}, Now,
+                    Out);
+  Keys.expire(Now);
+  Crashes.tick(Servers.heard(CrashTable::CrashMemory, Now), Now, Out);
   abortOverdue(Now, Out);
   dropExpired(Now, Out);
   settleAll(Now, Out);
-  for (auto It = Queues.begin(); It != Queues.end();) {
-    It->second.Shares.tick(It->second.Queue, Now);
-    ++It;
-  }
+  for (auto &[Service, Q] : Queues)
+    Q.Shares.tick(Q.Queue, Now);
   Servers.publish(Out);
   return Out;
 }
--- a/lib/Guard/GuardCore.h
+++ b/lib/Guard/GuardCore.h
@@ -2,12 +2,15 @@
 #define TEASELHITCH_LIB_GUARD_GUARDCORE_H
 
 #include "AdmissionQueue.h"
+#include "CrashTable.h"
 #include "FairShares.h"
+#include "GuardKeys.h"
 #include "ServerTable.h"
 #include "teaselhitch/Guard/Guard.h"
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -50,6 +53,12 @@
     /// An AbortAttempt was given out.
     bool Aborted = false;
     bool Trial = false;
+    /// Runs in the single place for fingerprints that were in a crash.
+    bool Suspect = false;
+    /// The crash of its server is recorded.
+    bool CrashRecorded = false;
+    /// Sequence of its guard-bound key.
+    std::optional<std::uint64_t> Key;
     /// The rest is set while it runs.
     BackendServerName Server;
     std::uint64_t ServerIncarnation = 0;
@@ -69,10 +78,16 @@
 
   // GuardDispatch.cpp: who waits and who starts.
   void admit(Attempt &A, Time Now, GuardActions &Out);
+  Attempt &store(Attempt A);
   bool tryStart(Attempt &A, Time Now, GuardActions &Out);
   void start(Attempt &A, GuardedServer &Server, bool Direct, Time Now,
              GuardActions &Out);
   void startWaiting(const ServiceName &Service, Time Now, GuardActions &Out);
+  /// Starts, moves or refuses the first attempt of a line.
+  void advance(ServiceQueue &Q, const OrganisationName &Line, Time Now,
+               GuardActions &Out);
+  /// The attempt has to wait until no other suspect runs.
+  bool isBlockedSuspect(const Attempt &A) const;
   /// Brings the queue of a service in line with its servers: refuses what no
   /// server can take and starts what can run.
   void settle(const ServiceName &Service, Time Now, GuardActions &Out);
@@ -86,7 +101,8 @@
 
   // GuardEnds.cpp: how attempts end.
   /// Takes a waiting attempt out and refuses it.
-  void refuseWaiting(const AttemptId &Id, Reason Why, GuardActions &Out);
+  void refuseWaiting(const AttemptId &Id, Reason Why, GuardActions &Out,
+                     Duration RetryAfter = {});
   void refuse(const DispatchInfo &Info, Reason Why, Duration RetryAfter,
               GuardActions &Out);
   /// Tells the entry how a running attempt ended, once.
@@ -96,6 +112,11 @@
   /// Ends the attempts of a server that started again.
   void endInterrupted(const BackendServerName &Name, std::uint64_t Incarnation,
                       bool Crashed, GuardActions &Out);
+  std::uint64_t crashId(const BackendServerName &Name,
+                        std::uint64_t Incarnation) const;
+  /// Records a crash with all attempts that ran on the server.
+  void recordCrash(const BackendServerName &Name, std::uint64_t Incarnation,
+                   Time Now, GuardActions &Out);
   void reportResult(Attempt &A, const RunResult &Result, GuardActions &Out);
   void release(const Attempt &A, Time Now);
 
@@ -105,6 +126,9 @@
   ServerTable Servers;
   std::map<ServiceName, ServiceQueue> Queues;
   std::map<AttemptId, Attempt> Attempts;
+  GuardKeys Keys;
+  CrashTable Crashes;
+  bool SuspectRunning = false;
   std::uint64_t NextOrder = 0;
   bool Draining = false;
 };
--- a/lib/Guard/GuardDispatch.cpp
+++ b/lib/Guard/GuardDispatch.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <cassert>
+#include <utility>
+#include <variant>
 
 namespace teaselhitch {
 
@@ -17,6 +19,10 @@
 /// Limit::QueuePerSlot.
 constexpr std::uint32_t DefaultQueuePerSlot = 4;
 
+/// The line of attempts whose fingerprint was in a crash. It is not a valid
+/// name, so no organisation can have it.
+const OrganisationName SuspectLine("?suspects");
+
 const Organisation *findOrganisation(const ActiveConfig *Config,
                                      const OrganisationName &Name) {
   if (Config == nullptr)
@@ -37,6 +43,17 @@
   // A repeated message must not start the attempt again.
   if (Attempts.count(Info.Attempt) != 0)
     return Out;
+  Attempt A;
+  // Before all else: a caller who sends a used key again must not be told that
+  // the request was not run.
+  if (!Info.GuardKey.empty()) {
+    auto Checked = Keys.check(Info.GuardKey, Now);
+    if (const Reason *Why = std::get_if<Reason>(&Checked)) {
+      refuse(Info, *Why, {}, Out);
+      return Out;
+    }
+    A.Key = std::get<std::uint64_t>(Checked);
+  }
   if (Draining) {
     refuse(Info, Reason::Draining, {}, Out);
     return Out;
@@ -46,18 +63,22 @@
     refuse(Info, Reason::DeadlineExpired, {}, Out);
     return Out;
   }
-  Attempt A;
+  if (Crashes.standing(Info.Fingerprint) == CrashTable::Standing::Refused) {
+    refuse(Info, Reason::Quarantined, Crashes.refusedFor(Info.Fingerprint, Now),
+           Out);
+    return Out;
+  }
   A.Info = Info;
   A.Deadline = Now + std::min(Info.Remaining, MaxRemaining);
   A.Order = NextOrder++;
-  A.Payer = payer(Info.Organisation);
+  A.Payer = isBlockedSuspect(A) ? SuspectLine : payer(Info.Organisation);
   admit(A, Now, Out);
   return Out;
 }
 
 void GuardCore::admit(Attempt &A, Time Now, GuardActions &Out) {
   const ServiceName &Service = A.Info.Service;
-  if (tryStart(A, Now, Out))
+  if (!isBlockedSuspect(A) && tryStart(A, Now, Out))
     return;
   if (!Servers.isServed(Service)) {
     refuse(A.Info, reasonUnserved(Service), {}, Out);
@@ -68,7 +89,7 @@
   switch (Q.Shares.admit(A.Payer, Q.Queue, queueLimit(Service), Now)) {
   case Admission::Admit:
     Q.Queue.insert(A.Payer, A.queued());
-    Attempts.emplace(A.Info.Attempt, A);
+    store(A);
     return;
   case Admission::QueueFull:
     refuse(A.Info, Reason::QueueFull, retryAfter(Service), Out);
@@ -79,6 +100,18 @@
   }
 }
 
+GuardCore::Attempt &GuardCore::store(Attempt A) {
+  if (A.Key)
+    Keys.hold(*A.Key);
+  AttemptId Id = A.Info.Attempt;
+  return Attempts.emplace(std::move(Id), std::move(A)).first->second;
+}
+
+bool GuardCore::isBlockedSuspect(const Attempt &A) const {
+  return SuspectRunning &&
+         Crashes.standing(A.Info.Fingerprint) == CrashTable::Standing::Suspect;
+}
+
 bool GuardCore::tryStart(Attempt &A, Time Now, GuardActions &Out) {
   const ServiceName &Service = A.Info.Service;
   bool MayBeTrial =
@@ -93,8 +126,7 @@
     return false;
   ServiceQueue &Q = Queues[Service];
   Q.Shares.arrived(A.Payer, share(A.Payer), Q.Queue.size(A.Payer) != 0, Now);
-  Attempt &Stored = Attempts.emplace(A.Info.Attempt, A).first->second;
-  start(Stored, *Server, Q.Queue.size() == 0, Now, Out);
+  start(store(A), *Server, Q.Queue.size() == 0, Now, Out);
   return true;
 }
 
@@ -107,6 +139,11 @@
   A.Server = Server.Record.Id.Name;
   A.ServerIncarnation = Server.Incarnation;
   A.StartedAt = Now;
+  A.Suspect =
+      Crashes.standing(A.Info.Fingerprint) == CrashTable::Standing::Suspect;
+  SuspectRunning |= A.Suspect;
+  if (A.Key)
+    Keys.use(*A.Key);
   A.Charged = Queues[A.Info.Service].Shares.started(A.Payer, Direct);
   Out.emplace_back(
       StartAttempt{A.Info.Attempt, A.Server, Server.Address, A.Deadline - Now});
@@ -118,21 +155,41 @@
   if (It == Queues.end())
     return;
   ServiceQueue &Q = It->second;
-  const auto Any = [](const OrganisationName &) { return true; };
+  const auto MayRun = [this](const OrganisationName &Line) {
+    return !SuspectRunning || Line != SuspectLine;
+  };
   while (Q.Queue.size() != 0 && Servers.choose(Service, {}, Now) != nullptr) {
     std::optional<OrganisationName> Next =
-        Q.Shares.next(Q.Queue, Servers.slots(Service), Any);
+        Q.Shares.next(Q.Queue, Servers.slots(Service), MayRun);
     if (!Next)
       return;
-    AttemptId Id = Q.Queue.lines().at(*Next).begin()->Attempt;
-    Attempt &A = Attempts.at(Id);
-    if (A.Deadline <= Now) {
-      refuseWaiting(Id, Reason::DeadlineExpired, Out);
-      continue;
-    }
-    Q.Queue.erase(*Next, A.queued());
-    start(A, *Servers.choose(Service, A.Info.Preferred, Now), false, Now, Out);
+    advance(Q, *Next, Now, Out);
+  }
+}
+
+void GuardCore::advance(ServiceQueue &Q, const OrganisationName &Line, Time Now,
+                        GuardActions &Out) {
+  AttemptId Id = Q.Queue.lines().at(Line).begin()->Attempt;
+  Attempt &A = Attempts.at(Id);
+  std::uint64_t Fingerprint = A.Info.Fingerprint;
+  if (A.Deadline <= Now) {
+    refuseWaiting(Id, Reason::DeadlineExpired, Out);
+    return;
+  }
+  if (Crashes.standing(Fingerprint) == CrashTable::Standing::Refused) {
+    refuseWaiting(Id, Reason::Quarantined, Out,
+                  Crashes.refusedFor(Fingerprint, Now));
+    return;
+  }
+  Q.Queue.erase(Line, A.queued());
+  if (isBlockedSuspect(A)) {
+    A.Payer = SuspectLine;
+    Q.Shares.arrived(A.Payer, DefaultShare, Q.Queue.size(A.Payer) != 0, Now);
+    Q.Queue.insert(A.Payer, A.queued());
+    return;
   }
+  GuardedServer *Server = Servers.choose(A.Info.Service, A.Info.Preferred, Now);
+  start(A, *Server, false, Now, Out);
 }
 
 void GuardCore::settle(const ServiceName &Service, Time Now,
--- a/lib/Guard/GuardEnds.cpp
+++ b/lib/Guard/GuardEnds.cpp
@@ -1,6 +1,8 @@
 #include "GuardCore.h"
+#include "teaselhitch/Support/Hash.h"
 
 #include <cassert>
+#include <string>
 #include <utility>
 
 namespace teaselhitch {
@@ -43,12 +45,21 @@
       Server != nullptr && Server->Incarnation == It->second.ServerIncarnation;
   if (Same && Result.End == RunEnd::ConnectFailed)
     Server->PausedUntil = Now + ConnectPause;
+  if (Result.End == RunEnd::Crashed && !It->second.CrashRecorded)
+    recordCrash(It->second.Server, It->second.ServerIncarnation, Now, Out);
   if (Same && Result.End == RunEnd::Crashed)
     Servers.setGone(*Server);
+  if (Result.End == RunEnd::Answered)
+    Crashes.answered(It->second.Info.Fingerprint);
   reportResult(It->second, Result, Out);
   release(It->second, Now);
   ServiceName Service = It->second.Info.Service;
+  bool WasSuspect = It->second.Suspect;
   Attempts.erase(It);
+  if (WasSuspect) {
+    SuspectRunning = false;
+    settleAll(Now, Out);
+  }
   settle(Service, Now, Out);
   Servers.publish(Out);
   return Out;
@@ -63,12 +74,14 @@
 }
 
 void GuardCore::refuseWaiting(const AttemptId &Id, Reason Why,
-                              GuardActions &Out) {
+                              GuardActions &Out, Duration RetryAfter) {
   auto It = Attempts.find(Id);
   assert(It != Attempts.end() && !It->second.Running && "the attempt waits");
   const Attempt &A = It->second;
   Queues[A.Info.Service].Queue.erase(A.Payer, A.queued());
-  refuse(A.Info, Why, {}, Out);
+  refuse(A.Info, Why, RetryAfter, Out);
+  if (A.Key)
+    Keys.release(*A.Key);
   Attempts.erase(It);
 }
 
@@ -106,6 +119,25 @@
   }
 }
 
+std::uint64_t GuardCore::crashId(const BackendServerName &Name,
+                                 std::uint64_t Incarnation) const {
+  return hash64(Settings.Node.str() + "/" + Name.str() + "/" +
+                std::to_string(Incarnation));
+}
+
+void GuardCore::recordCrash(const BackendServerName &Name,
+                            std::uint64_t Incarnation, Time Now,
+                            GuardActions &Out) {
+  std::vector<CrashTable::Ran> Running;
+  for (auto &[Id, A] : Attempts) {
+    if (!A.Running || A.Server != Name || A.ServerIncarnation != Incarnation)
+      continue;
+    A.CrashRecorded = true;
+    Running.push_back({A.Info.Fingerprint, A.Info.Service, A.StartedAt});
+  }
+  Crashes.crashed(crashId(Name, Incarnation), Running, Now, Out);
+}
+
 void GuardCore::reportResult(Attempt &A, const RunResult &Result,
                              GuardActions &Out) {
   switch (Result.End) {
--- a/lib/Guard/ServerTable.cpp
+++ b/lib/Guard/ServerTable.cpp
@@ -81,6 +81,7 @@
   GuardedServer &Server = Servers[A.Name];
   Announced Change;
   Change.Before = Known ? Server.Record.State : BackendServerState::Gone;
+  Change.IncarnationBefore = Server.Incarnation;
   Change.ServiceBefore = Known ? Server.Record.Service : A.Service;
   Change.Restarted = Known && A.Incarnation != Server.Incarnation;
   bool Fresh = !Known || Change.Restarted;
@@ -131,14 +132,20 @@
   Server.Record.State = BackendServerState::Gone;
 }
 
-void ServerTable::tick(Time Now) {
+std::vector<BackendServerName> ServerTable::tick(Time Now) {
+  std::vector<BackendServerName> Silenced;
   if (!Born)
     Born = Now;
   for (auto It = Servers.begin(); It != Servers.end();) {
     GuardedServer &Server = It->second;
     Duration Silent = Now - Server.LastHeard;
-    if (Silent > Settings.AnnouncementTimeout)
+    if (Silent > Settings.AnnouncementTimeout) {
+      BackendServerState Before = Server.Record.State;
+      if (Before != BackendServerState::Gone &&
+          Before != BackendServerState::Draining)
+        Silenced.push_back(It->first);
       setGone(Server);
+    }
     updateWeight(Server, Now);
     if (Silent > GoneRetention && Server.InProgress == 0) {
       LastPublished.erase(It->first);
@@ -147,6 +154,7 @@
     }
     ++It;
   }
+  return Silenced;
 }
 
 void ServerTable::publish(GuardActions &Out) {
@@ -210,6 +218,12 @@
   return Sum;
 }
 
+std::size_t ServerTable::heard(Duration Within, Time Now) const {
+  return std::count_if(Servers.begin(), Servers.end(), [&](const auto &Entry) {
+    return Now - Entry.second.LastHeard <= Within;
+  });
+}
+
 void ServerTable::beginSlowStart(GuardedServer &Server, Time Now) {
   Server.SlowStartAt = Now;
   Server.SlowStartWeight = SlowStartStepPercent;
--- a/lib/Guard/ServerTable.h
+++ b/lib/Guard/ServerTable.h
@@ -54,6 +54,7 @@
     /// The server started again; Before tells what it was.
     bool Restarted = false;
     BackendServerState Before = BackendServerState::Gone;
+    std::uint64_t IncarnationBefore = 0;
     ServiceName ServiceBefore;
   };
 
@@ -70,8 +71,9 @@
   void setGone(GuardedServer &Server);
 
   /// Advances slow starts, expires silent servers and forgets the ones that
-  /// are gone for long.
-  void tick(Time Now);
+  /// are gone for long. The result lists the servers that fell silent without
+  /// draining.
+  std::vector<BackendServerName> tick(Time Now);
 
   /// Appends a record for each server whose published properties changed since
   /// the last call.
@@ -92,6 +94,9 @@
   /// Slots of the servers of the service that take new work.
   std::uint32_t slots(const ServiceName &Service) const;
 
+  /// Number of servers that were heard within Within.
+  std::size_t heard(Duration Within, Time Now) const;
+
   const std::map<BackendServerName, GuardedServer> &servers() const {
     return Servers;
   }
