Carry the service of a crash in gossip

Cause: the guard's crash mark names the service of the backend server, and the quarantine record of the membership did not. Change: QuarantineRecord and its key carry the service; the codec and its size bound follow. Ruled out: a separate record kind, because quarantines and crashes have the same life and bounds.

--- a/include/teaselhitch/Membership/Membership.h
+++ b/include/teaselhitch/Membership/Membership.h
@@ -31,6 +31,8 @@
   std::uint64_t Crash = 0;
   /// For a crash: it is the second of a request that was sent again.
   bool Repeated = false;
+  /// For a crash: the service of the backend server.
+  ServiceName Service;
 
   auto operator<=>(const QuarantineRecord &) const = default;
 };
--- a/lib/Membership/DatagramSize.cpp
+++ b/lib/Membership/DatagramSize.cpp
@@ -86,7 +86,7 @@
 
 bool DatagramSize::add(const QuarantineRecord &Record, std::size_t Limit) {
   return commit(sizeof(Record.Fingerprint) + varintBytes(Record.RemainingMs) +
-                    sizeof(Record.Crash) + 1,
+                    sizeof(Record.Crash) + 1 + textBytes(Record.Service.str()),
                 Limit);
 }
 
--- a/lib/Membership/GossipQueue.h
+++ b/lib/Membership/GossipQueue.h
@@ -15,6 +15,16 @@
 
 namespace teaselhitch {
 
+/// Identity of a QuarantineRecord.
+struct QuarantineKey {
+  std::uint64_t Fingerprint = 0;
+  std::uint64_t Crash = 0;
+  bool Repeated = false;
+  ServiceName Service;
+
+  auto operator<=>(const QuarantineKey &) const = default;
+};
+
 /// Identifies something that spreads by gossip.
 struct GossipItem {
   enum class Kind : std::uint8_t { Head, Node, Server, Quarantine };
@@ -23,23 +33,19 @@
   NodeName Node;
   /// For Server.
   BackendServerName Server;
-  // For Quarantine, as in QuarantineRecord.
-  std::uint64_t Fingerprint = 0;
-  std::uint64_t Crash = 0;
-  bool Repeated = false;
+  QuarantineKey Quarantined;
 
   auto operator<=>(const GossipItem &) const = default;
 
   static GossipItem head() { return {}; }
   static GossipItem node(NodeName Name) {
-    return {Kind::Node, std::move(Name), {}, 0, 0, false};
+    return {Kind::Node, std::move(Name), {}, {}};
   }
   static GossipItem server(BackendServerId Id) {
-    return {Kind::Server, std::move(Id.Node), std::move(Id.Name), 0, 0, false};
+    return {Kind::Server, std::move(Id.Node), std::move(Id.Name), {}};
   }
-  static GossipItem quarantine(std::uint64_t Fingerprint,
-                               std::uint64_t Crash = 0, bool Repeated = false) {
-    return {Kind::Quarantine, {}, {}, Fingerprint, Crash, Repeated};
+  static GossipItem quarantine(QuarantineKey Key) {
+    return {Kind::Quarantine, {}, {}, std::move(Key)};
   }
 };
 
--- a/lib/Membership/Membership.cpp
+++ b/lib/Membership/Membership.cpp
@@ -167,14 +167,13 @@
                                       Time Now) {
   QuarantineKey Key = keyOf(Record);
   storeQuarantine(Key, Now + Duration(Record.RemainingMs), Now);
-  Queue.add(itemOf(Key));
+  Queue.add(GossipItem::quarantine(Key));
 }
 
 void MembershipCore::storeQuarantine(const QuarantineKey &Key, Time Until,
                                      Time Now) {
   std::erase_if(Quarantines, [&](const auto &Q) { return Q.second <= Now; });
-  if (Quarantines.size() >= MaxQuarantines &&
-      Quarantines.count(Key) == 0) {
+  if (Quarantines.size() >= MaxQuarantines && Quarantines.count(Key) == 0) {
     auto EndsFirst = [](const auto &A, const auto &B) {
       return A.second < B.second;
     };
--- a/lib/Membership/MembershipCore.cpp
+++ b/lib/Membership/MembershipCore.cpp
@@ -422,7 +422,7 @@
     return Taken;
   }
   if (Item.What == GossipItem::Kind::Quarantine) {
-    auto It = Quarantines.find({Item.Fingerprint, Item.Crash, Item.Repeated});
+    auto It = Quarantines.find(Item.Quarantined);
     if (It == Quarantines.end() || It->second <= Now)
       return Obsolete;
     return Add(Changes.Quarantines, recordOf(It->first, It->second - Now));
--- a/lib/Membership/MembershipCore.h
+++ b/lib/Membership/MembershipCore.h
@@ -14,26 +14,13 @@
 
 namespace teaselhitch {
 
-/// Identity of a QuarantineRecord.
-struct QuarantineKey {
-  std::uint64_t Fingerprint = 0;
-  std::uint64_t Crash = 0;
-  bool Repeated = false;
-
-  auto operator<=>(const QuarantineKey &) const = default;
-};
-
 inline QuarantineKey keyOf(const QuarantineRecord &Record) {
-  return {Record.Fingerprint, Record.Crash, Record.Repeated};
-}
-
-inline GossipItem itemOf(const QuarantineKey &Key) {
-  return GossipItem::quarantine(Key.Fingerprint, Key.Crash, Key.Repeated);
+  return {Record.Fingerprint, Record.Crash, Record.Repeated, Record.Service};
 }
 
 inline QuarantineRecord recordOf(const QuarantineKey &Key, Duration Rest) {
   return {Key.Fingerprint, static_cast<std::uint32_t>(Rest.ms()), Key.Crash,
-          Key.Repeated};
+          Key.Repeated, Key.Service};
 }
 
 class MembershipCore final : public Membership {
--- a/lib/Membership/MembershipMerge.cpp
+++ b/lib/Membership/MembershipMerge.cpp
@@ -241,11 +241,11 @@
   QuarantineKey Key = keyOf(Record);
   auto It = Quarantines.find(Key);
   if (It != Quarantines.end() && Until <= It->second + QuarantineTolerance) {
-    Queue.noteDuplicate(itemOf(Key), transmitLimit());
+    Queue.noteDuplicate(GossipItem::quarantine(Key), transmitLimit());
     return;
   }
   storeQuarantine(Key, Until, M.Now);
-  M.Learned.push_back(itemOf(Key));
+  M.Learned.push_back(GossipItem::quarantine(Key));
   M.Out.emplace_back(QuarantineSeen{recordOf(Key, Rest)});
 }
 
--- a/lib/Node/PeersDuty.cpp
+++ b/lib/Node/PeersDuty.cpp
@@ -178,13 +178,13 @@
                    Members->spreadQuarantine(
                        QuarantineRecord{M.Fingerprint,
                                         static_cast<std::uint32_t>(M.For.ms()),
-                                        0, false},
+                                        0, false, ServiceName()},
                        now());
                  },
                  [&](CrashMark &M) {
                    Members->spreadQuarantine(
                        QuarantineRecord{M.Fingerprint, CrashMarkMs, M.Crash,
-                                        M.Repeated},
+                                        M.Repeated, M.Service},
                        now());
                  }},
       Message);
@@ -244,7 +244,7 @@
 void PeersDuty::perform(const QuarantineSeen &Action) {
   const QuarantineRecord &R = Action.Record;
   if (R.Crash != 0)
-    toBackends(CrashMark{R.Fingerprint, R.Crash, R.Repeated});
+    toBackends(CrashMark{R.Fingerprint, R.Crash, R.Service, R.Repeated});
   else
     toBackends(Quarantine{R.Fingerprint, Duration(R.RemainingMs)});
 }
--- a/lib/Wire/Serialize.h
+++ b/lib/Wire/Serialize.h
@@ -161,10 +161,11 @@
 }
 
 template <typename ArchiveT, typename RecordT>
-void codeQuarantine(ArchiveT &Ar, RecordT &Record) {
+void codeQuarantine(ArchiveT &Ar, RecordT &Record, CodingState &State) {
   Ar(Record.Fingerprint);
   codeVarint(Ar, Record.RemainingMs);
   Ar(Record.Crash, Record.Repeated);
+  codeName(Ar, Record.Service, State, true);
 }
 
 /// A hash of 64 hexadecimal digits takes 32 bytes, other text is sent as it is.
@@ -216,7 +217,7 @@
   codeList(Ar, Changes.Servers,
            [&](auto &Record) { codeServer(Ar, Record, State); });
   codeList(Ar, Changes.Quarantines,
-           [&](auto &Record) { codeQuarantine(Ar, Record); });
+           [&](auto &Record) { codeQuarantine(Ar, Record, State); });
   codeHead(Ar, Changes.Head);
 }
 
@@ -266,7 +267,7 @@
   else if constexpr (std::is_same_v<T, BackendServerRecord>)
     codeServer(Ar, Value, State);
   else if constexpr (std::is_same_v<T, QuarantineRecord>)
-    codeQuarantine(Ar, Value);
+    codeQuarantine(Ar, Value, State);
   else if constexpr (std::is_same_v<T, ConfigHead>)
     codeHead(Ar, Value);
   else if constexpr (std::is_same_v<T, Delta>)
--- a/unittests/Membership/GossipQueueTest.cpp
+++ b/unittests/Membership/GossipQueueTest.cpp
@@ -16,10 +16,10 @@
   void orderAndLimit() {
     GossipQueue Queue;
     for (std::uint64_t F : {1, 2, 3})
-      Queue.add(GossipItem::quarantine(F));
+      Queue.add(GossipItem::quarantine({F, 0, false, {}}));
     std::vector<std::uint64_t> Sent;
     auto TakeTwo = [&](const GossipItem &Item) {
-      Sent.push_back(Item.Fingerprint);
+      Sent.push_back(Item.Quarantined.Fingerprint);
       return Sent.size() > 2 ? GossipQueue::Verdict::DoesNotFit
                              : GossipQueue::Verdict::Taken;
     };
@@ -27,13 +27,13 @@
     CPPUNIT_ASSERT((Sent == std::vector<std::uint64_t>{3, 2, 1}));
     Sent.clear();
     auto TakeAll = [&](const GossipItem &Item) {
-      Sent.push_back(Item.Fingerprint);
+      Sent.push_back(Item.Quarantined.Fingerprint);
       return GossipQueue::Verdict::Taken;
     };
     Queue.take(1, 2, TakeAll);
     CPPUNIT_ASSERT((Sent == std::vector<std::uint64_t>{1, 3, 2}));
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), Queue.size());
-    Queue.noteDuplicate(GossipItem::quarantine(1), 2);
+    Queue.noteDuplicate(GossipItem::quarantine({1, 0, false, {}}), 2);
     CPPUNIT_ASSERT(Queue.empty());
   }
 };
--- a/unittests/Membership/MembershipTest.cpp
+++ b/unittests/Membership/MembershipTest.cpp
@@ -138,7 +138,7 @@
   /// it was quarantined.
   void quarantinesReachEveryNode() {
     TestNetwork Net(5, 9);
-    Net.Nodes[1].Core->spreadQuarantine({77, 600000, 0, false}, Net.Now);
+    Net.Nodes[1].Core->spreadQuarantine({77, 600000, 0, false, {}}, Net.Now);
     Net.advance(Duration::seconds(60));
     Membership &Holder = *Net.Nodes[0].Core;
     auto Parts = Holder.deltasFor(Digest(), 100);
@@ -146,9 +146,9 @@
     QuarantineRecord Held = Parts[0].Quarantines[0];
     CPPUNIT_ASSERT_EQUAL(std::uint64_t(77), Held.Fingerprint);
     CPPUNIT_ASSERT(Held.RemainingMs <= 542000 && Held.RemainingMs >= 538000);
-    auto Actions =
-        Net.Nodes[2].Core->apply({{}, {}, {{78, 5000}}, {}}, Net.Now);
-    MembershipActions Expected = {QuarantineSeen{{78, 5000, 0, false}}};
+    auto Actions = Net.Nodes[2].Core->apply(
+        {{}, {}, {{78, 5000, 0, false, {}}}, {}}, Net.Now);
+    MembershipActions Expected = {QuarantineSeen{{78, 5000, 0, false, {}}}};
     CPPUNIT_ASSERT(Actions == Expected);
   }
 
--- a/unittests/Wire/DatagramCodecTest.cpp
+++ b/unittests/Wire/DatagramCodecTest.cpp
@@ -99,7 +99,8 @@
     NodeRecord Node = randomNode(Random);
     BackendServerRecord Server = randomServer(Random);
     Server.Id.Node = Random.below(2) == 0 ? Node.Name : Server.Id.Node;
-    QuarantineRecord Quarantine{Random.next(), 600000, Random.next(), true};
+    QuarantineRecord Quarantine{Random.next(), 600000, Random.next(), true,
+                                ServiceName("seats")};
     if (Size.add(Node, Limit))
       Message.Changes.Nodes.push_back(Node);
     if (Size.add(Server, Limit))
