Add the stand-in backend server

Cause: the first end-to-end request needs a backend server that announces itself, and the failure tests need its gray failures to be switchable.

--- a/tools/teaselhitch-standin/Commands.h
+++ b/tools/teaselhitch-standin/Commands.h
@@ -8,6 +8,7 @@
 namespace teaselhitch::standin {
 
 int runPlatform(int Argc, const char **Argv);
+int runBackend(int Argc, const char **Argv);
 
 } // namespace teaselhitch::standin
 
--- a/tools/teaselhitch-standin/Main.cpp
+++ b/tools/teaselhitch-standin/Main.cpp
@@ -20,6 +20,7 @@
 
 constexpr Command Commands[] = {
     {"platform", runPlatform, "serve a table service and an object store"},
+    {"backend", runBackend, "serve requests as a backend server"},
 };
 
 void printHelp(std::ostream &Out) {
