Add the stand-in load client and the check of its records

Cause: the promises to callers (outcomes are truthful, no paid request runs twice, answers reach their own caller) need callers that record what they were told and a check against what backend servers ran.

Change: `teaselhitch-standin load` sends requests at a given rate (Poisson arrivals) over kept connections; `verify` compares its records with run counts. The internal HTTP connection of the store clients is renamed: HttpAnswer is also a type of Model.

Ruled out: counting closed idle connections as cut; the client looks at a kept connection before it uses it and marks the rest as cut_on_reused.

--- a/lib/Platform/HttpStores.cpp
+++ b/lib/Platform/HttpStores.cpp
@@ -1,6 +1,6 @@
 #include "teaselhitch/Platform/HttpStores.h"
 
-#include "HttpConnection.h"
+#include "PlatformConnection.h"
 #include "teaselhitch/Platform/Url.h"
 
 #include <boost/asio/ip/address.hpp>
@@ -19,12 +19,13 @@
 bool isSuccess(unsigned Status) { return Status >= 200 && Status < 300; }
 
 /// The error that an answer other than success, 404 or 409 stands for.
-boost::leaf::error_id statusError(const HttpAnswer &Answer, Effect Kind) {
+boost::leaf::error_id statusError(const PlatformAnswer &Answer,
+                                  RequestEffect Kind) {
   std::string Text = "platform answered " + std::to_string(Answer.Status);
   // 503 and 429 say that the operation was refused; another status of the 5xx
   // class says nothing about its effect.
   bool Refused = Answer.Status == 503 || Answer.Status == 429;
-  if (Answer.Status >= 500 && !Refused && Kind == Effect::Write)
+  if (Answer.Status >= 500 && !Refused && Kind == RequestEffect::Write)
     return makeError(ErrorCode::Timeout, std::move(Text));
   if (Answer.Status >= 500 || Refused)
     return makeError(ErrorCode::Unavailable, std::move(Text));
@@ -38,7 +39,7 @@
                    std::string("platform answer has no valid ") + What);
 }
 
-Result<json::object> parseObject(const HttpAnswer &Answer) {
+Result<json::object> parseObject(const PlatformAnswer &Answer) {
   json::error_code Code;
   json::value Parsed = json::parse(Answer.Body, Code);
   if (Code || !Parsed.is_object())
@@ -83,8 +84,9 @@
          "&limit=" + std::to_string(Limit);
 }
 
-HttpConnection::Request makeRequest(verb Method, const std::string &Target) {
-  HttpConnection::Request Message;
+PlatformConnection::Request makeRequest(verb Method,
+                                        const std::string &Target) {
+  PlatformConnection::Request Message;
   Message.method(Method);
   Message.target(Target);
   return Message;
@@ -97,18 +99,18 @@
 
 class HttpTableStore final : public TableStore {
 public:
-  HttpTableStore(const HttpConnection::TcpEndpoint &Peer, Duration Timeout)
+  HttpTableStore(const PlatformConnection::TcpEndpoint &Peer, Duration Timeout)
       : Connection(Peer, Timeout) {}
 
   Result<std::optional<TableRow>> read(const std::string &Table,
                                        const std::string &Key) override {
     BOOST_LEAF_AUTO(Answer, Connection.exchange(
                                 makeRequest(verb::get, rowTarget(Table, Key)),
-                                Effect::Read));
+                                RequestEffect::Read));
     if (Answer.Status == 404)
       return std::optional<TableRow>();
     if (!isSuccess(Answer.Status))
-      return statusError(Answer, Effect::Read);
+      return statusError(Answer, RequestEffect::Read);
     BOOST_LEAF_AUTO(Object, parseObject(Answer));
     BOOST_LEAF_AUTO(Row, rowOf(Object));
     return std::optional<TableRow>(std::move(Row));
@@ -121,9 +123,9 @@
     std::string Target =
         "/table/" + percentEncode(Table) + listQuery(Prefix, After, Limit);
     BOOST_LEAF_AUTO(Answer, Connection.exchange(makeRequest(verb::get, Target),
-                                                Effect::Read));
+                                                RequestEffect::Read));
     if (!isSuccess(Answer.Status))
-      return statusError(Answer, Effect::Read);
+      return statusError(Answer, RequestEffect::Read);
     BOOST_LEAF_AUTO(Object, parseObject(Answer));
     BOOST_LEAF_AUTO(Rows, arrayOf(Object, "rows"));
     std::vector<TableRow> Found;
@@ -156,10 +158,10 @@
                      std::uint64_t Expected) override {
     auto Message = makeRequest(verb::delete_, rowTarget(Table, Key));
     Message.set(field::if_match, entityTag(Expected));
-    BOOST_LEAF_AUTO(Answer,
-                    Connection.exchange(std::move(Message), Effect::Write));
+    BOOST_LEAF_AUTO(
+        Answer, Connection.exchange(std::move(Message), RequestEffect::Write));
     if (!isSuccess(Answer.Status))
-      return statusError(Answer, Effect::Write);
+      return statusError(Answer, RequestEffect::Write);
     return {};
   }
 
@@ -169,34 +171,34 @@
     return "/table/" + percentEncode(Table) + "/" + percentEncode(Key);
   }
 
-  Result<std::uint64_t> put(HttpConnection::Request Message,
+  Result<std::uint64_t> put(PlatformConnection::Request Message,
                             const std::string &Value) {
     Message.set(field::content_type, "application/json");
     Message.body() = Value;
-    BOOST_LEAF_AUTO(Answer,
-                    Connection.exchange(std::move(Message), Effect::Write));
+    BOOST_LEAF_AUTO(
+        Answer, Connection.exchange(std::move(Message), RequestEffect::Write));
     if (!isSuccess(Answer.Status))
-      return statusError(Answer, Effect::Write);
+      return statusError(Answer, RequestEffect::Write);
     BOOST_LEAF_AUTO(Object, parseObject(Answer));
     return versionOf(Object);
   }
 
-  HttpConnection Connection;
+  PlatformConnection Connection;
 };
 
 class HttpObjectStore final : public ObjectStore {
 public:
-  HttpObjectStore(const HttpConnection::TcpEndpoint &Peer, Duration Timeout)
+  HttpObjectStore(const PlatformConnection::TcpEndpoint &Peer, Duration Timeout)
       : Connection(Peer, Timeout) {}
 
   Result<std::optional<std::string>> read(const std::string &Key) override {
     BOOST_LEAF_AUTO(
         Answer, Connection.exchange(makeRequest(verb::get, objectTarget(Key)),
-                                    Effect::Read));
+                                    RequestEffect::Read));
     if (Answer.Status == 404)
       return std::optional<std::string>();
     if (!isSuccess(Answer.Status))
-      return statusError(Answer, Effect::Read);
+      return statusError(Answer, RequestEffect::Read);
     return std::optional<std::string>(std::move(Answer.Body));
   }
 
@@ -206,10 +208,10 @@
     Message.body() = Data;
     // Objects are immutable, but a lost answer is still reported as Timeout:
     // the caller decides whether to write again.
-    BOOST_LEAF_AUTO(Answer,
-                    Connection.exchange(std::move(Message), Effect::Write));
+    BOOST_LEAF_AUTO(
+        Answer, Connection.exchange(std::move(Message), RequestEffect::Write));
     if (!isSuccess(Answer.Status))
-      return statusError(Answer, Effect::Write);
+      return statusError(Answer, RequestEffect::Write);
     return {};
   }
 
@@ -218,9 +220,9 @@
                                         unsigned Limit) override {
     std::string Target = "/objects" + listQuery(Prefix, After, Limit);
     BOOST_LEAF_AUTO(Answer, Connection.exchange(makeRequest(verb::get, Target),
-                                                Effect::Read));
+                                                RequestEffect::Read));
     if (!isSuccess(Answer.Status))
-      return statusError(Answer, Effect::Read);
+      return statusError(Answer, RequestEffect::Read);
     BOOST_LEAF_AUTO(Object, parseObject(Answer));
     BOOST_LEAF_AUTO(Keys, arrayOf(Object, "keys"));
     std::vector<std::string> Found;
@@ -237,16 +239,16 @@
     return "/objects/" + percentEncode(Key);
   }
 
-  HttpConnection Connection;
+  PlatformConnection Connection;
 };
 
-Result<HttpConnection::TcpEndpoint> resolve(const Endpoint &Service) {
+Result<PlatformConnection::TcpEndpoint> resolve(const Endpoint &Service) {
   boost::system::error_code Code;
   auto Address = boost::asio::ip::make_address(Service.Address, Code);
   if (Code)
     return makeError(ErrorCode::InvalidInput,
                      "'" + Service.Address + "' is not an IP address");
-  return HttpConnection::TcpEndpoint(Address, Service.Port);
+  return PlatformConnection::TcpEndpoint(Address, Service.Port);
 }
 
 } // namespace
--- a/lib/Platform/HttpConnection.cpp
+++ b/lib/Platform/PlatformConnection.cpp
@@ -1,4 +1,4 @@
-#include "HttpConnection.h"
+#include "PlatformConnection.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -41,11 +41,12 @@
 
 } // namespace
 
-HttpConnection::HttpConnection(TcpEndpoint Peer, Duration Timeout)
+PlatformConnection::PlatformConnection(TcpEndpoint Peer, Duration Timeout)
     : Peer(std::move(Peer)), Timeout(Timeout),
       Host(this->Peer.address().to_string()) {}
 
-Result<HttpAnswer> HttpConnection::exchange(Request Message, Effect Kind) {
+Result<PlatformAnswer> PlatformConnection::exchange(Request Message,
+                                                    RequestEffect Kind) {
   Message.version(HttpVersion);
   Message.set(http::field::host, Host);
   Message.prepare_payload();
@@ -54,19 +55,19 @@
       std::chrono::microseconds(static_cast<std::int64_t>(Timeout.ms() * 1000));
   bool Reused = isUsable();
   Attempt Last = attempt(Message);
-  if (Last.Code && Reused && Last.ClosedEarly && Kind == Effect::Read)
+  if (Last.Code && Reused && Last.ClosedEarly && Kind == RequestEffect::Read)
     Last = attempt(Message);
   if (!Last.Code)
     return std::move(Last.Answer);
   std::string Text = "platform at " + Host + ": " + Last.Code.message();
   if (isMalformed(Last.Code))
     return makeError(ErrorCode::Corrupt, std::move(Text));
-  if (Kind == Effect::Write && Last.Connected)
+  if (Kind == RequestEffect::Write && Last.Connected)
     return makeError(ErrorCode::Timeout, std::move(Text));
   return makeError(ErrorCode::Unavailable, std::move(Text));
 }
 
-HttpConnection::Attempt HttpConnection::attempt(Request &Message) {
+PlatformConnection::Attempt PlatformConnection::attempt(Request &Message) {
   if (!isUsable()) {
     if (ErrorCondition Code = connect()) {
       close();
@@ -81,7 +82,7 @@
   return Done;
 }
 
-HttpConnection::ErrorCondition HttpConnection::connect() {
+PlatformConnection::ErrorCondition PlatformConnection::connect() {
   close();
   ErrorCondition Result;
   Stream.expires_at(Deadline);
@@ -92,7 +93,7 @@
   return Result;
 }
 
-HttpConnection::Attempt HttpConnection::transfer(Request &Message) {
+PlatformConnection::Attempt PlatformConnection::transfer(Request &Message) {
   Attempt Done;
   Done.Connected = true;
   Stream.expires_at(Deadline);
@@ -121,7 +122,7 @@
   return Done;
 }
 
-void HttpConnection::wait() {
+void PlatformConnection::wait() {
   Context.restart();
   Context.run();
 }
@@ -129,7 +130,7 @@
 /// False when there is no connection, or the peer has closed it or sent bytes
 /// that nothing asked for. Found out before a write is sent, a closed
 /// connection costs a reconnect instead of an unknown result.
-bool HttpConnection::isUsable() {
+bool PlatformConnection::isUsable() {
   if (!Stream.socket().is_open())
     return false;
   char Byte = 0;
@@ -138,6 +139,6 @@
   return Count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
-void HttpConnection::close() { Stream.close(); }
+void PlatformConnection::close() { Stream.close(); }
 
 } // namespace teaselhitch
--- a/lib/Platform/HttpConnection.h
+++ b/lib/Platform/PlatformConnection.h
@@ -1,5 +1,5 @@
-#ifndef TEASELHITCH_LIB_PLATFORM_HTTPCONNECTION_H
-#define TEASELHITCH_LIB_PLATFORM_HTTPCONNECTION_H
+#ifndef TEASELHITCH_LIB_PLATFORM_PLATFORMCONNECTION_H
+#define TEASELHITCH_LIB_PLATFORM_PLATFORMCONNECTION_H
 
 /// \file
 /// One kept-open HTTP/1.1 connection with blocking, time-limited exchanges.
@@ -19,31 +19,31 @@
 namespace teaselhitch {
 
 /// What a failed exchange means to the caller.
-enum class Effect {
+enum class RequestEffect {
   /// Nothing changes on the service; the exchange may be repeated.
   Read,
   /// The service may have acted on a request whose answer is lost.
   Write,
 };
 
-struct HttpAnswer {
+struct PlatformAnswer {
   unsigned Status = 0;
   std::string Body;
 };
 
 /// Belongs to one thread.
-class HttpConnection {
+class PlatformConnection {
 public:
   using Request = boost::beast::http::request<boost::beast::http::string_body>;
   using TcpEndpoint = boost::asio::ip::tcp::endpoint;
 
-  HttpConnection(TcpEndpoint Peer, Duration Timeout);
+  PlatformConnection(TcpEndpoint Peer, Duration Timeout);
 
   /// Sends a request and waits for the whole answer.
   ///
   /// Errors: Unavailable (no connection, or a read failed), Timeout (a write
   /// was sent and its answer is lost), Corrupt (the answer is not HTTP).
-  Result<HttpAnswer> exchange(Request Message, Effect Kind);
+  Result<PlatformAnswer> exchange(Request Message, RequestEffect Kind);
 
 private:
   using ErrorCondition = boost::beast::error_code;
@@ -54,7 +54,7 @@
     bool Connected = false;
     /// The connection closed before any byte of the answer.
     bool ClosedEarly = false;
-    HttpAnswer Answer;
+    PlatformAnswer Answer;
   };
 
   Attempt attempt(Request &Message);
--- a/tools/teaselhitch-standin/Commands.h
+++ b/tools/teaselhitch-standin/Commands.h
@@ -9,6 +9,8 @@
 
 int runPlatform(int Argc, const char **Argv);
 int runBackend(int Argc, const char **Argv);
+int runLoad(int Argc, const char **Argv);
+int runVerify(int Argc, const char **Argv);
 
 } // namespace teaselhitch::standin
 
--- /dev/null
+++ b/tools/teaselhitch-standin/HttpCaller.cpp
@@ -0,0 +1,139 @@
+#include "HttpCaller.h"
+
+#include "Timer.h"
+
+#include <boost/asio/ip/address.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <cerrno>
+#include <sys/socket.h>
+
+namespace teaselhitch::standin {
+
+namespace {
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+std::string problemName(const beast::error_code &Code) {
+  if (Code == beast::error::timeout)
+    return "timed-out";
+  bool IsHttp =
+      Code.category() == make_error_code(http::error::bad_value).category();
+  if (IsHttp && Code != http::error::end_of_stream &&
+      Code != http::error::partial_message)
+    return "malformed";
+  return "cut";
+}
+
+} // namespace
+
+struct HttpCaller::Connection {
+  explicit Connection(boost::asio::io_context &Context) : Stream(Context) {}
+
+  /// False when the node has closed the connection while it was idle.
+  bool isUsable() {
+    char Byte = 0;
+    ssize_t Count = ::recv(Stream.socket().native_handle(), &Byte, 1,
+                           MSG_PEEK | MSG_DONTWAIT);
+    return Count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+  }
+
+  beast::tcp_stream Stream;
+  beast::flat_buffer Buffer;
+};
+
+/// One call; kept alive by its pending operation.
+class HttpCaller::Call : public std::enable_shared_from_this<Call> {
+public:
+  Call(HttpCaller &Owner, HttpRequest Request, Done Function)
+      : Owner(Owner), Request(std::move(Request)),
+        Function(std::move(Function)) {}
+
+  void start(Duration Timeout) {
+    Link = Owner.takeConnection();
+    Outcome.Reused = Link != nullptr;
+    if (!Link)
+      Link = std::make_unique<Connection>(Owner.Context);
+    // One limit for connect, write and read: expires_after is not renewed.
+    Link->Stream.expires_after(toChrono(Timeout));
+    if (Outcome.Reused)
+      return write();
+    Link->Stream.async_connect(
+        Owner.Node, [Self = shared_from_this()](beast::error_code Code) {
+          if (Code)
+            return Self->finish("connect-failed");
+          boost::system::error_code Ignored;
+          Self->Link->Stream.socket().set_option(
+              boost::asio::ip::tcp::no_delay(true), Ignored);
+          Self->write();
+        });
+  }
+
+private:
+  void write() {
+    http::async_write(
+        Link->Stream, Request,
+        [Self = shared_from_this()](beast::error_code Code, std::size_t) {
+          if (Code)
+            return Self->finish(problemName(Code));
+          Self->read();
+        });
+  }
+
+  void read() {
+    http::async_read(
+        Link->Stream, Link->Buffer, Outcome.Answer,
+        [Self = shared_from_this()](beast::error_code Code, std::size_t) {
+          Self->finish(Code ? problemName(Code) : "");
+        });
+  }
+
+  void finish(std::string Problem) {
+    Outcome.Problem = std::move(Problem);
+    if (Outcome.Problem.empty() && Outcome.Answer.keep_alive()) {
+      Link->Stream.expires_never();
+      Owner.Idle.push_back(std::move(Link));
+    }
+    Link.reset();
+    Function(std::move(Outcome));
+  }
+
+  HttpCaller &Owner;
+  HttpRequest Request;
+  Done Function;
+  std::unique_ptr<Connection> Link;
+  CallResult Outcome;
+};
+
+HttpCaller::HttpCaller(boost::asio::io_context &Context, const Endpoint &Node)
+    : Context(Context),
+      Node(boost::asio::ip::make_address(Node.Address), Node.Port),
+      Name(toString(Node)) {}
+
+HttpCaller::~HttpCaller() = default;
+
+void HttpCaller::call(HttpRequest Request, Duration Timeout, Done Function) {
+  Request.version(11);
+  Request.set(http::field::host, Name);
+  Request.prepare_payload();
+  std::make_shared<Call>(*this, std::move(Request), std::move(Function))
+      ->start(Timeout);
+}
+
+/// An idle connection, or null.
+std::unique_ptr<HttpCaller::Connection> HttpCaller::takeConnection() {
+  while (!Idle.empty()) {
+    auto Taken = std::move(Idle.back());
+    Idle.pop_back();
+    if (Taken->isUsable())
+      return Taken;
+  }
+  return nullptr;
+}
+
+} // namespace teaselhitch::standin
--- /dev/null
+++ b/tools/teaselhitch-standin/LoadClient.h
@@ -0,0 +1,89 @@
+#ifndef TEASELHITCH_STANDIN_LOADCLIENT_H
+#define TEASELHITCH_STANDIN_LOADCLIENT_H
+
+/// \file
+/// Open-loop load client: sends requests at a given rate, whatever the answers.
+
+#include "HttpCaller.h"
+#include "LoadSummary.h"
+#include "RequestPlan.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/uuid/random_generator.hpp>
+
+#include <memory>
+#include <ostream>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace teaselhitch::standin {
+
+/// Where the keys of paid requests come from.
+enum class KeyKind {
+  /// `POST /.teaselhitch/keys` on the node that gets the request.
+  Guard,
+  /// A random UUID.
+  Own,
+};
+
+struct LoadSettings {
+  std::vector<Endpoint> Nodes;
+  RequestPlan Plan;
+  Duration RunTime;
+  /// Value of `Teaselhitch-Deadline-Ms`.
+  Duration Deadline;
+  KeyKind Keys = KeyKind::Guard;
+  std::uint64_t Seed = 1;
+  /// Headers added to each request.
+  std::vector<std::pair<std::string, std::string>> Headers;
+};
+
+/// All calls on the thread of Context.
+class LoadClient {
+public:
+  /// \param Records gets a line for each try.
+  LoadClient(boost::asio::io_context &Context, LoadSettings Settings,
+             std::ostream &Records);
+
+  /// Starts sending. Context runs out of work when the last request has ended.
+  void start();
+
+  const LoadSummary &summary() const { return Summary; }
+
+private:
+  struct Request;
+  using RequestPtr = std::shared_ptr<Request>;
+
+  void scheduleNext();
+  void startRequest();
+  void askForKey(const RequestPtr &Current);
+  void gotKey(const RequestPtr &Current, const CallResult &Ended);
+  void sendTry(const RequestPtr &Current);
+  void finishTry(const RequestPtr &Current, const CallResult &Ended);
+  static void readAnswer(Request &Current, const HttpResponse &Answer);
+  /// Makes the present try the second one, on a node chosen anew.
+  void prepareRepeat(Request &Current);
+  void write(const RequestPtr &Current, bool IsLast);
+  HttpRequest makeRequest(const Request &Current);
+  HttpCaller &chooseNode();
+
+  boost::asio::io_context &Context;
+  LoadSettings Settings;
+  std::ostream &Records;
+  SteadyClock Clock;
+  SeededRandom Random;
+  boost::uuids::random_generator NewUuid;
+  std::vector<std::unique_ptr<HttpCaller>> Nodes;
+  boost::asio::steady_timer Timer;
+  Time End;
+  /// When the next request is due.
+  Time Due;
+  std::uint64_t LastRequest = 0;
+  unsigned InProgress = 0;
+  LoadSummary Summary;
+};
+
+} // namespace teaselhitch::standin
+
+#endif
--- /dev/null
+++ b/tools/teaselhitch-standin/LoadCommand.cpp
@@ -0,0 +1,120 @@
+/// \file
+/// `teaselhitch-standin load`: callers that send requests at a given rate.
+
+#include "CommandLine.h"
+#include "Commands.h"
+#include "LoadClient.h"
+
+#include <boost/json/serialize.hpp>
+
+#include <fstream>
+#include <iostream>
+
+namespace teaselhitch::standin {
+
+namespace {
+
+/// Options as given.
+struct LoadOptions {
+  std::string Nodes;
+  std::string Paths;
+  std::string Organisations;
+  std::string KeyKind = "guard";
+  std::string Header;
+  std::string Out;
+  double Rate = 10;
+  double DurationS = 10;
+  double PaidShare = 0;
+  long DeadlineMs = 2000;
+  long Seed = 1;
+};
+
+void addOptions(CommandLine &Line, LoadOptions &O) {
+  Line.add("nodes", O.Nodes, "caller listeners of the nodes",
+           "ADDRESS:PORT,...");
+  Line.add("rate", O.Rate, "requests a second in total");
+  Line.add("duration-s", O.DurationS, "how long to send, in seconds");
+  Line.add("paths", O.Paths, "paths of idempotent and paid requests",
+           "get:/PATH,paid:/PATH[@SERVICE],...");
+  Line.add("organisations", O.Organisations,
+           "organisations that requests are sent for", "NAME,...");
+  Line.add("paid-share", O.PaidShare, "share of paid requests, 0 to 1");
+  Line.add("key-kind", O.KeyKind,
+           "keys of paid requests: from a guard (default) or own ones",
+           "guard|own");
+  Line.add("header", O.Header, "header for each request", "NAME:VALUE");
+  Line.add("deadline-ms", O.DeadlineMs, "deadline of each request");
+  Line.add("out", O.Out, "file for the records", "FILE.jsonl");
+  Line.add("seed", O.Seed, "seed of the random choices");
+}
+
+Result<KeyKind> parseKeyKind(const std::string &Text) {
+  if (Text == "guard")
+    return KeyKind::Guard;
+  if (Text == "own")
+    return KeyKind::Own;
+  return makeError(ErrorCode::InvalidInput,
+                   "--key-kind is '" + Text + "', not guard or own");
+}
+
+Result<LoadSettings> checkOptions(const LoadOptions &O) {
+  LoadSettings S;
+  for (const std::string &Text : splitList(O.Nodes)) {
+    BOOST_LEAF_AUTO(Node, parseEndpoint(Text));
+    S.Nodes.push_back(Node);
+  }
+  if (S.Nodes.empty() || O.Out.empty())
+    return makeError(ErrorCode::InvalidInput, "--nodes and --out are needed");
+  if (O.Rate <= 0 || O.DurationS <= 0 || O.DeadlineMs <= 0)
+    return makeError(ErrorCode::InvalidInput,
+                     "--rate, --duration-s and --deadline-ms must be positive");
+  if (O.PaidShare < 0 || O.PaidShare > 1)
+    return makeError(ErrorCode::InvalidInput, "--paid-share is not in 0 to 1");
+  BOOST_LEAF_CHECK(parsePaths(O.Paths, S.Plan));
+  if (O.PaidShare > 0 && S.Plan.Paid.empty())
+    return makeError(ErrorCode::InvalidInput, "--paths names no paid path");
+  BOOST_LEAF_ASSIGN(S.Keys, parseKeyKind(O.KeyKind));
+  std::size_t Colon = O.Header.find(':');
+  if (!O.Header.empty() && Colon == std::string::npos)
+    return makeError(ErrorCode::InvalidInput, "--header is not NAME:VALUE");
+  if (!O.Header.empty())
+    S.Headers.emplace_back(O.Header.substr(0, Colon),
+                           O.Header.substr(Colon + 1));
+  S.Plan.Organisations = splitList(O.Organisations);
+  S.Plan.PaidShare = O.PaidShare;
+  S.Plan.Rate = O.Rate;
+  S.RunTime = Duration::seconds(O.DurationS);
+  S.Deadline = Duration(static_cast<double>(O.DeadlineMs));
+  S.Seed = static_cast<std::uint64_t>(O.Seed);
+  return S;
+}
+
+Result<int> sendLoad(const LoadSettings &Settings, const std::string &Out) {
+  std::ofstream Records(Out);
+  boost::asio::io_context Context(1);
+  LoadClient Client(Context, Settings, Records);
+  Client.start();
+  Context.run();
+  Records.close();
+  if (!Records)
+    return makeError(ErrorCode::Unavailable, "cannot write '" + Out + "'");
+  std::cout << boost::json::serialize(Client.summary().toJson()) << '\n';
+  return int(ExitDone);
+}
+
+} // namespace
+
+int runLoad(int Argc, const char **Argv) {
+  LoadOptions Options;
+  CommandLine Line("teaselhitch-standin load");
+  addOptions(Line, Options);
+  return handleError(
+      [&]() -> Result<int> {
+        BOOST_LEAF_CHECK(Line.parse(Argc, Argv));
+        BOOST_LEAF_AUTO(Settings, checkOptions(Options));
+        return sendLoad(Settings, Options.Out);
+      },
+      reportError);
+}
+
+} // namespace teaselhitch::standin
--- a/tools/teaselhitch-standin/Main.cpp
+++ b/tools/teaselhitch-standin/Main.cpp
@@ -21,6 +21,8 @@
 constexpr Command Commands[] = {
     {"platform", runPlatform, "serve a table service and an object store"},
     {"backend", runBackend, "serve requests as a backend server"},
+    {"load", runLoad, "send requests to nodes and record the answers"},
+    {"verify", runVerify, "check the records against what was run"},
 };
 
 void printHelp(std::ostream &Out) {
