Test the stand-ins and the check of promises

Cause: a check that misses a planted violation, or a fault that does not bite, would make the failure tests pass for the wrong reason.

Change: tests of verify with each kind of violation planted, of the faults, of the backend server (slots, cancellation, silence, drain, announcements), and of the repeats of the load client. Servers and clients share one event loop; limits only end calls that are never answered.

--- /dev/null
+++ b/unittests/Platform/BackendFaultsTest.cpp
@@ -0,0 +1,110 @@
+#include "../../tools/teaselhitch-standin/BackendFaults.h"
+
+#include "../../tools/teaselhitch-standin/RequestPlan.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace teaselhitch;
+using namespace teaselhitch::standin;
+
+namespace {
+
+BackendFaults parseFaults(const std::string &Body) {
+  return handleError([&] { return parseBackendFaults(Body, Time(1000)); },
+                     [](const Error &E) {
+                       CPPUNIT_FAIL(E.Message);
+                       return BackendFaults();
+                     });
+}
+
+std::string errorOf(const std::string &Body) {
+  return handleError(
+      [&]() -> Result<std::string> {
+        BOOST_LEAF_CHECK(parseBackendFaults(Body, Time()));
+        return std::string();
+      },
+      [](const Error &E) { return E.Message; });
+}
+
+class BackendFaultsTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(BackendFaultsTest);
+  CPPUNIT_TEST(failHitsItsShareOfOneCaller);
+  CPPUNIT_TEST(slowMultipliesWork);
+  CPPUNIT_TEST(flapAlternates);
+  CPPUNIT_TEST(wrongFaultsAreNamed);
+  CPPUNIT_TEST(pathsAreParsed);
+  CPPUNIT_TEST_SUITE_END();
+
+  /// Guards against a partial gray failure that hits other callers, or another
+  /// share of the requests.
+  void failHitsItsShareOfOneCaller() {
+    BackendFaults Faults =
+        parseFaults(R"({"mode":"fail","percent":30,"caller":"acme"})");
+    SeededRandom Random(1);
+    int Failed = 0;
+    for (int Count = 0; Count < 10000; ++Count) {
+      Failed += decideFate(Faults, "acme", Time(), Random).Fails;
+      CPPUNIT_ASSERT(!decideFate(Faults, "other", Time(), Random).Fails);
+    }
+    // 30% of 10,000, give or take five standard deviations of 46.
+    CPPUNIT_ASSERT(Failed > 2770 && Failed < 3230);
+  }
+
+  /// Guards against a slow backend server that fails instead.
+  void slowMultipliesWork() {
+    SeededRandom Random(1);
+    RequestFate Fate = decideFate(parseFaults(R"({"mode":"slow","factor":4})"),
+                                  "", Time(), Random);
+    CPPUNIT_ASSERT(!Fate.Fails);
+    CPPUNIT_ASSERT_EQUAL(4.0, Fate.WorkFactor);
+  }
+
+  /// Guards against a flapping backend server that stays in one state.
+  void flapAlternates() {
+    BackendFaults Faults = parseFaults(R"({"mode":"flap","period_ms":100})");
+    SeededRandom Random(1);
+    for (double Ms : {1000.0, 1099.0, 1200.0})
+      CPPUNIT_ASSERT(decideFate(Faults, "", Time(Ms), Random).Fails);
+    for (double Ms : {1100.0, 1199.0, 1300.0})
+      CPPUNIT_ASSERT(!decideFate(Faults, "", Time(Ms), Random).Fails);
+  }
+
+  /// Guards against a misspelt fault that leaves the backend server healthy.
+  void wrongFaultsAreNamed() {
+    CPPUNIT_ASSERT_EQUAL(std::string("unknown member 'precent'"),
+                         errorOf(R"({"mode":"fail","precent":3})"));
+    CPPUNIT_ASSERT_EQUAL(std::string("'percent' is not a number from 0 up"),
+                         errorOf(R"({"mode":"fail","percent":"3"})"));
+    CPPUNIT_ASSERT_EQUAL(std::string("not a JSON object"), errorOf("fail"));
+    CPPUNIT_ASSERT(errorOf(R"({"mode":"fial"})").find("'fial'") !=
+                   std::string::npos);
+  }
+
+  /// Guards against paid requests that ask another service's guard for keys,
+  /// and against a misspelt path list that sends nothing.
+  void pathsAreParsed() {
+    auto Parse = [](const char *Spec) {
+      return handleError(
+          [&]() -> Result<std::string> {
+            RequestPlan Plan;
+            BOOST_LEAF_CHECK(parsePaths(Spec, Plan));
+            std::string Text;
+            for (const PlannedPath &Path : Plan.Idempotent)
+              Text += "get " + Path.Path + ";";
+            for (const PlannedPath &Path : Plan.Paid)
+              Text += "paid " + Path.Path + " of " + Path.Service + ";";
+            return Text;
+          },
+          [](const Error &) { return std::string("refused"); });
+    };
+    CPPUNIT_ASSERT_EQUAL(
+        std::string("get /s/1;paid /b of b;paid /c/d of visit;"),
+        Parse("get:/s/1,paid:/b,paid:/c/d@visit"));
+    for (const char *Wrong : {"", "x", "get:s", "get:", "post:/s"})
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(Wrong, std::string("refused"), Parse(Wrong));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(BackendFaultsTest);
+
+} // namespace
--- /dev/null
+++ b/unittests/Platform/StandInTest.cpp
@@ -0,0 +1,258 @@
+#include "../../tools/teaselhitch-standin/BackendServer.h"
+#include "../../tools/teaselhitch-standin/HttpCaller.h"
+#include "../../tools/teaselhitch-standin/JsonMembers.h"
+#include "../../tools/teaselhitch-standin/LoadClient.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/json/parse.hpp>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <sstream>
+
+using namespace teaselhitch;
+using namespace teaselhitch::standin;
+
+namespace {
+
+using boost::beast::http::verb;
+
+/// Longer than any test: work that never ends by itself.
+constexpr Duration Endless = Duration::seconds(86400);
+/// Limit of calls that are expected to be answered.
+constexpr Duration Patience = Duration::seconds(60);
+/// Limit of calls that are never answered.
+constexpr Duration ShortLimit(50);
+
+HttpRequest makeRequest(verb Method, const std::string &Target,
+                        const std::string &Body = "") {
+  HttpRequest Request;
+  Request.method(Method);
+  Request.target(Target);
+  Request.body() = Body;
+  return Request;
+}
+
+/// Servers and clients of a test share one event loop on its thread.
+class Loop {
+public:
+  boost::asio::io_context Context{1};
+
+  /// Sends a request and waits for its end.
+  CallResult call(HttpCaller &Caller, HttpRequest Request,
+                  Duration Limit = Patience) {
+    std::optional<CallResult> Ended;
+    Caller.call(std::move(Request), Limit,
+                [&](CallResult Result) { Ended = std::move(Result); });
+    while (!Ended)
+      Context.run_one();
+    return std::move(*Ended);
+  }
+
+  /// Asks a backend server until the member of its statistics has the value.
+  void waitFor(HttpCaller &Caller, const char *Member, int Value) {
+    for (;;) {
+      auto Ended = call(Caller, makeRequest(verb::get, "/standin/runs"));
+      auto Parsed = boost::json::parse(Ended.Answer.body());
+      if (Parsed.at(Member).to_number<int>() == Value)
+        return;
+    }
+  }
+};
+
+Endpoint listen(HttpServer &Server) {
+  return handleError(
+      [&] {
+        return Server.listen({"127.0.0.1", 0});
+      },
+      [](const Error &) { return Endpoint(); });
+}
+
+/// A backend server whose announcements go to Listener.
+class Backend {
+public:
+  Backend(Loop &Events, Duration Work, HttpServer::Handler Announced)
+      : Listener(Events.Context, std::move(Announced)) {
+    BackendSettings Settings;
+    Settings.Listen = {"127.0.0.1", 0};
+    Settings.Announce = listen(Listener);
+    Settings.Name = "b1";
+    Settings.Service = "sheets";
+    Settings.Slots = 1;
+    Settings.Incarnation = 5;
+    Settings.Work = Work;
+    Server = std::make_unique<BackendServer>(Events.Context, Settings);
+    Address = handleError([&] { return Server->start(); },
+                          [](const Error &) { return Endpoint(); });
+  }
+
+  HttpServer Listener;
+  std::unique_ptr<BackendServer> Server;
+  Endpoint Address;
+};
+
+void ignoreAnnouncement(const ExchangePtr &Current) {
+  Current->answer(makeResponse(204));
+}
+
+class StandInTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(StandInTest);
+  CPPUNIT_TEST(shedsBeyondItsSlots);
+  CPPUNIT_TEST(closedConnectionFreesTheSlot);
+  CPPUNIT_TEST(silentConnectionsStaySilent);
+  CPPUNIT_TEST(drainFinishesWork);
+  CPPUNIT_TEST(announcesItself);
+  CPPUNIT_TEST(unknownPaidRequestIsRepeatedOnce);
+  CPPUNIT_TEST_SUITE_END();
+
+  /// Guards against a stand-in that runs more than its slots, or refuses
+  /// without saying not-run.
+  void shedsBeyondItsSlots() {
+    Loop Events;
+    Backend Server(Events, Endless, ignoreAnnouncement);
+    HttpCaller Caller(Events.Context, Server.Address);
+    Caller.call(makeRequest(verb::get, "/x"), Patience, [](CallResult) {});
+    Events.waitFor(Caller, "in_progress", 1);
+    auto Ended = Events.call(Caller, makeRequest(verb::get, "/x"));
+    CPPUNIT_ASSERT_EQUAL(503U, Ended.Answer.result_int());
+    CPPUNIT_ASSERT_EQUAL(std::string("not-run"),
+                         std::string(Ended.Answer["Teaselhitch-Outcome"]));
+  }
+
+  /// Guards against cancelled requests that hold their slots.
+  void closedConnectionFreesTheSlot() {
+    Loop Events;
+    Backend Server(Events, Endless, ignoreAnnouncement);
+    HttpCaller Caller(Events.Context, Server.Address);
+    boost::asio::ip::tcp::socket Socket(Events.Context);
+    Socket.connect({boost::asio::ip::make_address(Server.Address.Address),
+                    Server.Address.Port});
+    boost::asio::write(
+        Socket, boost::asio::buffer(std::string("GET /x HTTP/1.1\r\n\r\n")));
+    Events.waitFor(Caller, "in_progress", 1);
+    Socket.close();
+    Events.waitFor(Caller, "cancelled", 1);
+    Events.waitFor(Caller, "in_progress", 0);
+  }
+
+  /// Guards against a fault that closes connections, which is easy to detect,
+  /// instead of leaving them unresponsive.
+  void silentConnectionsStaySilent() {
+    Loop Events;
+    Backend Server(Events, Duration(), ignoreAnnouncement);
+    HttpCaller Old(Events.Context, Server.Address);
+    HttpCaller Fresh(Events.Context, Server.Address);
+    Events.call(Old, makeRequest(verb::get, "/x"));
+    auto Set = Events.call(Fresh, makeRequest(verb::put, "/standin/faults",
+                                              "{\"mode\":\"silent\"}"));
+    CPPUNIT_ASSERT_EQUAL(204U, Set.Answer.result_int());
+    auto Ended = Events.call(Old, makeRequest(verb::get, "/x"), ShortLimit);
+    CPPUNIT_ASSERT(Ended.Reused);
+    CPPUNIT_ASSERT_EQUAL(std::string("timed-out"), Ended.Problem);
+    Ended = Events.call(Old, makeRequest(verb::get, "/x"));
+    CPPUNIT_ASSERT(!Ended.Reused);
+    CPPUNIT_ASSERT_EQUAL(200U, Ended.Answer.result_int());
+  }
+
+  /// Guards against a drain that cuts the request in progress. The request ends
+  /// by its deadline.
+  void drainFinishesWork() {
+    Loop Events;
+    Backend Server(Events, Endless, ignoreAnnouncement);
+    HttpCaller Caller(Events.Context, Server.Address);
+    HttpRequest Request = makeRequest(verb::get, "/x");
+    Request.set("Teaselhitch-Deadline-Ms", "50");
+    unsigned Status = 0;
+    Caller.call(std::move(Request), Patience, [&](CallResult Result) {
+      Status = Result.Answer.result_int();
+    });
+    Events.waitFor(Caller, "max_in_progress", 1);
+    Server.Server->drain();
+    Events.Context.run();
+    CPPUNIT_ASSERT_EQUAL(504U, Status);
+  }
+
+  /// Guards against announcements that the node refuses.
+  void announcesItself() {
+    Loop Events;
+    std::string Body;
+    Backend Server(Events, Endless, [&](const ExchangePtr &Current) {
+      Body = Current->request().body();
+      Current->answer(makeResponse(204));
+    });
+    while (Body.empty())
+      Events.Context.run_one();
+    CPPUNIT_ASSERT_EQUAL(
+        "{\"name\":\"b1\",\"service\":\"sheets\",\"address\":\"" +
+            toString(Server.Address) +
+            "\",\"slots\":1,\"incarnation\":5,\"state\":\"ready\","
+            "\"load\":0E0}",
+        Body);
+  }
+
+  /// Answers as a node: grants a key, then gives the outcomes in order.
+  static HttpServer::Handler node(std::vector<std::string> Outcomes) {
+    auto Next = std::make_shared<std::size_t>(0);
+    return [Next, Outcomes](const ExchangePtr &Current) {
+      const HttpRequest &Request = Current->request();
+      if (Request.target() == "/.teaselhitch/keys?service=bookings")
+        return Current->answer(makeResponse(
+            201, "{\"key\":\"guard-key\",\"expires_in_ms\":600000}"));
+      std::string Outcome = Outcomes.at((*Next)++);
+      if (Outcome == "cut")
+        return Current->drop();
+      HttpResponse Response = makeResponse(
+          200, "{\"request_id\":\"r\",\"nonce\":\"" +
+                   standin::headerOf(Request, "Standin-Nonce") + "\"}");
+      Response.set("Teaselhitch-Request-Id", "r");
+      Response.set("Teaselhitch-Outcome", Outcome);
+      Current->answer(std::move(Response));
+    };
+  }
+
+  /// The tries that the load client records for one paid request.
+  static std::string triesWith(std::vector<std::string> Outcomes) {
+    Loop Events;
+    HttpServer Node(Events.Context, node(std::move(Outcomes)));
+    LoadSettings Settings;
+    Settings.Nodes = {listen(Node)};
+    Settings.Plan.Paid = {{"/bookings", "bookings"}};
+    Settings.Plan.Rate = 1000;
+    // With this seed one request falls into the time.
+    Settings.RunTime = Duration(0.9);
+    Settings.Deadline = Patience;
+    Settings.Seed = 3;
+    std::ostringstream Records;
+    LoadClient Client(Events.Context, Settings, Records);
+    Client.start();
+    while (Client.summary().toJson().at("requests").as_uint64() == 0)
+      Events.Context.run_one();
+    std::string Text;
+    std::istringstream Lines(Records.str());
+    for (std::string Line; std::getline(Lines, Line);) {
+      auto Record = handleError([&] { return parseTryRecord(Line); },
+                                [](const Error &) { return TryRecord(); });
+      Text += std::to_string(Record.Try) + " " + Record.Key + " " +
+              Record.Outcome + Record.Problem +
+              (Record.Matches.value_or(false) ? " own;" : ";");
+    }
+    return Text;
+  }
+
+  /// Guards against a load client that does not try what the promises are
+  /// about: repeats of paid requests with the same key.
+  void unknownPaidRequestIsRepeatedOnce() {
+    CPPUNIT_ASSERT_EQUAL(
+        std::string("1 guard-key unknown own;2 guard-key completed own;"),
+        triesWith({"unknown", "completed"}));
+    CPPUNIT_ASSERT_EQUAL(
+        std::string("1 guard-key cut;2 guard-key unknown own;"),
+        triesWith({"cut", "unknown"}));
+    CPPUNIT_ASSERT_EQUAL(std::string("1 guard-key not-run own;"),
+                         triesWith({"not-run"}));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(StandInTest);
+
+} // namespace
--- /dev/null
+++ b/unittests/Platform/VerifyTest.cpp
@@ -0,0 +1,202 @@
+#include "../../tools/teaselhitch-standin/Verify.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace teaselhitch;
+using namespace teaselhitch::standin;
+
+namespace {
+
+/// A try whose answer is in order.
+TryRecord makeTry(std::uint64_t Request, std::uint64_t Try,
+                  const std::string &Key, const std::string &Outcome) {
+  TryRecord Record;
+  Record.Request = Request;
+  Record.Try = Try;
+  Record.Key = Key;
+  Record.Outcome = Outcome;
+  Record.RequestId = "r" + std::to_string(Request) + "-" + std::to_string(Try);
+  Record.Matches = true;
+  return Record;
+}
+
+/// The promises that the report calls broken, in order.
+std::string violationsOf(const std::vector<std::vector<TryRecord>> &Files,
+                         const RunCounts &Runs) {
+  std::string Text;
+  for (const Violation &V : verifyRecords(Files, Runs).Violations)
+    Text += V.Promise + " " + V.Subject + ";";
+  return Text;
+}
+
+/// Runs by key and by request id of files, or the name of the error code.
+std::string sumOf(const std::vector<std::string> &Files) {
+  return handleError(
+      [&]() -> Result<std::string> {
+        RunTotals Totals;
+        for (const std::string &File : Files)
+          BOOST_LEAF_CHECK(Totals.addFile(File));
+        std::string Text;
+        for (const auto &[Key, Count] : Totals.sum().ByKey)
+          Text += Key + "=" + std::to_string(Count) + " ";
+        for (const auto &[Id, Count] : Totals.sum().ByRequest)
+          Text += Id + "=" + std::to_string(Count) + " ";
+        return Text;
+      },
+      [](const Error &E) { return std::string(errorCodeName(E.Code)); });
+}
+
+std::string runLine(int Incarnation, const std::string &Key) {
+  return "{\"address\":\"a:1\",\"incarnation\":" + std::to_string(Incarnation) +
+         ",\"key\":\"" + Key + "\",\"request_id\":\"\"}\n";
+}
+
+class VerifyTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(VerifyTest);
+  CPPUNIT_TEST(keptPromisesHold);
+  CPPUNIT_TEST(secondRunIsReported);
+  CPPUNIT_TEST(runAfterNotRunIsReported);
+  CPPUNIT_TEST(foreignAnswerIsReported);
+  CPPUNIT_TEST(nothingCheckedDoesNotHold);
+  CPPUNIT_TEST(runsOfProcessesAddUp);
+  CPPUNIT_TEST(recordSurvivesItsLine);
+  CPPUNIT_TEST(brokenFilesAreRefused);
+  CPPUNIT_TEST_SUITE_END();
+
+  /// Guards against false reports: an unknown outcome may or may not have run,
+  /// and a released key may run after a not-run try.
+  void keptPromisesHold() {
+    std::vector<TryRecord> Records = {
+        makeTry(1, 1, "k1", "completed"), makeTry(2, 1, "k2", "unknown"),
+        makeTry(2, 2, "k2", "unknown"),   makeTry(3, 1, "k3", "not-run"),
+        makeTry(4, 1, "k4", "unknown"),   makeTry(4, 2, "k4", "not-run"),
+        makeTry(5, 1, "", "completed"),   makeTry(6, 1, "k6", "completed")};
+    RunCounts Runs{{{"k1", 1}, {"k2", 1}, {"k4", 1}},
+                   // An idempotent request may run several times.
+                   {{"r1-1", 1}, {"r4-1", 1}, {"r5-1", 3}}};
+    VerifyReport Report = verifyRecords({Records}, Runs);
+    CPPUNIT_ASSERT_EQUAL(std::string(), violationsOf({Records}, Runs));
+    CPPUNIT_ASSERT(Report.holds());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(6), Report.Requests);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(8), Report.Tries);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), Report.CompletedWithoutRun);
+  }
+
+  /// Guards against a paid request that runs twice unnoticed, also when no
+  /// record mentions its key.
+  void secondRunIsReported() {
+    RunCounts Runs{{{"k1", 2}, {"stray", 3}}, {}};
+    CPPUNIT_ASSERT_EQUAL(
+        std::string("ran-more-than-once k1;ran-more-than-once stray;"),
+        violationsOf({{makeTry(1, 1, "k1", "completed")}}, Runs));
+  }
+
+  /// Guards against a false not-run that goes unnoticed: by key when every try
+  /// said so, and by request id for each try.
+  void runAfterNotRunIsReported() {
+    std::vector<TryRecord> OneTry = {makeTry(1, 1, "k1", "not-run")};
+    CPPUNIT_ASSERT_EQUAL(std::string("ran-though-not-run k1;"),
+                         violationsOf({OneTry}, {{{"k1", 1}}, {}}));
+    std::vector<TryRecord> TwoTries = {makeTry(1, 1, "k1", "not-run"),
+                                       makeTry(1, 2, "k1", "not-run")};
+    CPPUNIT_ASSERT_EQUAL(std::string("ran-though-not-run k1;"),
+                         violationsOf({TwoTries}, {{{"k1", 1}}, {}}));
+    std::vector<TryRecord> Idempotent = {makeTry(1, 1, "", "not-run")};
+    CPPUNIT_ASSERT_EQUAL(std::string("ran-though-not-run r1-1;"),
+                         violationsOf({Idempotent}, {{}, {{"r1-1", 1}}}));
+    std::vector<TryRecord> SecondRan = {makeTry(1, 1, "k1", "unknown"),
+                                        makeTry(1, 2, "k1", "not-run")};
+    CPPUNIT_ASSERT_EQUAL(
+        std::string("ran-though-not-run r1-2;"),
+        violationsOf({SecondRan}, {{{"k1", 1}}, {{"r1-2", 1}}}));
+    // Request numbers of different files are unrelated.
+    CPPUNIT_ASSERT_EQUAL(
+        std::string("ran-though-not-run k1;"),
+        violationsOf({OneTry, {makeTry(1, 2, "k2", "unknown")}},
+                     {{{"k1", 1}}, {}}));
+  }
+
+  /// Guards against an answer that reached the wrong caller unnoticed, also
+  /// after an unknown outcome.
+  void foreignAnswerIsReported() {
+    std::vector<TryRecord> Records = {makeTry(1, 1, "", "completed"),
+                                      makeTry(2, 1, "k2", "unknown")};
+    for (TryRecord &Record : Records)
+      Record.Matches = false;
+    CPPUNIT_ASSERT_EQUAL(
+        std::string("mismatched-answer r1-1;mismatched-answer r2-1;"),
+        violationsOf({Records}, {}));
+    Records[0].Matches.reset();
+    Records[1].Matches.reset();
+    CPPUNIT_ASSERT_EQUAL(std::string(), violationsOf({Records}, {}));
+  }
+
+  /// Guards against a run that passes because the load never started.
+  void nothingCheckedDoesNotHold() {
+    CPPUNIT_ASSERT(!verifyRecords({{}}, {}).holds());
+  }
+
+  /// Guards against a second run that is missed because its backend server
+  /// restarted, and against counting a run twice that two files report.
+  void runsOfProcessesAddUp() {
+    const std::string Answer = "{\"address\":\"a:1\",\"incarnation\":1,"
+                               "\"runs\":{\"k\":1},\"requests\":{\"r\":2}}";
+    CPPUNIT_ASSERT_EQUAL(std::string("k=1 r=2 "), sumOf({Answer, Answer}));
+    CPPUNIT_ASSERT_EQUAL(std::string("k=1 r=2 "),
+                         sumOf({Answer, runLine(1, "k")}));
+    CPPUNIT_ASSERT_EQUAL(std::string("k=2 r=2 "),
+                         sumOf({Answer, runLine(2, "k")}));
+    CPPUNIT_ASSERT_EQUAL(std::string("k=2 "),
+                         sumOf({runLine(1, "k") + runLine(1, "k")}));
+    CPPUNIT_ASSERT_EQUAL(std::string("k=2 "),
+                         sumOf({runLine(1, "k") + runLine(2, "k")}));
+  }
+
+  /// Guards against a value that is lost between load and verify.
+  void recordSurvivesItsLine() {
+    TryRecord Record = makeTry(7, 2, "k\"\n", "unknown");
+    Record.TimeMs = 1234567890123;
+    Record.Kind = "paid";
+    Record.Path = "/b";
+    Record.Node = "127.0.0.1:1";
+    Record.Organisation = "o";
+    Record.Status = 502;
+    Record.Reason = "link-lost";
+    Record.Server = "s";
+    Record.LatencyMs = 1.25;
+    Record.Problem = "cut";
+    Record.Reused = true;
+    for (std::optional<bool> Matches :
+         {std::optional<bool>(), std::optional<bool>(true),
+          std::optional<bool>(false)}) {
+      Record.Matches = Matches;
+      TryRecord Back =
+          handleError([&] { return parseTryRecord(toJsonLine(Record)); },
+                      [](const Error &) { return TryRecord(); });
+      CPPUNIT_ASSERT(Record == Back);
+    }
+  }
+
+  /// Guards against a damaged file that counts as one without violations.
+  void brokenFilesAreRefused() {
+    for (const char *Text :
+         {"{\"runs\":{\"k\":-1},\"requests\":{}}", "{\"runs\":{\"k\":1}}",
+          "{\"runs\":[]}", "x", "{\"key\":\"k\"}"})
+      CPPUNIT_ASSERT_MESSAGE(Text, sumOf({Text}) == "corrupt" ||
+                                       sumOf({Text}) == "invalid-input");
+    std::string Cut = toJsonLine(makeTry(1, 1, "", "completed")) + "\n{\"requ";
+    auto Count = handleError(
+        [&]() -> Result<std::size_t> {
+          BOOST_LEAF_AUTO(Records, parseRecords(Cut));
+          return Records.size();
+        },
+        [](const Error &E) {
+          return E.Code == ErrorCode::Corrupt ? std::size_t(99) : 0;
+        });
+    CPPUNIT_ASSERT_EQUAL(std::size_t(99), Count);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(VerifyTest);
+
+} // namespace
