--- a/lib/Platform/HttpCall.cpp
+++ b/lib/Platform/HttpCall.cpp
@@ -1,6 +1,6 @@
 #include "teaselhitch/Platform/HttpCall.h"
 
-#include "HttpConnection.h"
+#include "PlatformConnection.h"
 
 #include <boost/asio/ip/address.hpp>
 
@@ -13,16 +13,16 @@
   if (Fault)
     return makeError(ErrorCode::InvalidInput,
                      "'" + Server.Address + "' is not an IP address");
-  HttpConnection Connection(HttpConnection::TcpEndpoint(Address, Server.Port),
+  PlatformConnection Connection(PlatformConnection::TcpEndpoint(Address, Server.Port),
                             Timeout);
-  HttpConnection::Request Message;
+  PlatformConnection::Request Message;
   Message.method_string(Request.Method);
   Message.target(Request.Target);
   for (const Header &H : Request.Headers)
     Message.set(H.Name, H.Value);
   Message.body() = Request.Body;
   BOOST_LEAF_AUTO(Answer,
-                  Connection.exchange(std::move(Message), Effect::Read));
+                  Connection.exchange(std::move(Message), RequestEffect::Read));
   return HttpAnswer{Answer.Status, {}, std::move(Answer.Body)};
 }
 
--- a/lib/Support/NearestName.cpp
+++ b/lib/Support/NearestName.cpp
@@ -10,7 +10,12 @@
 /// Longest list of known names in a message.
 constexpr std::size_t MaxListed = 10;
 
-/// Insertions, removals and replacements that turn A into B.
+char lower(char C) {
+  return C >= 'A' && C <= 'Z' ? static_cast<char>(C - 'A' + 'a') : C;
+}
+
+/// Insertions, removals and replacements that turn A into B, regardless of
+/// case.
 std::size_t editDistance(const std::string &A, const std::string &B) {
   std::vector<std::size_t> Row(B.size() + 1);
   std::iota(Row.begin(), Row.end(), 0);
@@ -18,7 +23,7 @@
     std::size_t Diagonal = Row[0];
     Row[0] = I + 1;
     for (std::size_t J = 0; J != B.size(); ++J) {
-      std::size_t Replaced = Diagonal + (A[I] == B[J] ? 0 : 1);
+      std::size_t Replaced = Diagonal + (lower(A[I]) == lower(B[J]) ? 0 : 1);
       Diagonal = Row[J + 1];
       Row[J + 1] = std::min({Replaced, Row[J] + 1, Row[J + 1] + 1});
     }
@@ -29,7 +34,7 @@
 } // namespace
 
 std::string suggestName(const std::string &Text,
-                        const std::vector<std::string> &Known) {
+                       const std::vector<std::string> &Known) {
   const std::string *Nearest = nullptr;
   std::size_t Least = 0;
   for (const std::string &Name : Known) {
--- a/unittests/Settings/NodeSettingsTest.cpp
+++ b/unittests/Settings/NodeSettingsTest.cpp
@@ -51,16 +51,16 @@
     };
     const Case Cases[] = {
         {"[limits]\nmax_request = 5\n",
-         "f:15: limits.max_request: unknown key, did you mean "
+         "f:16: limits.max_request: unknown key, did you mean "
          "'max_requests'?"},
         {"[limit]\nmax_requests = 5\n",
-         "f:14: limit: unknown table or key, did you mean 'limits'?"},
+         "f:15: limit: unknown table or key, did you mean 'limits'?"},
         {"[limits]\nmax_requests = \"5\"\n",
-         "f:15: limits.max_requests: expected a whole number"},
+         "f:16: limits.max_requests: expected a whole number"},
         {"[limits]\nmax_requests = 0\n",
-         "f:15: limits.max_requests: 0 is out of range, expected 1 to 65536"},
+         "f:16: limits.max_requests: 0 is out of range, expected 1 to 65536"},
         {"[log]\nlevel = \"loud\"\n",
-         "f:15: log.level: unknown value 'loud', expected one of: debug, info, "
+         "f:16: log.level: unknown value 'loud', expected one of: debug, info, "
          "warning, error"},
     };
     for (const Case &C : Cases) {
