Ask the next source at once when a piece is missing; one mode of toml++

Cause: in a fleet of three nodes the third took 2.0 s to adopt a version, since it asked a node that did not have the piece and waited for the retry interval at each level. The program crashed at a syntax error path of toml++, because two libraries compiled the same functions with and without exceptions.

Change: an empty reply moves on to the next source; TOML_EXCEPTIONS=0 for all files.

Ruled out: parallel requests to several nodes, which multiply the traffic of each change.

--- a/cmake/TeaselhitchTargets.cmake
+++ b/cmake/TeaselhitchTargets.cmake
@@ -11,7 +11,9 @@
   -Wall -Wextra -Wpedantic -Wnon-virtual-dtor -Werror)
 target_compile_definitions(teaselhitch_options INTERFACE
   BOOST_ASIO_DISABLE_CO_AWAIT BOOST_ASIO_NO_DEPRECATED
-  BOOST_LEAF_CFG_DIAGNOSTICS=0)
+  BOOST_LEAF_CFG_DIAGNOSTICS=0
+  # One mode for all files: toml++ defines the same functions in both.
+  TOML_EXCEPTIONS=0)
 if(TEASELHITCH_SANITIZE STREQUAL "address")
   target_compile_options(teaselhitch_options INTERFACE
     -fsanitize=address,undefined -fno-sanitize-recover=all)
--- a/lib/Config/TomlReader.h
+++ b/lib/Config/TomlReader.h
@@ -8,8 +8,6 @@
 
 #include "Located.h"
 
-// Faults of syntax are values, not exceptions.
-#define TOML_EXCEPTIONS 0
 #include <toml++/toml.h>
 
 #include <cstdint>
--- a/lib/Node/ConfigFetcher.cpp
+++ b/lib/Node/ConfigFetcher.cpp
@@ -18,6 +18,18 @@
   return plan(Adoption.pieceArrived(Hash, std::move(Bytes), Now), View, Random);
 }
 
+std::vector<PieceFetch> ConfigFetcher::pieceMissing(const PieceHash &Hash,
+                                                    const FleetView &View,
+                                                    RandomSource &Random) {
+  // After a whole round the overdue check of the adoption sets the pace.
+  auto It = Tries.find(Hash);
+  if (It == Tries.end() || It->second % TriesPerRound == 0)
+    return {};
+  AdoptionStep Again;
+  Again.Fetch.push_back(Hash);
+  return plan(std::move(Again), View, Random);
+}
+
 std::vector<PieceFetch> ConfigFetcher::tick(const FleetView &View,
                                             RandomSource &Random, Time Now) {
   return plan(Adoption.tick(Now), View, Random);
--- a/lib/Node/ConfigFetcher.h
+++ b/lib/Node/ConfigFetcher.h
@@ -38,6 +38,10 @@
   std::vector<PieceFetch> pieceArrived(const PieceHash &Hash, std::string Bytes,
                                        const FleetView &View,
                                        RandomSource &Random, Time Now);
+  /// A source does not have the piece; the next source is asked at once.
+  std::vector<PieceFetch> pieceMissing(const PieceHash &Hash,
+                                       const FleetView &View,
+                                       RandomSource &Random);
   std::vector<PieceFetch> tick(const FleetView &View, RandomSource &Random,
                                Time Now);
 
--- a/lib/Settings/SettingsReader.cpp
+++ b/lib/Settings/SettingsReader.cpp
@@ -25,12 +25,13 @@
 SettingsReader::SettingsReader(std::string_view Text,
                                std::vector<SettingsFault> &Faults)
     : Faults(Faults), Parsed(std::make_unique<Document>()) {
-  try {
-    Parsed->Root = toml::parse(Text);
-  } catch (const toml::parse_error &E) {
-    Faults.push_back(
-        SettingsFault{E.source().begin.line, "", std::string(E.description())});
+  toml::parse_result Outcome = toml::parse(Text);
+  if (Outcome) {
+    Parsed->Root = std::move(Outcome).table();
+    return;
   }
+  Faults.push_back(SettingsFault{Outcome.error().source().begin.line, "",
+                                 std::string(Outcome.error().description())});
 }
 
 SettingsReader::~SettingsReader() = default;
