--- a/lib/Config/Adoption.cpp
+++ b/lib/Config/Adoption.cpp
@@ -85,8 +85,10 @@
   }
 
   void adopt(const std::vector<PieceHash> &Needed, AdoptionStep &Step) {
+    std::vector<PieceHash> Added;
+    for (const auto &[Hash, Unused] : Received)
+      Added.push_back(Hash);
     ActivePieces.merge(Received);
-    Received.clear();
     std::string Fault;
     std::shared_ptr<const ActiveConfig> Next = handleError(
         [&]() -> Result<std::shared_ptr<const ActiveConfig>> {
@@ -101,8 +103,11 @@
           Fault = E.Message;
           return std::shared_ptr<const ActiveConfig>();
         });
-    if (!Next)
+    if (!Next) {
+      for (const PieceHash &Hash : Added)
+        ActivePieces.erase(Hash);
       return reject(Fault, Step);
+    }
     Active = std::move(Next);
     keepOnly(Needed);
     finishFetch();
--- a/lib/Config/Check.cpp
+++ b/lib/Config/Check.cpp
@@ -124,6 +124,15 @@
   R.integer("retry_percent", 0, 100, " percent", L.RetryPercent);
 }
 
+/// The parser's text starts with "Error while parsing ...".
+std::string syntaxMessage(const toml::parse_error &E) {
+  constexpr std::string_view Prefix = "Error ";
+  std::string_view Text = E.description();
+  if (Text.substr(0, Prefix.size()) == Prefix)
+    return "syntax error " + std::string(Text.substr(Prefix.size()));
+  return "syntax error: " + std::string(Text);
+}
+
 /// Reads the files into a LocatedSet.
 class SetReader {
 public:
@@ -136,8 +145,7 @@
     if (!Parsed) {
       const toml::parse_error &E = Parsed.error();
       Faults.push_back({File.Path, E.source().begin.line,
-                        E.source().begin.column,
-                        "syntax error: " + std::string(E.description())});
+                        E.source().begin.column, syntaxMessage(E)});
       Set.Incomplete = true;
       return;
     }
--- a/lib/Config/Publisher.cpp
+++ b/lib/Config/Publisher.cpp
@@ -299,6 +299,9 @@
       Outcome.MayHaveTakenEffect = true;
     if (settle(Next) == Step::Done)
       return Step::Done;
+    if (Last.Code == ErrorCode::Conflict)
+      Last = {ErrorCode::Unavailable,
+              "the head was changed but cannot be read back"};
   }
   return fail(Last);
 }
@@ -315,7 +318,7 @@
     return published(Next);
   if (Found && Current.RowVersion == Found->RowVersion)
     return Step::Next;
-  if (Current.Head.Version <= Next.Version)
+  if (Current.Head.Version <= Next.Version || !Outcome.MayHaveTakenEffect)
     return loseTo(Current.Head);
   auto Own =
       runOnce([&] { return readPublication(Owner.Table, Next.Version); });
--- a/lib/Config/TomlReader.cpp
+++ b/lib/Config/TomlReader.cpp
@@ -112,7 +112,8 @@
     return std::nullopt;
   const toml::value<std::int64_t> *Value = Node->as_integer();
   if (!Value) {
-    std::string Expected = std::string("an integer") + Unit;
+    std::string Expected =
+        std::string("an integer") + (*Unit == '\0' ? "" : " number of") + Unit;
     wrongType(Key, Expected.c_str(), *Node);
     return std::nullopt;
   }
--- a/tools/teaselhitch/ConfigCommands.cpp
+++ b/tools/teaselhitch/ConfigCommands.cpp
@@ -45,10 +45,17 @@
   return Text.data();
 }
 
-/// "version 3 by mai at 2026-01-01T00:00:00Z: more workers".
+/// One line, "version 3 by mai at 2026-01-01T00:00:00Z: more workers".
 std::string describe(const PublishedHead &Head) {
-  return "version " + std::to_string(Head.Version) + " by " + Head.Who +
-         " at " + utcTime(Head.TimeMs) + ": " + Head.Message;
+  std::string Line = "version " + std::to_string(Head.Version) + " by " +
+                     Head.Who + " at " + utcTime(Head.TimeMs) + ": " +
+                     Head.Message;
+  // Texts of operators must not break the line or control the terminal.
+  std::replace_if(
+      Line.begin(), Line.end(),
+      [](char C) { return static_cast<unsigned char>(C) < 0x20 || C == 0x7f; },
+      ' ');
+  return Line;
 }
 
 json::value toJson(const PublishedHead &Head) {
@@ -263,11 +270,7 @@
                          {"objects", json::parse(toJsonText(*Set))}});
       return ExitDone;
     }
-    // The message may have several lines, of which each must be a comment.
-    std::string Title = describe(*Head);
-    std::replace(Title.begin(), Title.end(), '\n', ' ');
-    std::replace(Title.begin(), Title.end(), '\r', ' ');
-    Env.Out << "# " << Title << "\n\n" << toToml(*Set);
+    Env.Out << "# " << describe(*Head) << "\n\n" << toToml(*Set);
     return ExitDone;
   }
 
--- a/unittests/Config/AdoptionTest.cpp
+++ b/unittests/Config/AdoptionTest.cpp
@@ -20,9 +20,9 @@
 }
 
 /// Answers each fetch from Pieces until a set is adopted or nothing is asked;
-/// returns the number of pieces fetched.
+/// returns the number of pieces fetched, and the last step in Last.
 std::size_t feed(ConfigAdoption &Adoption, AdoptionStep Step,
-                 const PieceSet &Set, Time Now) {
+                 const PieceSet &Set, Time Now, AdoptionStep *Last = nullptr) {
   std::size_t Fetched = 0;
   std::vector<PieceHash> Queue = Step.Fetch;
   while (!Queue.empty()) {
@@ -33,6 +33,8 @@
     Step = Adoption.pieceArrived(Hash, Set.Pieces.at(Hash), Now);
     Queue.insert(Queue.end(), Step.Fetch.begin(), Step.Fetch.end());
   }
+  if (Last)
+    *Last = Step;
   return Fetched;
 }
 
@@ -136,16 +138,29 @@
   void rejectsBytesThatAreNoSet() {
     ConfigAdoption Adoption;
     feed(Adoption, Adoption.headSeen({1, One.ManifestHash}, Now), One, Now);
-    const std::string Bytes = "no manifest";
-    ConfigHead Bad{2, sha256Hex(Bytes)};
-    Adoption.headSeen(Bad, Now);
-    AdoptionStep Step = Adoption.pieceArrived(Bad.ManifestHash, Bytes, Now);
-    CPPUNIT_ASSERT(!Step.Rejected.empty() && !Step.Adopted);
-    CPPUNIT_ASSERT(Adoption.headSeen(Bad, Now).Fetch.empty());
-    CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), Adoption.active()->Version);
-    Step = Adoption.headSeen({3, Two.ManifestHash}, Now);
+    // A manifest that does not parse, and one whose only piece does not.
+    const std::string Piece = "{}";
+    const std::string Index =
+        R"({"kind":"organisation","pieces":[")" + sha256Hex(Piece) + "\"]}";
+    const std::string Manifest =
+        R"({"format":1,"service":[],"group":[],"rule":[],"organisation":[")" +
+        sha256Hex(Index) + R"("],"limit":[]})";
+    PieceSet Bad;
+    for (const std::string &Text : {Piece, Index, Manifest})
+      Bad.Pieces[sha256Hex(Text)] = Text;
+    std::uint64_t Version = 1;
+    for (const std::string &Root : {Piece, Manifest}) {
+      ConfigHead Head{++Version, sha256Hex(Root)};
+      AdoptionStep Last;
+      feed(Adoption, Adoption.headSeen(Head, Now), Bad, Now, &Last);
+      CPPUNIT_ASSERT(!Last.Rejected.empty() && !Last.Adopted);
+      CPPUNIT_ASSERT(Adoption.headSeen(Head, Now).Fetch.empty());
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), Adoption.active()->Version);
+      CPPUNIT_ASSERT(!Adoption.piece(sha256Hex(Piece)));
+    }
+    AdoptionStep Step = Adoption.headSeen({4, Two.ManifestHash}, Now);
     feed(Adoption, Step, Two, Now);
-    CPPUNIT_ASSERT_EQUAL(std::uint64_t(3), Adoption.active()->Version);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(4), Adoption.active()->Version);
   }
 };
 
--- a/unittests/Config/CheckTest.cpp
+++ b/unittests/Config/CheckTest.cpp
@@ -113,7 +113,7 @@
      "no control characters, not 'a\a'"},
     // A reference to what may be in the unreadable file is no fault.
     {"[[rule]]\nname = \"r\npath_prefix = \"/r\"",
-     "more.toml:2:10: syntax error: "},
+     "more.toml:2:10: syntax error while parsing string: "},
 };
 
 class CheckTest : public CppUnit::TestFixture {
