--- a/lib/Node/PeersDuty.cpp
+++ b/lib/Node/PeersDuty.cpp
@@ -209,10 +209,7 @@
                                          now()));
                  },
                  [&](PieceRead &M) {
-                   if (M.Bytes)
-                     fetch(Config.pieceArrived(M.Hash, std::move(*M.Bytes),
-                                               *Members->view(), *Random,
-                                               now()));
+                   fetch(takePiece(Piece{M.Hash, M.Bytes.value_or("")}));
                  }},
       Message);
 }
@@ -280,12 +277,7 @@
 
 void PeersDuty::fromGuard(const NodeName &Node, PeerMessage Message) {
   std::visit(Overloaded{[&](Delta &M) { run(Members->apply(M, now())); },
-                        [&](Piece &M) {
-                          if (!M.Bytes.empty())
-                            fetch(Config.pieceArrived(
-                                M.Hash, std::move(M.Bytes), *Members->view(),
-                                *Random, now()));
-                        },
+                        [&](Piece &M) { fetch(takePiece(std::move(M))); },
                         [&](AttemptFailed &M) {
                           Outstanding.answered(Node, M);
                           toCallers(std::move(M));
@@ -306,6 +298,14 @@
              Message);
 }
 
+std::vector<PieceFetch> PeersDuty::takePiece(Piece Received) {
+  std::shared_ptr<const FleetView> View = Members->view();
+  if (Received.Bytes.empty())
+    return Config.pieceMissing(Received.Hash, *View, *Random);
+  return Config.pieceArrived(Received.Hash, std::move(Received.Bytes), *View,
+                             *Random, now());
+}
+
 void PeersDuty::fromEntry(LinkId Link, const NodeName &Node,
                           PeerMessage Message) {
   std::visit(
--- a/lib/Node/PeersDuty.h
+++ b/lib/Node/PeersDuty.h
@@ -50,6 +50,8 @@
   void answerDigest(LinkId Link, const Digest &Other);
   void toCallers(EntryMessage Message);
   void toBackends(PeersToBackends Message);
+  /// What to fetch after a source sent a piece, or an empty one if it has none.
+  std::vector<PieceFetch> takePiece(Piece Received);
   void fetch(const std::vector<PieceFetch> &Fetches);
   void adopted();
   void tick();
