Format the merged sources

Cause: merges and edits left lines that clang-format changes. Change: formatting only. Ruled out: nothing.

--- a/include/teaselhitch/Membership/Membership.h
+++ b/include/teaselhitch/Membership/Membership.h
@@ -22,7 +22,8 @@
 
 namespace teaselhitch {
 
-/// A crashing request that the whole fleet refuses, or one crash that it caused.
+/// A crashing request that the whole fleet refuses, or one crash that it
+/// caused.
 struct QuarantineRecord {
   std::uint64_t Fingerprint = 0;
   /// Milliseconds that it still lasts, as of sending.
--- a/lib/Node/PeersDuty.cpp
+++ b/lib/Node/PeersDuty.cpp
@@ -191,27 +191,27 @@
 }
 
 void PeersDuty::receive(PlatformToPeers Message) {
-  std::visit(
-      Overloaded{[&](TableReply &M) {
-                   if (M.Status != TableStatus::Ok)
-                     return;
-                   ConfigHead Head = handleError(
-                       [&]() -> Result<ConfigHead> {
-                         BOOST_LEAF_AUTO(Published, parseHead(M.Row.Value));
-                         return Published.configHead();
-                       },
-                       [](const Error &E) {
-                         logEvent(LogLevel::Error, "peers", "bad-head",
-                                  {{"error", E.Message}});
-                         return ConfigHead();
-                       });
-                   fetch(Config.headSeen(Head, false, *Members->view(), *Random,
-                                         now()));
-                 },
-                 [&](PieceRead &M) {
-                   fetch(takePiece(Piece{M.Hash, M.Bytes.value_or("")}));
-                 }},
-      Message);
+  std::visit(Overloaded{[&](TableReply &M) {
+                          if (M.Status != TableStatus::Ok)
+                            return;
+                          ConfigHead Head = handleError(
+                              [&]() -> Result<ConfigHead> {
+                                BOOST_LEAF_AUTO(Published,
+                                                parseHead(M.Row.Value));
+                                return Published.configHead();
+                              },
+                              [](const Error &E) {
+                                logEvent(LogLevel::Error, "peers", "bad-head",
+                                         {{"error", E.Message}});
+                                return ConfigHead();
+                              });
+                          fetch(Config.headSeen(Head, false, *Members->view(),
+                                                *Random, now()));
+                        },
+                        [&](PieceRead &M) {
+                          fetch(takePiece(Piece{M.Hash, M.Bytes.value_or("")}));
+                        }},
+             Message);
 }
 
 void PeersDuty::run(const MembershipActions &Actions) {
--- a/lib/Support/NearestName.cpp
+++ b/lib/Support/NearestName.cpp
@@ -34,7 +34,7 @@
 } // namespace
 
 std::string suggestName(const std::string &Text,
-                       const std::vector<std::string> &Known) {
+                        const std::vector<std::string> &Known) {
   const std::string *Nearest = nullptr;
   std::size_t Least = 0;
   for (const std::string &Name : Known) {
