Test the network modules; make the fleet status on request only

Cause: Net and the frame codec had no tests. The peers thread built a JSON status of the whole fleet twice a second, and each new view made the entry walk all load figures; at 18,000 backend servers both take milliseconds each time.

The status is made when an operator asks; load figures are pruned once a minute. An exception of the codec while encoding becomes an error, and a backend server's status outside 100 to 599 ends the attempt as a lost connection.

Ruled out: loosening the range check on the sending side, because the receiver has to refuse the same values.

Conclusion: hostile input is refused on both sides.

--- a/include/teaselhitch/Net/HttpServer.h
+++ b/include/teaselhitch/Net/HttpServer.h
@@ -30,7 +30,7 @@
 struct HttpServerSettings {
   Endpoint Listen;
   std::uint32_t MaxHeaderBytes = 16 * 1024;
-  std::uint64_t MaxBodyBytes = 1024 * 1024;
+  std::uint64_t MaxBodyBytes = 1024ULL * 1024;
   std::uint32_t MaxConnections = 1024;
   /// An idle connection is closed after this time.
   Duration IdleTimeout = Duration::seconds(60);
--- a/include/teaselhitch/Net/PeerLinks.h
+++ b/include/teaselhitch/Net/PeerLinks.h
@@ -49,7 +49,7 @@
   Duration IdleTimeout = Duration::seconds(30);
   /// A link with more bytes than this waiting to be sent takes no more
   /// messages.
-  std::uint64_t MaxPendingBytes = 8 * 1024 * 1024;
+  std::uint64_t MaxPendingBytes = 8ULL * 1024 * 1024;
 };
 
 class PeerLinks {
--- a/include/teaselhitch/Settings/NodeSettings.h
+++ b/include/teaselhitch/Settings/NodeSettings.h
@@ -47,8 +47,8 @@
 
   // [limits]
   std::uint32_t MaxHeaderBytes = 16 * 1024;
-  std::uint64_t MaxBodyBytes = 1024 * 1024;
-  std::uint64_t MaxAnswerBytes = 1024 * 1024;
+  std::uint64_t MaxBodyBytes = 1024ULL * 1024;
+  std::uint64_t MaxAnswerBytes = 1024ULL * 1024;
   std::uint32_t MaxCallerConnections = 1024;
   std::uint32_t MaxRequests = 8192;
   /// Bound of a graceful shutdown.
--- a/lib/Entry/Entry.cpp
+++ b/lib/Entry/Entry.cpp
@@ -20,6 +20,9 @@
 /// Share of idempotent requests that are offered to an ejected backend server
 /// first; its guard runs only a rationed number of them.
 constexpr double TrialShare = 0.02;
+/// A pass over the load figures of all backend servers takes milliseconds at
+/// the target size, so it is rare.
+constexpr Duration PruneInterval = Duration::seconds(60);
 /// `Retry-After` when nothing better is known.
 constexpr Duration DefaultRetryAfter = Duration::seconds(1);
 
@@ -52,7 +55,6 @@
 
   void updateView(std::shared_ptr<const FleetView> NewView) override {
     View = std::move(NewView);
-    Load.prune(*View);
   }
 
   void drain() override { Draining = true; }
@@ -107,6 +109,7 @@
   Claims KeyClaims;
   /// Deadlines of key requests by token.
   std::unordered_map<std::uint64_t, Time> Mints;
+  Time PrunedAt;
   std::uint64_t NextSequence = 1;
   std::uint64_t Strays = 0;
   bool Draining = false;
@@ -417,6 +420,10 @@
     if (PendingRequest *P = Requests.find(Id))
       expire(*P, Now, Actions);
   applyClaims(KeyClaims.tick(Now), Now, Actions);
+  if (Now - PrunedAt > PruneInterval) {
+    PrunedAt = Now;
+    Load.prune(*View);
+  }
   std::erase_if(Mints, [&](const auto &Item) {
     if (Item.second > Now)
       return false;
--- a/lib/Net/BackendClient.cpp
+++ b/lib/Net/BackendClient.cpp
@@ -209,7 +209,10 @@
 void Exchange::onRead(ErrorCodeT Fault) {
   if (Ended)
     return;
-  if (Fault)
+  // Other statuses have no meaning in HTTP and do not fit a frame.
+  constexpr unsigned FirstStatus = 100, LastStatus = 599;
+  if (Fault || Parser->get().result_int() < FirstStatus ||
+      Parser->get().result_int() > LastStatus)
     return checkServer();
   bool Reusable = Parser->get().keep_alive();
   HttpAnswer Answer = toAnswer(Parser->release());
--- a/lib/Node/OperatorsDuty.cpp
+++ b/lib/Node/OperatorsDuty.cpp
@@ -31,6 +31,49 @@
   return Current ? *Current : boost::json::value();
 }
 
+boost::json::array describeNodes(const FleetView &View) {
+  boost::json::array Nodes;
+  if (!View.Nodes)
+    return Nodes;
+  for (const auto &[Name, Node] : *View.Nodes)
+    Nodes.push_back(
+        boost::json::object{{"name", Name.str()},
+                            {"address", toString(Node.Address)},
+                            {"failure_domain", Node.Domain.str()},
+                            {"region", Node.Region.str()},
+                            {"state", nodeStateName(Node.State)},
+                            {"incarnation", Node.Version.Incarnation}});
+  return Nodes;
+}
+
+boost::json::object describeServices(const FleetView &View) {
+  boost::json::object Services;
+  for (const auto &[Name, Servers] : View.Services) {
+    boost::json::array Items;
+    for (const BackendServerRecord &Server : *Servers)
+      Items.push_back(boost::json::object{
+          {"node", Server.Id.Node.str()},
+          {"name", Server.Id.Name.str()},
+          {"state", backendServerStateName(Server.State)},
+          {"health", backendServerHealthName(Server.Health)},
+          {"weight", Server.Weight},
+          {"slots", Server.Slots}});
+    Services[Name.str()] = std::move(Items);
+  }
+  return Services;
+}
+
+/// Made on request only: at 18,000 backend servers it takes milliseconds.
+boost::json::object describeView(const Channels &Rings) {
+  boost::json::object Described;
+  std::shared_ptr<const FleetView> View = Rings.View.current();
+  if (View) {
+    Described["nodes"] = describeNodes(*View);
+    Described["services"] = describeServices(*View);
+  }
+  return Described;
+}
+
 /// A query parameter as a number; Default if it is absent.
 Result<std::uint64_t> numberParameter(const RequestTarget &Target,
                                       const std::string &Name,
@@ -126,7 +169,8 @@
   Body["configuration_manifest"] = Config ? Config->ManifestHash : "";
   Body["callers"] = valueOr(Rings.CallersStatus);
   Body["guard"] = valueOr(Rings.BackendsStatus);
-  Body["fleet_view"] = valueOr(Rings.PeersStatus);
+  Body["peers"] = valueOr(Rings.PeersStatus);
+  Body["fleet_view"] = describeView(Rings);
   return makeJson(Ok, Body);
 }
 
--- a/lib/Node/PeersDuty.cpp
+++ b/lib/Node/PeersDuty.cpp
@@ -2,7 +2,6 @@
 
 #include "teaselhitch/Config/Head.h"
 
-#include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 
 #include <random>
@@ -362,34 +361,7 @@
 }
 
 void PeersDuty::publishStatus() {
-  std::shared_ptr<const FleetView> View = Members->view();
-  boost::json::array Nodes;
-  for (const auto &[Name, Node] : *View->Nodes) {
-    boost::json::object Item;
-    Item["name"] = Name.str();
-    Item["address"] = toString(Node.Address);
-    Item["failure_domain"] = Node.Domain.str();
-    Item["state"] = nodeStateName(Node.State);
-    Item["incarnation"] = Node.Version.Incarnation;
-    Nodes.push_back(std::move(Item));
-  }
-  boost::json::object Services;
-  for (const auto &[Name, Servers] : View->Services) {
-    boost::json::array Items;
-    for (const BackendServerRecord &Server : *Servers) {
-      boost::json::object Item;
-      Item["node"] = Server.Id.Node.str();
-      Item["name"] = Server.Id.Name.str();
-      Item["state"] = backendServerStateName(Server.State);
-      Item["health"] = backendServerHealthName(Server.Health);
-      Item["weight"] = Server.Weight;
-      Items.push_back(std::move(Item));
-    }
-    Services[Name.str()] = std::move(Items);
-  }
   boost::json::object Status;
-  Status["nodes"] = std::move(Nodes);
-  Status["services"] = std::move(Services);
   Status["links"] = Links->linkCount();
   Rings.PeersStatus.publish(
       std::make_shared<boost::json::value>(std::move(Status)));
--- a/lib/Settings/NodeSettings.cpp
+++ b/lib/Settings/NodeSettings.cpp
@@ -52,7 +52,7 @@
 }
 
 void readLimits(SettingsReader &Reader, NodeSettings &S) {
-  constexpr std::int64_t MaxBytes = 1024 * 1024;
+  constexpr std::int64_t MaxBytes = 1024LL * 1024;
   Reader.section("limits");
   S.MaxHeaderBytes = static_cast<std::uint32_t>(
       Reader.integer("max_header_bytes", S.MaxHeaderBytes, 1024, MaxBytes));
--- a/lib/Wire/FrameCodec.cpp
+++ b/lib/Wire/FrameCodec.cpp
@@ -73,8 +73,13 @@
 } // namespace
 
 Result<std::string> encodeFrame(const PeerMessage &Message) {
-  std::string Payload =
-      std::visit([](const auto &M) { return encodePayload(M); }, Message);
+  std::string Payload;
+  try {
+    Payload =
+        std::visit([](const auto &M) { return encodePayload(M); }, Message);
+  } catch (const cereal::Exception &E) {
+    return makeError(ErrorCode::InvalidInput, E.what());
+  }
   std::size_t Length = TypeBytes + Payload.size();
   if (Length > MaxFrameBytes)
     return makeError(ErrorCode::Exhausted, "message of " +
--- /dev/null
+++ b/unittests/Net/PeerLinksTest.cpp
@@ -0,0 +1,143 @@
+#include "teaselhitch/Net/PeerLinks.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <functional>
+
+using namespace teaselhitch;
+
+namespace {
+
+/// One end of the links, with its own port; records what it hears.
+class TestEnd : public PeerLinksHandler {
+public:
+  TestEnd(EventLoop &Loop, const char *Name, std::uint16_t Port,
+          const char *Fleet = "fleet")
+      : Address{"127.0.0.1", Port} {
+    PeerLinksSettings Settings;
+    Settings.Listen = Address;
+    Settings.Self.Fleet = Fleet;
+    Settings.Self.Node = NodeName(Name);
+    handleError(
+        [&]() -> Result<int> {
+          BOOST_LEAF_ASSIGN(Links, PeerLinks::create(Loop, Settings, *this));
+          return 0;
+        },
+        [](const Error &E) {
+          CPPUNIT_FAIL(E.Message);
+          return 0;
+        });
+  }
+
+  void fromGuard(const NodeName &, PeerMessage Message) override {
+    Replies.push_back(std::move(Message));
+    changed();
+  }
+  void fromEntry(LinkId Link, const NodeName &Node,
+                 PeerMessage Message) override {
+    Requests.push_back(std::move(Message));
+    LastLink = Link;
+    LastNode = Node;
+    changed();
+  }
+  void lostGuard(const NodeName &, bool WasOpen) override {
+    ++LostGuards;
+    LastWasOpen = WasOpen;
+    changed();
+  }
+  void lostEntry(LinkId) override { changed(); }
+
+  void changed() const {
+    if (OnChange)
+      OnChange();
+  }
+
+  Endpoint Address;
+  std::unique_ptr<PeerLinks> Links;
+  std::vector<PeerMessage> Replies;
+  std::vector<PeerMessage> Requests;
+  LinkId LastLink = 0;
+  NodeName LastNode;
+  int LostGuards = 0;
+  bool LastWasOpen = true;
+  std::function<void()> OnChange;
+};
+
+/// Ports of this test; the tests run one after the other.
+constexpr std::uint16_t PortA = 48731;
+constexpr std::uint16_t PortB = 48732;
+
+class PeerLinksTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(PeerLinksTest);
+  CPPUNIT_TEST(answersComeBackOnTheLink);
+  CPPUNIT_TEST(lossTellsWhetherTheLinkWasOpen);
+  CPPUNIT_TEST(refusesOtherFleets);
+  CPPUNIT_TEST(silentLinkCloses);
+  CPPUNIT_TEST_SUITE_END();
+
+  /// Guards against answers that take another way than their request.
+  void answersComeBackOnTheLink() {
+    EventLoop Loop;
+    TestEnd A(Loop, "a", PortA);
+    TestEnd B(Loop, "b", PortB);
+    B.OnChange = [&] {
+      if (!B.Requests.empty())
+        B.Links->answer(B.LastLink, KeyMinted{5, "key", Duration(1)});
+    };
+    A.OnChange = [&] { Loop.stop(); };
+    CPPUNIT_ASSERT(
+        A.Links->send(NodeName("b"), B.Address, MintKey{5, ServiceName("s")}));
+    Loop.run();
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), A.Replies.size());
+    CPPUNIT_ASSERT(
+        (A.Replies[0] == PeerMessage(KeyMinted{5, "key", Duration(1)})));
+    CPPUNIT_ASSERT(B.LastNode == NodeName("a"));
+  }
+
+  /// Guards against "may have run" for a message that never left the node.
+  void lossTellsWhetherTheLinkWasOpen() {
+    EventLoop Loop;
+    TestEnd A(Loop, "a", PortA);
+    A.OnChange = [&] { Loop.stop(); };
+    CPPUNIT_ASSERT(A.Links->send(NodeName("b"), Endpoint{"127.0.0.1", PortB},
+                                 Heartbeat{1, false}));
+    Loop.run();
+    CPPUNIT_ASSERT_EQUAL(1, A.LostGuards);
+    CPPUNIT_ASSERT(!A.LastWasOpen);
+  }
+
+  /// Guards against work that is exchanged between two fleets.
+  void refusesOtherFleets() {
+    EventLoop Loop;
+    TestEnd A(Loop, "a", PortA);
+    TestEnd B(Loop, "b", PortB, "other");
+    A.OnChange = [&] { Loop.stop(); };
+    CPPUNIT_ASSERT(
+        A.Links->send(NodeName("b"), B.Address, MintKey{5, ServiceName("s")}));
+    Loop.run();
+    CPPUNIT_ASSERT_EQUAL(1, A.LostGuards);
+    CPPUNIT_ASSERT(B.Requests.empty());
+  }
+
+  /// Guards against requests that wait for ever on a link whose other end was
+  /// forgotten by a device on the path. The time of the check is passed in.
+  void silentLinkCloses() {
+    EventLoop Loop;
+    TestEnd A(Loop, "a", PortA);
+    TestEnd B(Loop, "b", PortB);
+    B.OnChange = [&] { Loop.stop(); };
+    CPPUNIT_ASSERT(
+        A.Links->send(NodeName("b"), B.Address, MintKey{5, ServiceName("s")}));
+    Loop.run();
+    Time Now = SteadyClock().now();
+    A.Links->tick(Now);
+    CPPUNIT_ASSERT_EQUAL(0, A.LostGuards);
+    A.Links->tick(Now + Duration::seconds(3));
+    CPPUNIT_ASSERT_EQUAL(1, A.LostGuards);
+    CPPUNIT_ASSERT(A.LastWasOpen);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PeerLinksTest);
+
+} // namespace
--- /dev/null
+++ b/unittests/Wire/FrameCodecTest.cpp
@@ -0,0 +1,192 @@
+#include "teaselhitch/Wire/FrameCodec.h"
+
+#include "teaselhitch/Support/Random.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <limits>
+
+using namespace teaselhitch;
+
+namespace {
+
+constexpr std::uint64_t Seed = 20261204;
+
+Dispatch makeDispatch() {
+  Dispatch D;
+  D.Info.Attempt = AttemptId{RequestId{NodeName("n1"), 7, 8}, 2};
+  D.Info.Service = ServiceName("seats");
+  D.Info.Preferred = BackendServerName("b1");
+  D.Info.Organisation = OrganisationName("org");
+  D.Info.Idempotent = true;
+  D.Info.Remaining = Duration(1500);
+  D.Info.GuardKey = "th1.x";
+  D.Info.Fingerprint = 99;
+  D.Info.Baseline = ServiceBaseline{0.01, 4.5, 80};
+  D.Request = HttpRequest{"POST", "/a?b=c", {{"Accept", "*/*"}}, "body"};
+  return D;
+}
+
+std::vector<PeerMessage> allMessages() {
+  AttemptFailed Failed;
+  Failed.Attempt = makeDispatch().Info.Attempt;
+  Failed.Why = Reason::QueueFull;
+  Failed.RetryAfter = Duration(250);
+  AttemptAnswer Answer;
+  Answer.Attempt = Failed.Attempt;
+  Answer.RanOn = BackendServerName("b2");
+  Answer.InProgress = 3;
+  Answer.RunTime = Duration(4.25);
+  Answer.Answer = HttpAnswer{200, {{"X", "y"}}, std::string("\0\1", 2)};
+  Delta Changes;
+  Changes.Head = ConfigHead{4, std::string(64, 'a')};
+  return {Hello{"fleet", NodeName("n1"), 5, FailureDomain("d1"), 1},
+          Heartbeat{9, true},
+          makeDispatch(),
+          Cancel{Failed.Attempt},
+          MintKey{3, ServiceName("seats")},
+          Failed,
+          Answer,
+          KeyMinted{3, "key", Duration(600000)},
+          Digest{},
+          Changes,
+          PieceRequest{"hash"},
+          Piece{"hash", "bytes"}};
+}
+
+std::string encode(const PeerMessage &Message) {
+  return handleError([&] { return encodeFrame(Message); },
+                     [](const Error &E) {
+                       CPPUNIT_FAIL(E.Message);
+                       return std::string();
+                     });
+}
+
+/// Reads all messages of a stream; false at the first fault.
+bool readAll(FrameReader &Reader, std::vector<PeerMessage> &Out) {
+  bool Ok = true;
+  while (Ok) {
+    auto Message =
+        handleError([&] { return Reader.next(); },
+                    [&](const Error &) -> std::optional<PeerMessage> {
+                      Ok = false;
+                      return std::nullopt;
+                    });
+    if (!Message)
+      break;
+    Out.push_back(std::move(*Message));
+  }
+  return Ok;
+}
+
+template <typename T> std::string bytesOf(const T &Value) {
+  return std::string(reinterpret_cast<const char *>(&Value), sizeof(Value));
+}
+
+/// True if the frame of Message is refused once From in it is replaced by To.
+bool isRefused(const PeerMessage &Message, const std::string &From,
+               const std::string &To) {
+  CPPUNIT_ASSERT_EQUAL(From.size(), To.size());
+  std::string Frame = encode(Message);
+  std::size_t Place = Frame.find(From);
+  CPPUNIT_ASSERT(Place != std::string::npos);
+  Frame.replace(Place, From.size(), To);
+  FrameReader Reader;
+  Reader.append(Frame);
+  std::vector<PeerMessage> Out;
+  return !readAll(Reader, Out) && Out.empty();
+}
+
+class FrameCodecTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(FrameCodecTest);
+  CPPUNIT_TEST(everyMessageSurvivesAnySplit);
+  CPPUNIT_TEST(refusesMalformedFrames);
+  CPPUNIT_TEST(refusesDangerousValues);
+  CPPUNIT_TEST(survivesMutations);
+  CPPUNIT_TEST_SUITE_END();
+
+  /// Guards against fields that are lost and frames that are cut wrongly.
+  void everyMessageSurvivesAnySplit() {
+    std::vector<PeerMessage> Messages = allMessages();
+    CPPUNIT_ASSERT_EQUAL(std::variant_size_v<PeerMessage>, Messages.size());
+    std::string Stream;
+    for (const PeerMessage &Message : Messages)
+      Stream += encode(Message);
+    for (std::size_t Step : {std::size_t(1), std::size_t(7), Stream.size()}) {
+      FrameReader Reader;
+      std::vector<PeerMessage> Out;
+      for (std::size_t I = 0; I < Stream.size(); I += Step) {
+        Reader.append(std::string_view(Stream).substr(I, Step));
+        CPPUNIT_ASSERT(readAll(Reader, Out));
+      }
+      CPPUNIT_ASSERT(Out == Messages);
+    }
+  }
+
+  /// Guards against a peer that makes the reader wait or allocate without end.
+  void refusesMalformedFrames() {
+    std::string Good = encode(Heartbeat{1, false});
+    std::string Empty("\0\0\0\0", 4);
+    std::string Huge("\x7f\xff\xff\xff", 4);
+    std::string UnknownType = Good;
+    UnknownType[4] = 99;
+    std::string Trailing = Good + "x";
+    Trailing[3] = static_cast<char>(Good.size() - 4 + 1);
+    for (const std::string &Bytes : {Empty, Huge, UnknownType, Trailing}) {
+      FrameReader Reader;
+      Reader.append(Bytes);
+      std::vector<PeerMessage> Out;
+      CPPUNIT_ASSERT(!readAll(Reader, Out));
+    }
+    Piece Large;
+    Large.Bytes.assign(MaxFrameBytes, 'x');
+    std::string Frame =
+        handleError([&] { return encodeFrame(Large); },
+                    [](const Error &) { return std::string(); });
+    CPPUNIT_ASSERT(Frame.empty());
+  }
+
+  /// Guards against a lying peer: values that would split an HTTP message or
+  /// upset the arithmetic of deadlines and baselines.
+  void refusesDangerousValues() {
+    const std::string NaN = bytesOf(std::numeric_limits<double>::quiet_NaN());
+    const std::string TooMuch = bytesOf(1.5);
+    Dispatch D = makeDispatch();
+    CPPUNIT_ASSERT(isRefused(D, "*/*", "\r\na"));
+    CPPUNIT_ASSERT(isRefused(D, "Accept", "Ac: pt"));
+    CPPUNIT_ASSERT(isRefused(D, "seats", "../se"));
+    CPPUNIT_ASSERT(isRefused(D, bytesOf(D.Info.Remaining.ms()), NaN));
+    CPPUNIT_ASSERT(isRefused(D, bytesOf(D.Info.Baseline.ErrorRate), TooMuch));
+    CPPUNIT_ASSERT(isRefused(D, bytesOf(D.Info.Baseline.RunTimeMs), NaN));
+    AttemptAnswer Answer;
+    Answer.Answer.Status = 200;
+    CPPUNIT_ASSERT(isRefused(Answer, bytesOf(200U), bytesOf(4000U)));
+    // The sender refuses them as well.
+    D.Request.Headers[0].Value = "a\r\nb";
+    CPPUNIT_ASSERT(handleError([&] { return encodeFrame(D); },
+                               [](const Error &) { return std::string(); })
+                       .empty());
+  }
+
+  /// Guards against crashes and exceptions on hostile input.
+  void survivesMutations() {
+    SeededRandom Random(Seed);
+    std::vector<std::string> Frames;
+    for (const PeerMessage &Message : allMessages())
+      Frames.push_back(encode(Message));
+    for (int Round = 0; Round != 20000; ++Round) {
+      std::string Bytes = Frames[Random.below(Frames.size())];
+      for (std::uint64_t I = 0, N = 1 + Random.below(4); I != N; ++I)
+        Bytes[Random.below(Bytes.size())] = static_cast<char>(Random.next());
+      FrameReader Reader;
+      Reader.append(Bytes);
+      std::vector<PeerMessage> Out;
+      readAll(Reader, Out);
+      CPPUNIT_ASSERT(Out.size() <= Bytes.size());
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(FrameCodecTest);
+
+} // namespace
