Satisfy the linter in the test of the stand-ins

Cause: clang-tidy finds parameters and a variable that are copied in vain. Change: they are const references.

--- a/unittests/Platform/StandInTest.cpp
+++ b/unittests/Platform/StandInTest.cpp
@@ -111,7 +111,8 @@
     Loop Events;
     Backend Server(Events, Endless, ignoreAnnouncement);
     HttpCaller Caller(Events.Context, Server.Address);
-    Caller.call(makeRequest(verb::get, "/x"), Patience, [](CallResult) {});
+    Caller.call(makeRequest(verb::get, "/x"), Patience,
+                [](const CallResult &) {});
     Events.waitFor(Caller, "in_progress", 1);
     auto Ended = Events.call(Caller, makeRequest(verb::get, "/x"));
     CPPUNIT_ASSERT_EQUAL(503U, Ended.Answer.result_int());
@@ -163,7 +164,7 @@
     HttpRequest Request = makeRequest(verb::get, "/x");
     Request.set("Teaselhitch-Deadline-Ms", "50");
     unsigned Status = 0;
-    Caller.call(std::move(Request), Patience, [&](CallResult Result) {
+    Caller.call(std::move(Request), Patience, [&](const CallResult &Result) {
       Status = Result.Answer.result_int();
     });
     Events.waitFor(Caller, "max_in_progress", 1);
@@ -191,14 +192,14 @@
   }
 
   /// Answers as a node: grants a key, then gives the outcomes in order.
-  static HttpServer::Handler node(std::vector<std::string> Outcomes) {
+  static HttpServer::Handler node(const std::vector<std::string> &Outcomes) {
     auto Next = std::make_shared<std::size_t>(0);
     return [Next, Outcomes](const ExchangePtr &Current) {
       const HttpRequest &Request = Current->request();
       if (Request.target() == "/.teaselhitch/keys?service=bookings")
         return Current->answer(makeResponse(
             201, "{\"key\":\"guard-key\",\"expires_in_ms\":600000}"));
-      std::string Outcome = Outcomes.at((*Next)++);
+      const std::string &Outcome = Outcomes.at((*Next)++);
       if (Outcome == "cut")
         return Current->drop();
       HttpResponse Response = makeResponse(
@@ -211,9 +212,9 @@
   }
 
   /// The tries that the load client records for one paid request.
-  static std::string triesWith(std::vector<std::string> Outcomes) {
+  static std::string triesWith(const std::vector<std::string> &Outcomes) {
     Loop Events;
-    HttpServer Node(Events.Context, node(std::move(Outcomes)));
+    HttpServer Node(Events.Context, node(Outcomes));
     LoadSettings Settings;
     Settings.Nodes = {listen(Node)};
     Settings.Plan.Paid = {{"/bookings", "bookings"}};
