Never send equal backend servers of nodes that one side lost

When many node buckets differ, node records go first. Buckets that were empty on the other side were excepted, so that a new node gets all in one exchange; but in fleets below about 200 nodes a bucket holds one node, and is empty when that node is held for dead. The exception now applies to digests with at most two node buckets in use. Found by the new test, which failed before the change.

--- a/lib/Membership/RosterSync.cpp
+++ b/lib/Membership/RosterSync.cpp
@@ -16,6 +16,9 @@
 /// because the backend servers of a node that was thought dead are known to
 /// both sides and become equal without being sent.
 constexpr std::size_t ManyNodeBuckets = 16;
+/// A digest with no more node buckets in use than this comes from a node that
+/// has just started, which lacks everything.
+constexpr std::size_t FewNodeBuckets = 2;
 
 /// A bijective mixer (the finaliser of MurmurHash3).
 std::uint64_t mix(std::uint64_t Value) {
@@ -103,13 +106,15 @@
 std::vector<Delta> Roster::deltasFor(const Digest &Other,
                                      std::size_t MaxRecords) const {
   Digest Own = digest({});
-  std::size_t NodeDifferences = 0;
-  for (std::size_t I = 0; I != NodeBuckets; ++I)
+  std::size_t NodeDifferences = 0, UsedBuckets = 0;
+  for (std::size_t I = 0; I != NodeBuckets; ++I) {
     NodeDifferences += Own.Buckets[I] != Other.Buckets[I] ? 1 : 0;
-  bool NodesFirst = NodeDifferences > ManyNodeBuckets;
+    UsedBuckets += Other.Buckets[I] != 0 ? 1 : 0;
+  }
+  bool NodesFirst =
+      NodeDifferences > ManyNodeBuckets && UsedBuckets > FewNodeBuckets;
   auto SendsServers = [&](std::size_t I) {
-    return Own.Buckets[I] != Other.Buckets[I] &&
-           (!NodesFirst || Other.Buckets[I] == 0);
+    return !NodesFirst && Own.Buckets[I] != Other.Buckets[I];
   };
   DeltaParts Parts(MaxRecords);
   for (const auto &[Name, Entry] : Nodes) {
--- a/unittests/Membership/MembershipFaultTest.cpp
+++ b/unittests/Membership/MembershipFaultTest.cpp
@@ -54,6 +54,7 @@
   CPPUNIT_TEST(oneWayPartitionKillsNobody);
   CPPUNIT_TEST(pausedObserverKillsNobody);
   CPPUNIT_TEST(rejoinMovesDeltas);
+  CPPUNIT_TEST(equalServersOfLostNodesAreNotSent);
   CPPUNIT_TEST(versionsNeverGoBack);
   CPPUNIT_TEST(restartWithLowerClockTakesOver);
   CPPUNIT_TEST(twoProcessesWithOneNameAreBounded);
@@ -137,7 +138,47 @@
     std::size_t PerNode = (Net.DeltaBytes - Before) / 40;
     CPPUNIT_ASSERT(Took <= Duration::seconds(30));
     CPPUNIT_ASSERT_EQUAL(std::size_t(0), Net.Deaths.size());
-    CPPUNIT_ASSERT(PerNode < WholeSet / 2);
+    CPPUNIT_ASSERT(PerNode < WholeSet / 3);
+  }
+
+  /// Guards against a digest that sends all backend servers of the nodes that
+  /// one side holds for dead.
+  void equalServersOfLostNodesAreNotSent() {
+    TestNetwork Net(2, 43);
+    Delta Known, Lost;
+    for (std::size_t I = 2; I != 102; ++I) {
+      NodeRecord Node = Net.Nodes[0].Record;
+      Node.Name = TestNetwork::nameOf(I);
+      Known.Nodes.push_back(Node);
+      Known.Servers.push_back(
+          TestNetwork::server(I, "s", BackendServerState::Ready));
+      Known.Servers.back().Version = Node.Version;
+      Node.State = NodeState::Dead;
+      if (I % 2 == 0)
+        Lost.Nodes.push_back(Node);
+    }
+    Membership &Whole = *Net.Nodes[0].Core, &Cut = *Net.Nodes[1].Core;
+    Datagram Claims;
+    Claims.Sender = TestNetwork::nameOf(0);
+    Claims.Changes = Lost;
+    Whole.apply(Known, Net.Now);
+    Cut.apply(Known, Net.Now);
+    CPPUNIT_ASSERT(Whole.digest() == Cut.digest());
+    // The first claim makes the nodes suspected, the second one dead.
+    for (int Claim = 0; Claim != 2; ++Claim)
+      Cut.receive(Claims, Net.Nodes[0].Record.Address, Net.Now);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(52), Cut.view()->Nodes->size());
+    std::size_t Nodes = 0;
+    for (const Delta &Part : Whole.deltasFor(Cut.digest(), 1000)) {
+      CPPUNIT_ASSERT(Part.Servers.empty());
+      Nodes += Part.Nodes.size();
+    }
+    CPPUNIT_ASSERT(Nodes >= 50);
+    for (NodeRecord &Node : Known.Nodes)
+      ++Node.Version.Sequence;
+    Whole.apply({Known.Nodes, {}, {}, {}}, Net.Now);
+    Cut.apply({Known.Nodes, {}, {}, {}}, Net.Now);
+    CPPUNIT_ASSERT(Whole.digest() == Cut.digest());
   }
 
   /// Guards against old records that replace new ones, on paths that reorder
