Hold ejections while little is known of the peers

At 1,400 entries each sends 0.2 requests a second to a service, so its figures hold almost nothing of the last second. While the newest figures rest on fewer than 8 requests, a failing backend server keeps its lower weight for 3 s and is ejected only if at most 10% of the others look bad.

--- a/include/teaselhitch/Detection/Baseline.h
+++ b/include/teaselhitch/Detection/Baseline.h
@@ -59,6 +59,9 @@
   /// backend server in use.
   ServiceBaseline without(const BackendServerName &Server, Time Now);
 
+  /// Requests of the last seconds that the figures of without() rest on.
+  double newestWeight(const BackendServerName &Server, Time Now);
+
 private:
   struct FromEntry {
     BaselineTracker Figures;
@@ -74,6 +77,7 @@
     BaselineTracker Medium;
     BaselineTracker Slow;
     ServiceBaseline Result;
+    double NewestWeight = 0;
     Time ComputedAt;
     bool Computed = false;
   };
--- a/include/teaselhitch/Detection/GrayFailureControl.h
+++ b/include/teaselhitch/Detection/GrayFailureControl.h
@@ -25,6 +25,7 @@
 /// | a configuration is in force | configure |
 /// | an announcement, or a backend server went silent (Gone) | announced |
 /// | a Dispatch arrived | dispatched |
+/// | every 100 ms, for the entry of the own node | dispatched |
 /// | a request ended at a backend server | sample |
 /// | the fleet view changed | view |
 /// | the platform thread answered | reply |
--- a/include/teaselhitch/Detection/HealthMonitor.h
+++ b/include/teaselhitch/Detection/HealthMonitor.h
@@ -94,7 +94,16 @@
   /// A suspicion lowers the weight only after this time and this many samples,
   /// because evidence comes ten times as slowly at a tenth of the requests.
   Duration SuspicionDelay = Duration::seconds(1);
-  std::uint32_t SuspicionSamples = 5;
+  std::uint32_t SuspicionSamples = 10;
+  /// While the figures of the peers rest on fewer requests of the last seconds,
+  /// a failing backend server is ejected only after this time, and only if few
+  /// others look bad: with many entries that each send few requests, an
+  /// overload of the whole service shows in the others' health first.
+  double EnoughPeerRequests = 8;
+  Duration SparseDelay = Duration::seconds(3);
+  /// Share of the others that may look bad then, and a number that always may.
+  double SparseBadShare = 0.1;
+  std::uint32_t SparseBadCount = 1;
   /// Time without requests after an ejection; doubles with each relapse.
   Duration FirstHold = Duration::seconds(5);
   Duration LongestHold = Duration::seconds(300);
--- a/lib/Detection/Baseline.cpp
+++ b/lib/Detection/Baseline.cpp
@@ -20,6 +20,11 @@
 /// run times, whose mean is stable after a few requests.
 constexpr double ErrorPrior = 10;
 constexpr double RunTimePrior = 3;
+/// When the newest run times are above the long-term ones by this factor, the
+/// service is getting slower and the figures, which lag, show about half of it
+/// on a logarithmic scale. The factor is two deviations of a mean of 15
+/// requests.
+constexpr double GrowingRunTime = 1.3;
 
 } // namespace
 
@@ -176,12 +181,20 @@
   const ServiceBaseline Recent = MixedWithMedium(ErrorPrior);
   State.Result.ErrorRate =
       std::max({Slow.ErrorRate, Medium.ErrorRate, Recent.ErrorRate});
-  State.Result.RunTimeMs =
-      std::max(Slow.RunTimeMs, MixedWithMedium(RunTimePrior).RunTimeMs);
+  double RunTimeMs = MixedWithMedium(RunTimePrior).RunTimeMs;
+  if (Slow.RunTimeMs > 0 && RunTimeMs > GrowingRunTime * Slow.RunTimeMs)
+    RunTimeMs *= RunTimeMs / Slow.RunTimeMs;
+  State.Result.RunTimeMs = std::max(Slow.RunTimeMs, RunTimeMs);
+  State.NewestWeight = Others.baseline(Now).Weight;
   State.Result.Weight =
       std::max(Recent.Weight, Slow.Weight * (SlowHalfLife.ms() /
                                              BaselineTracker::HalfLife.ms()));
   return State.Result;
 }
 
+double PeerFigures::newestWeight(const BackendServerName &Server, Time Now) {
+  without(Server, Now);
+  return Own[Server].NewestWeight;
+}
+
 } // namespace teaselhitch
--- a/lib/Detection/HealthMonitor.cpp
+++ b/lib/Detection/HealthMonitor.cpp
@@ -43,6 +43,7 @@
   Phase At = Phase::InUse;
   Time PhaseSince;
   std::optional<Time> SuspectedSince;
+  std::optional<Time> FailingSince;
   /// Samples since then.
   std::uint32_t SuspectedSamples = 0;
   Duration Hold;
@@ -96,6 +97,12 @@
     return Server.At == Phase::Ramp ||
            Now - Server.ReadySince < Settings.ColdTime;
   }
+  /// Ready backend servers of the service and those that look bad.
+  struct Census {
+    std::size_t Known = 0;
+    std::size_t Bad = 0;
+  };
+  Census census(const ServerState &Server, Time Now) const;
   bool isServiceBad(const BackendServerName &Name, const ServerState &Server,
                     Time Now);
   std::uint32_t rampWeight(const ServerState &Server, Time Now) const;
@@ -198,31 +205,41 @@
   return Actions;
 }
 
-bool Monitor::isServiceBad(const BackendServerName &Name,
-                           const ServerState &Server, Time Now) {
-  ServiceState &Service = Services[Server.Service];
-  if (Service.Peers.without(Name, Now).ErrorRate >= ServiceFailureRate)
-    return true;
-  if (!Service.View)
-    return false;
-  std::size_t Known = 0;
-  std::size_t Bad = 0;
-  for (const BackendServerRecord &Record : *Service.View) {
+Monitor::Census Monitor::census(const ServerState &Server, Time Now) const {
+  Census Result;
+  const auto Service = Services.find(Server.Service);
+  if (Service == Services.end() || !Service->second.View)
+    return Result;
+  for (const BackendServerRecord &Record : *Service->second.View) {
     if (Record.State != BackendServerState::Ready)
       continue;
-    ++Known;
-    if (Record.Id.Node != Settings.Node) {
-      Bad += Record.Health != BackendServerHealth::Healthy ? 1 : 0;
-      continue;
-    }
+    ++Result.Known;
     auto Own = Servers.find(Record.Id.Name);
-    const bool IsBad = Own != Servers.end() &&
-                       (Own->second.Health != BackendServerHealth::Healthy ||
-                        (Own->second.Judge &&
-                         Own->second.Judge->verdict(Now) != Verdict::Healthy));
-    Bad += IsBad ? 1 : 0;
+    const bool IsOwn = Record.Id.Node == Settings.Node && Own != Servers.end();
+    const bool IsBad =
+        IsOwn ? Own->second.Health != BackendServerHealth::Healthy ||
+                    (Own->second.Judge &&
+                     Own->second.Judge->verdict(Now) != Verdict::Healthy)
+              : Record.Health != BackendServerHealth::Healthy;
+    Result.Bad += IsBad ? 1 : 0;
   }
-  return Bad * 2 > Known;
+  return Result;
+}
+
+bool Monitor::isServiceBad(const BackendServerName &Name,
+                           const ServerState &Server, Time Now) {
+  PeerFigures &Peers = Services[Server.Service].Peers;
+  if (Peers.without(Name, Now).ErrorRate >= ServiceFailureRate)
+    return true;
+  const Census Count = census(Server, Now);
+  if (Count.Bad * 2 > Count.Known)
+    return true;
+  if (Peers.newestWeight(Name, Now) >= Settings.EnoughPeerRequests)
+    return false;
+  const double Allowed = std::max<double>(
+      Settings.SparseBadCount, Settings.SparseBadShare * double(Count.Known));
+  return Now - *Server.FailingSince < Settings.SparseDelay ||
+         double(Count.Bad) - 1 > Allowed;
 }
 
 Cause Monitor::causeOf(const BackendServerName &Name, ServerState &Server,
@@ -247,12 +264,16 @@
     return;
   switch (Server.Judge->verdict(Now)) {
   case Verdict::Healthy:
+    Server.FailingSince.reset();
     clear(Name, Server, Now, Actions);
     return;
   case Verdict::Suspected:
+    Server.FailingSince.reset();
     suspect(Name, Server, Now, Actions);
     return;
   case Verdict::Failing:
+    if (!Server.FailingSince)
+      Server.FailingSince = Now;
     fail(Name, Server, Now, Actions);
     return;
   }
--- a/lib/Detection/PathContrast.cpp
+++ b/lib/Detection/PathContrast.cpp
@@ -29,7 +29,7 @@
 /// Failure rates assumed for the failing origin: few requests do not show that
 /// it fails always.
 constexpr double LeastFailing = 0.2;
-constexpr double MostFailing = 0.6;
+constexpr double MostFailing = 0.5;
 
 double usualRate(EvidenceKind Kind, double PeerRate) {
   return Kind == EvidenceKind::Errors ? PeerRate : PeerRate + UsualSlowShare;
--- a/lib/Detection/SequentialDetector.cpp
+++ b/lib/Detection/SequentialDetector.cpp
@@ -36,9 +36,11 @@
 /// A hypothesis is dropped when its rate is below this multiple of the peers'
 /// rate, because then the failures are a matter of the service.
 constexpr double MinRatio = 2;
-/// A peers' rate below this is not trusted: at 0.001 three failures in a row
-/// are the least evidence for an ejection.
-constexpr double MinPeerRate = 0.001;
+/// A peers' rate below this is not trusted: at 0.003 four failures in a row are
+/// the least evidence for an ejection. With three, the beginning of an overload
+/// in which 30% fail ejected backend servers before the peers' figures showed
+/// it.
+constexpr double MinPeerRate = 0.003;
 /// Assumed rate and its weight in requests while little is known of the peers.
 constexpr double PriorRate = 0.01;
 constexpr double PriorWeight = 10;
@@ -64,9 +66,9 @@
 /// changes of the service.
 constexpr double MaxShareWeight = 4000;
 
-/// Slowness must last this long: the figures of the peers arrive with up to 2 s
-/// of delay, and a service that gets slow as a whole shows in them only then.
-constexpr Duration MinSlowTime = Duration::seconds(2);
+/// Slowness must last this long: the figures of the peers lag by one to two
+/// seconds, and a service that gets slow as a whole shows in them only then.
+constexpr Duration MinSlowTime = Duration::seconds(1.6);
 
 /// Sums are limited to this multiple of the threshold.
 constexpr double LargestScore = 1.2;
--- a/tools/teaselhitch-bench/DetectionRows.h
+++ b/tools/teaselhitch-bench/DetectionRows.h
@@ -39,6 +39,7 @@
   double P50 = -1;
   double P99 = -1;
   double LoweredP50 = -1;
+  double LoweredP99 = -1;
   unsigned FalseEjections = 0;
   double ServerDays = 0;
   std::uint64_t Requests = 0;
--- a/tools/teaselhitch-bench/DetectionWorld.h
+++ b/tools/teaselhitch-bench/DetectionWorld.h
@@ -3,7 +3,8 @@
 
 /// \file
 /// Traffic of one service through its guards' GrayFailureControl, in virtual
-/// time. Each instance has one backend server of the service and one entry.
+/// time. Each instance has one backend server of the service and one entry;
+/// a large fleet has more entries.
 
 #include "teaselhitch/Config/Objects.h"
 
@@ -39,6 +40,8 @@
   /// fault. The backend server with the fault is in domain 0.
   double Size = 0;
   unsigned Servers = 8;
+  /// Entries that send requests; 0 means one for each backend server.
+  unsigned Entries = 0;
   unsigned Slots = 3;
   unsigned Domains = 3;
   /// Requests per second and backend server.
