--- a/tools/teaselhitch-bench/DetectionBench.cpp
+++ b/tools/teaselhitch-bench/DetectionBench.cpp
@@ -19,7 +19,6 @@
 
 namespace {
 
-constexpr const char *ChosenDetector = "sequential";
 constexpr std::array<DetectionPreset, 3> Presets = {
     DetectionPreset::FewFalseEjections, DetectionPreset::Balanced,
     DetectionPreset::FastDetection};
--- a/tools/teaselhitch-bench/DetectionRows.h
+++ b/tools/teaselhitch-bench/DetectionRows.h
@@ -22,6 +22,9 @@
   std::vector<unsigned> Sizes;
   unsigned Trials = 1;
   bool StopAtDetection = true;
+  /// Seconds for detectors other than the chosen one, which are there for
+  /// comparison; 0 means the same as for the chosen one.
+  double BaselineLength = 0;
   /// Goal for the median detection time in seconds.
   std::optional<double> MedianBound;
   /// No healthy backend server may be ejected.
@@ -49,6 +52,9 @@
   }
 };
 
+/// The default detector of a service; the others are baselines.
+constexpr const char *ChosenDetector = "sequential";
+
 const char *presetName(DetectionPreset Preset);
 
 /// The preset that the deployment of the row uses.
