--- a/lib/Detection/HealthMonitor.cpp
+++ b/lib/Detection/HealthMonitor.cpp
@@ -43,6 +43,9 @@
   Phase At = Phase::InUse;
   Time PhaseSince;
   std::optional<Time> SuspectedSince;
+  std::optional<Time> FailingSince;
+  /// Samples since then.
+  std::uint32_t SuspectedSamples = 0;
   Duration Hold;
   std::optional<Time> LastReadmission;
   std::uint32_t TrialSuccesses = 0;
@@ -94,6 +97,12 @@
     return Server.At == Phase::Ramp ||
            Now - Server.ReadySince < Settings.ColdTime;
   }
+  /// Ready backend servers of the service and those that look bad.
+  struct Census {
+    std::size_t Known = 0;
+    std::size_t Bad = 0;
+  };
+  Census census(const ServerState &Server, Time Now) const;
   bool isServiceBad(const BackendServerName &Name, const ServerState &Server,
                     Time Now);
   std::uint32_t rampWeight(const ServerState &Server, Time Now) const;
@@ -196,39 +205,49 @@
   return Actions;
 }
 
-bool Monitor::isServiceBad(const BackendServerName &Name,
-                           const ServerState &Server, Time Now) {
-  ServiceState &Service = Services[Server.Service];
-  if (Service.Peers.without(Name, Now).ErrorRate >= ServiceFailureRate)
-    return true;
-  if (!Service.View)
-    return false;
-  std::size_t Known = 0;
-  std::size_t Bad = 0;
-  for (const BackendServerRecord &Record : *Service.View) {
+Monitor::Census Monitor::census(const ServerState &Server, Time Now) const {
+  Census Result;
+  const auto Service = Services.find(Server.Service);
+  if (Service == Services.end() || !Service->second.View)
+    return Result;
+  for (const BackendServerRecord &Record : *Service->second.View) {
     if (Record.State != BackendServerState::Ready)
       continue;
-    ++Known;
-    if (Record.Id.Node != Settings.Node) {
-      Bad += Record.Health != BackendServerHealth::Healthy ? 1 : 0;
-      continue;
-    }
+    ++Result.Known;
     auto Own = Servers.find(Record.Id.Name);
-    const bool IsBad = Own != Servers.end() &&
-                       (Own->second.Health != BackendServerHealth::Healthy ||
-                        (Own->second.Judge &&
-                         Own->second.Judge->verdict(Now) != Verdict::Healthy));
-    Bad += IsBad ? 1 : 0;
+    const bool IsOwn = Record.Id.Node == Settings.Node && Own != Servers.end();
+    const bool IsBad =
+        IsOwn ? Own->second.Health != BackendServerHealth::Healthy ||
+                    (Own->second.Judge &&
+                     Own->second.Judge->verdict(Now) != Verdict::Healthy)
+              : Record.Health != BackendServerHealth::Healthy;
+    Result.Bad += IsBad ? 1 : 0;
   }
-  return Bad * 2 > Known;
+  return Result;
+}
+
+bool Monitor::isServiceBad(const BackendServerName &Name,
+                           const ServerState &Server, Time Now) {
+  PeerFigures &Peers = Services[Server.Service].Peers;
+  if (Peers.without(Name, Now).ErrorRate >= ServiceFailureRate)
+    return true;
+  const Census Count = census(Server, Now);
+  if (Count.Bad * 2 > Count.Known)
+    return true;
+  if (Peers.newestWeight(Name, Now) >= Settings.EnoughPeerRequests)
+    return false;
+  const double Allowed = std::max<double>(
+      Settings.SparseBadCount, Settings.SparseBadShare * double(Count.Known));
+  return Now - *Server.FailingSince < Settings.SparseDelay ||
+         double(Count.Bad) - 1 > Allowed;
 }
 
 Cause Monitor::causeOf(const BackendServerName &Name, ServerState &Server,
                        Time Now) {
   const ServiceBaseline Peers =
       Services[Server.Service].Peers.without(Name, Now);
-  return Server.Paths.judge(Server.Judge->evidence(Now).Since, Peers.ErrorRate,
-                            Now);
+  const Evidence Found = Server.Judge->evidence(Now);
+  return Server.Paths.judge(Found.Kind, Found.Since, Peers.ErrorRate, Now);
 }
 
 std::uint32_t Monitor::rampWeight(const ServerState &Server, Time Now) const {
@@ -245,12 +264,16 @@
     return;
   switch (Server.Judge->verdict(Now)) {
   case Verdict::Healthy:
+    Server.FailingSince.reset();
     clear(Name, Server, Now, Actions);
     return;
   case Verdict::Suspected:
+    Server.FailingSince.reset();
     suspect(Name, Server, Now, Actions);
     return;
   case Verdict::Failing:
+    if (!Server.FailingSince)
+      Server.FailingSince = Now;
     fail(Name, Server, Now, Actions);
     return;
   }
@@ -259,6 +282,7 @@
 void Monitor::clear(const BackendServerName &Name, ServerState &Server,
                     Time Now, HealthActions &Actions) {
   Server.SuspectedSince.reset();
+  Server.SuspectedSamples = 0;
   if (Server.At == Phase::Wanted) {
     enter(Server, Phase::InUse, Now);
     Actions.emplace_back(WantReadmission{Server.Service, Name});
@@ -269,10 +293,13 @@
 
 void Monitor::suspect(const BackendServerName &Name, ServerState &Server,
                       Time Now, HealthActions &Actions) {
-  if (!Server.SuspectedSince)
+  if (!Server.SuspectedSince) {
     Server.SuspectedSince = Now;
+    Server.SuspectedSamples = 0;
+  }
   if (Server.Health != BackendServerHealth::Healthy ||
-      Now - *Server.SuspectedSince < Settings.SuspicionDelay)
+      Now - *Server.SuspectedSince < Settings.SuspicionDelay ||
+      Server.SuspectedSamples < Settings.SuspicionSamples)
     return;
   const Cause Why = causeOf(Name, Server, Now);
   if (Why == Cause::Path)
@@ -315,22 +342,24 @@
   ServerState &Server = It->second;
   PeerFigures &Figures = Services[Server.Service].Peers;
   const bool Success = S.End == SampleEnd::Succeeded;
-  Figures.record(S.Server, Success, S.RunTime, Now);
+  Figures.record(S.Server, S.Entry, Success, S.RunTime, Now);
   const ServiceBaseline Peers = Figures.without(S.Server, Now);
   const bool Slow =
       Peers.RunTimeMs > 0 && S.RunTime.ms() > SlowFactor * Peers.RunTimeMs;
   const bool Bad = !Success || Slow;
   const detail::Origin From = detail::originOf(S);
-  if (Server.At == Phase::Held || Server.Paths.isExcluded(From, Bad, Now))
+  if (Server.At == Phase::Held)
+    return Actions;
+  if (!Server.Paths.add(From, !Success, Slow, Peers.ErrorRate, Now))
     return Actions;
   if (Server.At == Phase::Trial) {
     trialEnded(S.Server, Server, Bad, Now, Actions);
     return Actions;
   }
-  Server.Paths.add(From, Bad, Now);
   if (!Server.Judge)
     return Actions;
   const double Weight = isCold(Server, Now) ? Settings.ColdSampleWeight : 1;
+  ++Server.SuspectedSamples;
   Server.Judge->observe({Success, S.RunTime, Weight}, Peers, Now);
   evaluate(S.Server, Server, Now, Actions);
   return Actions;
@@ -375,6 +404,7 @@
   ServerState &State = It->second;
   State.LastReadmission = Now;
   State.SuspectedSince.reset();
+  State.SuspectedSamples = 0;
   if (Why != ReadmitReason::Requested) {
     // The evidence stands, but without a lease the backend server is in use.
     enter(State, Phase::InUse, Now);
