--- a/lib/Guard/FairShares.cpp
+++ b/lib/Guard/FairShares.cpp
@@ -8,12 +8,12 @@
 
 namespace {
 
-/// Part of the queue that nobody may fill beyond its share, so that an
-/// organisation that was quiet finds a place at once.
+/// This part of the queue is kept for organisations within their share, so that
+/// one that was quiet finds a place at once. At least one place is kept.
 constexpr std::size_t ReserveDivisor = 4;
-/// An organisation competes for the queue this long after an attempt of it
-/// arrived, even if that was refused. Without it an organisation that always
-/// finds the queue full would never count as wanting its share.
+/// An organisation counts as wanting its share this long after an attempt of it
+/// arrived, even if that was refused. Others are then told over-share, which
+/// names the cause, and not queue-full.
 constexpr Duration WantTime = Duration::seconds(1);
 /// Accounts without use are dropped after this time.
 constexpr Duration IdleTime = Duration::seconds(10);
@@ -59,7 +59,9 @@
   double Quota = std::max(1.0, Places * Share / (Share + OtherShares));
   bool WithinShare = static_cast<double>(Queue.size(Organisation)) + 1 <= Quota;
   bool Contended = OtherShares > 0;
-  std::size_t Borrowable = Limit - Limit / ReserveDivisor;
+  std::size_t Reserve =
+      Limit < 2 ? 0 : std::max<std::size_t>(1, Limit / ReserveDivisor);
+  std::size_t Borrowable = Limit - Reserve;
   std::size_t Room = WithinShare && Contended ? Limit : Borrowable;
   if (Queue.size() < Room)
     return Admission::Admit;
