--- a/unittests/Guard/GuardFixture.h
+++ b/unittests/Guard/GuardFixture.h
@@ -19,7 +19,7 @@
       : G(Guard::create(std::move(Settings)).value()) {
     ActiveConfig C;
     C.Objects.Organisations = {{OrganisationName("a"), 1},
-                               {OrganisationName("b"), 1}};
+                               {OrganisationName("b"), 3}};
     C.Objects.Limits = {{LimitName("l"), ServiceName("s"), 4}};
     G->configure(std::make_shared<const ActiveConfig>(C), Now);
   }
--- a/unittests/Guard/GuardTest.cpp
+++ b/unittests/Guard/GuardTest.cpp
@@ -5,6 +5,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <functional>
+#include <map>
 
 using namespace teaselhitch;
 
@@ -19,6 +20,7 @@
   CPPUNIT_TEST(restartEndsAttempts);
   CPPUNIT_TEST(dispatchPrefersThenWaits);
   CPPUNIT_TEST(queueIsOrderedAndExpires);
+  CPPUNIT_TEST(sharesDivideSlots);
   CPPUNIT_TEST(slotsAreHeldUntilFinished);
   CPPUNIT_TEST(resultsAreReportedOnce);
   CPPUNIT_TEST(unusableServersGetNoWork);
@@ -160,6 +162,36 @@
     CPPUNIT_ASSERT(F.finish(3).empty());
   }
 
+  /// Guards against shares that are ignored and against invented organisations
+  /// that each get a share. Shares: a 1, b 3; c and d are unknown and share 1.
+  void sharesDivideSlots() {
+    GuardFixture F;
+    F.announce(F.announcement("w1", 5));
+    std::map<S, unsigned> Started;
+    std::map<std::uint64_t, S> Payer;
+    std::vector<std::uint64_t> Running;
+    std::uint64_t Next = 0;
+    const auto Take = [&](const GuardActions &Actions) {
+      for (const StartAttempt &Start : only<StartAttempt>(Actions)) {
+        Running.push_back(Start.Attempt.Request.Sequence);
+        ++Started[Payer[Running.back()]];
+      }
+    };
+    for (unsigned I = 0; I != 3000; ++I) {
+      F.Now = F.Now + Duration(4);
+      for (const char *Name : {"a", "b", "c", "d"}) {
+        Payer[++Next] = Name;
+        Take(F.dispatch(F.info(Next, Name)));
+      }
+      std::uint64_t Done = Running.front();
+      Running.erase(Running.begin());
+      Take(F.finish(Done));
+    }
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(600, Started["a"], 30);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(1800, Started["b"], 90);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(600, Started["c"] + Started["d"], 30);
+  }
+
   /// Guards against a slot that is given out again while an aborted attempt may
   /// still run there.
   void slotsAreHeldUntilFinished() {
