--- a/lib/Entry/Entry.cpp
+++ b/lib/Entry/Entry.cpp
@@ -150,7 +150,8 @@
   std::string Identity = Request.Key.empty() ? std::to_string(Request.BodyHash)
                                              : "key " + Request.Key;
   P.Fingerprint = hash64(Request.Organisation.str() + "\n" + R.Name.str() +
-                         "\n" + Request.Path + "\n" + Identity);
+                         "\n" + Request.Method + " " + Request.Path + "\n" +
+                         Identity);
   return P;
 }
 
