Platform: name the address and port that did not answer

The connection is used for the platform and for nodes, so the text now names only the address and the port. A parameter for the kind of server was ruled out: the commands name it already. HttpCall.cpp is formatted.

--- a/lib/Platform/HttpCall.cpp
+++ b/lib/Platform/HttpCall.cpp
@@ -13,8 +13,8 @@
   if (Fault)
     return makeError(ErrorCode::InvalidInput,
                      "'" + Server.Address + "' is not an IP address");
-  PlatformConnection Connection(PlatformConnection::TcpEndpoint(Address, Server.Port),
-                            Timeout);
+  PlatformConnection Connection(
+      PlatformConnection::TcpEndpoint(Address, Server.Port), Timeout);
   PlatformConnection::Request Message;
   Message.method_string(Request.Method);
   Message.target(Request.Target);
--- a/lib/Platform/PlatformConnection.cpp
+++ b/lib/Platform/PlatformConnection.cpp
@@ -8,6 +8,7 @@
 #include <boost/beast/http/write.hpp>
 
 #include <cerrno>
+#include <sstream>
 #include <sys/socket.h>
 
 namespace teaselhitch {
@@ -45,6 +46,12 @@
     : Peer(std::move(Peer)), Timeout(Timeout),
       Host(this->Peer.address().to_string()) {}
 
+std::string PlatformConnection::describe(const ErrorCondition &Code) const {
+  std::ostringstream Text;
+  Text << "no answer from " << Peer << ": " << Code.message();
+  return Text.str();
+}
+
 Result<PlatformAnswer> PlatformConnection::exchange(Request Message,
                                                     RequestEffect Kind) {
   Message.version(HttpVersion);
@@ -59,7 +66,7 @@
     Last = attempt(Message);
   if (!Last.Code)
     return std::move(Last.Answer);
-  std::string Text = "platform at " + Host + ": " + Last.Code.message();
+  std::string Text = describe(Last.Code);
   if (isMalformed(Last.Code))
     return makeError(ErrorCode::Corrupt, std::move(Text));
   if (Kind == RequestEffect::Write && Last.Connected)
--- a/lib/Platform/PlatformConnection.h
+++ b/lib/Platform/PlatformConnection.h
@@ -62,6 +62,8 @@
   Attempt transfer(Request &Message);
   /// Runs the pending operation to its end.
   void wait();
+  /// Text of an exchange that failed; names the address and the port.
+  std::string describe(const ErrorCondition &Code) const;
   bool isUsable();
   void close();
 
--- a/unittests/Platform/StoreFaultTest.cpp
+++ b/unittests/Platform/StoreFaultTest.cpp
@@ -1,4 +1,5 @@
 #include "StandInPlatform.h"
+#include "teaselhitch/Platform/HttpCall.h"
 #include "teaselhitch/Platform/HttpStores.h"
 #include "teaselhitch/Platform/Requests.h"
 
@@ -119,6 +120,7 @@
   CPPUNIT_TEST_SUITE(StoreFaultTest);
   CPPUNIT_TEST(answersOfTheServerAreClassified);
   CPPUNIT_TEST(refusedConnectHasNoEffect);
+  CPPUNIT_TEST(errorOfARefusedConnectNamesTheAddress);
   CPPUNIT_TEST(silentServerEndsTheCall);
   CPPUNIT_TEST(lostAnswerIsUnknownAndTookEffect);
   CPPUNIT_TEST(readSurvivesClosedConnection);
@@ -178,6 +180,21 @@
                          statusOf(*Table, TableOperation::Insert));
   }
 
+  /// Guards against an error that leaves open which of several processes on one
+  /// IP address did not answer.
+  void errorOfARefusedConnectNamesTheAddress() {
+    Endpoint Closed = ScriptedServer({}).address();
+    std::string Message = handleError(
+        [&]() -> Result<std::string> {
+          BOOST_LEAF_CHECK(callHttp(Closed, HttpRequest{"GET", "/", {}, ""},
+                                    Duration::seconds(5)));
+          return std::string("answered");
+        },
+        [](const Error &E) { return E.Message; });
+    CPPUNIT_ASSERT_EQUAL(
+        "no answer from " + toString(Closed) + ": Connection refused", Message);
+  }
+
   /// Guards against a call that blocks the platform thread for ever. The
   /// server never answers, so that only the time limit can end the call.
   void silentServerEndsTheCall() {
