Show the state of guarded backend servers in 'status'

A backend server that has gone stays in the list of the guard for 10 min, and the text output did not tell it from one in use. The JSON output had the state already.

--- a/tools/teaselhitch/NodeQueries.cpp
+++ b/tools/teaselhitch/NodeQueries.cpp
@@ -79,7 +79,8 @@
   forEachObject(
       Guard.if_contains("backend_servers"), [](const json::object &Server) {
         std::cout << "  " << std::left << std::setw(20) << field(Server, "name")
-                  << "in progress " << field(Server, "in_progress") << " of "
+                  << std::setw(10) << field(Server, "state") << "in progress "
+                  << field(Server, "in_progress") << " of "
                   << field(Server, "slots") << ", waiting "
                   << field(Server, "waiting") << ", evidence "
                   << field(Server, "evidence") << '\n';
