--- a/cmake/TeaselhitchTargets.cmake
+++ b/cmake/TeaselhitchTargets.cmake
@@ -15,8 +15,11 @@
   # One mode for all files: toml++ defines the same functions in both.
   TOML_EXCEPTIONS=0)
 if(TEASELHITCH_SANITIZE STREQUAL "address")
+  # With this sanitizer, GCC 12 takes members of Beast's parser for
+  # uninitialised.
   target_compile_options(teaselhitch_options INTERFACE
-    -fsanitize=address,undefined -fno-sanitize-recover=all)
+    -fsanitize=address,undefined -fno-sanitize-recover=all
+    -Wno-maybe-uninitialized)
   target_link_options(teaselhitch_options INTERFACE
     -fsanitize=address,undefined)
 elseif(TEASELHITCH_SANITIZE STREQUAL "thread")
--- a/tools/teaselhitch-bench/CapacityBench.cpp
+++ b/tools/teaselhitch-bench/CapacityBench.cpp
@@ -153,6 +153,7 @@
   constexpr int ServersPerNode = 13;
   GuardSettings Settings;
   Settings.Node = NodeName("node-0");
+  Settings.Domain = FailureDomain("domain-0");
   Settings.KeySecret = "0123456789abcdef";
   std::unique_ptr<Guard> Core =
       handleError([&] { return Guard::create(Settings); },
