Close the stand-in's connections with their server

Cause: the address sanitizer reports 5747 bytes in 8 allocations lost by tests that end with a request in progress: the connection, its request and the function that cancels it refer to one another.

Change: the server closes its connections when it ends, which drops that function.

--- a/tools/teaselhitch-standin/HttpServer.cpp
+++ b/tools/teaselhitch-standin/HttpServer.cpp
@@ -206,7 +206,9 @@
 HttpServer::HttpServer(asio::io_context &Context, Handler Handle)
     : Context(Context), Handle(std::move(Handle)), Acceptor(Context) {}
 
-HttpServer::~HttpServer() = default;
+/// Requests in progress refer to their connection, and the connection to what
+/// cancels them; closing it breaks this cycle.
+HttpServer::~HttpServer() { closeConnections(); }
 
 Result<Endpoint> HttpServer::listen(const Endpoint &Address) {
   boost::system::error_code Code;
