Send no trial requests in the hold time of an ejection

Cause: the guard sent a trial request every 500 ms to each ejected backend server, whatever its weight. HealthSettings::HoldWeight says that weight 1 means no requests, so callers got failed answers during the whole hold time.

Change: GuardedServer::isTrialDue needs a weight above 1.

--- a/include/teaselhitch/Guard/Guard.h
+++ b/include/teaselhitch/Guard/Guard.h
@@ -177,7 +177,8 @@
   /// service is here or the guard is draining.
   virtual KeyMinted mintKey(const MintKey &Request, Time Now) = 0;
 
-  /// Sets what detection found. Weight is in percent, 1 to 100.
+  /// Sets what detection found. Weight is in percent, 1 to 100. While ejected,
+  /// 1 means no requests and a greater weight means trial requests.
   virtual GuardActions setHealth(const BackendServerName &Server,
                                  BackendServerHealth Health,
                                  std::uint32_t Weight, Time Now) = 0;
--- a/lib/Guard/ServerTable.cpp
+++ b/lib/Guard/ServerTable.cpp
@@ -17,6 +17,9 @@
 constexpr Duration GoneRetention = Duration::seconds(600);
 /// Time between trial requests to an ejected server.
 constexpr Duration TrialInterval = Duration(500);
+/// Weight of an ejected server that is to get no trial requests, as
+/// HealthSettings::HoldWeight.
+constexpr std::uint32_t NoTrialsWeight = 1;
 /// Slow start begins at this share of the full load and rises in equal steps;
 /// each step publishes one record.
 constexpr std::uint32_t SlowStartStepPercent = 10;
@@ -50,7 +53,8 @@
 
 bool GuardedServer::isTrialDue(Time Now) const {
   return Record.State == BackendServerState::Ready &&
-         Record.Health == BackendServerHealth::Ejected && !TrialInProgress &&
+         Record.Health == BackendServerHealth::Ejected &&
+         HealthWeight > NoTrialsWeight && !TrialInProgress &&
          InProgress < Record.Slots && Now >= NextTrialAt && Now >= PausedUntil;
 }
 
--- a/unittests/Guard/GuardTest.cpp
+++ b/unittests/Guard/GuardTest.cpp
@@ -23,6 +23,7 @@
   CPPUNIT_TEST(resultsAreReportedOnce);
   CPPUNIT_TEST(unusableServersGetNoWork);
   CPPUNIT_TEST(ejectedServersGetTrials);
+  CPPUNIT_TEST(ejectedServersGetNothingInTheHoldTime);
   CPPUNIT_TEST(drainFinishesRunningWork);
   CPPUNIT_TEST_SUITE_END();
 
@@ -255,6 +256,23 @@
     CPPUNIT_ASSERT_EQUAL(1U, F.G->status().at(0).Waiting);
   }
 
+  /// Guards against trial requests, which a caller sees fail, before the hold
+  /// time of an ejection has passed.
+  void ejectedServersGetNothingInTheHoldTime() {
+    GuardFixture F;
+    F.announce(F.announcement("w1", 4));
+    const BackendServerName W1("w1");
+    DispatchInfo I = F.info(1);
+    I.Idempotent = true;
+    F.G->setHealth(W1, BackendServerHealth::Ejected, 1, F.Now);
+    CPPUNIT_ASSERT_EQUAL(S("fail 1 no-backend-server not-run"),
+                         text(F.dispatch(I)));
+    F.G->setHealth(W1, BackendServerHealth::Ejected, 10, F.Now);
+    I = F.info(2);
+    I.Idempotent = true;
+    CPPUNIT_ASSERT_EQUAL(S("start 2 w1"), text(F.dispatch(I)));
+  }
+
   /// Guards against a graceful shutdown that interrupts or accepts work.
   void drainFinishesRunningWork() {
     GuardFixture F;
