Take the backend servers of a leaving node out of the view

Cause: a node that shuts down takes requests for 3 s and passes them on, but its own backend servers stayed in the view as ready. The guard refuses new requests and keys then. Requests were tried on another node after one more hop; requests for a guard-bound key are not tried again, so in scripts/demo nearly all of them at the stopping node failed with no-backend-server.

Change: the view lists backend servers only of nodes that are not leaving. Peers stop sending to them as soon as they hear of the state.

--- a/lib/Membership/Roster.cpp
+++ b/lib/Membership/Roster.cpp
@@ -53,6 +53,7 @@
   assert(Entry.Record.Name == Record.Name && "an entry keeps its name");
   bool WasDead = Entry.isDead();
   bool WasLeaving = Entry.Record.State == NodeState::Leaving;
+  bool TookWork = Entry.takesWork();
   toggleNodeInDigest(Entry, false);
   dropServersBefore(Entry, Record.Version.Incarnation);
   if (!WasDead)
@@ -62,6 +63,8 @@
     toggleServersInDigest(Entry, true);
   toggleNodeInDigest(Entry, true);
   NodesAreDirty = true;
+  if (Entry.takesWork() != TookWork)
+    markServicesDirty(Entry);
   if (Entry.isDead() == WasDead)
     return;
   if (Entry.isDead()) {
@@ -69,7 +72,6 @@
     Entry.HasLeft = WasLeaving;
   }
   updateLive(Entry);
-  markServicesDirty(Entry);
 }
 
 bool Roster::setServer(NodeEntry &Entry, const BackendServerRecord &Record) {
@@ -173,7 +175,7 @@
 Roster::buildService(const ServerSet &Set) const {
   auto Built = std::make_shared<ServiceView>();
   for (const ServerRef &Ref : Set)
-    if (!Ref.Node->isDead() && Ref.Record->State != BackendServerState::Gone)
+    if (Ref.Node->takesWork() && Ref.Record->State != BackendServerState::Gone)
       Built->push_back(*Ref.Record);
   return Built;
 }
--- a/lib/Membership/Roster.h
+++ b/lib/Membership/Roster.h
@@ -30,6 +30,10 @@
 
   bool isKnown() const { return Record.Version.Incarnation != 0; }
   bool isDead() const { return Record.State == NodeState::Dead; }
+  /// False for a node that leaves: its guard refuses new requests and keys.
+  bool takesWork() const {
+    return !isDead() && Record.State != NodeState::Leaving;
+  }
 };
 
 /// Owner of all entries. Changes go through its functions only.
