Join all seeds soon after the start of a node

Cause: nodes that start together can form groups that do not know each other. A node with one live peer contacted unknown seeds in a tenth of the intervals only, and exchanged records every 10 s. In a start of scripts/demo two groups of two nodes met after 9 s, and the backend servers of the other group were not known within 15 s.

Change: in the first 15 s a node contacts an unknown seed in each interval and syncs each second. Later traffic is as before.

--- a/lib/Membership/MembershipCore.cpp
+++ b/lib/Membership/MembershipCore.cpp
@@ -18,6 +18,11 @@
 constexpr double IdleContactShare = 0.1;
 /// The share of unreachable nodes from which on each interval is used.
 constexpr double PartitionShare = 0.25;
+/// After its start a node contacts the seeds that it does not know in each
+/// interval and syncs more often. Nodes that start together may otherwise form
+/// groups, each with a peer or two, that find each other after 10 s and more.
+constexpr Duration JoinPeriod = Duration::seconds(15);
+constexpr Duration JoinSyncInterval = Duration::seconds(1);
 constexpr Duration CleanupInterval = Duration::seconds(5);
 /// Probes of nodes that a peer holds for dead, per gossip interval.
 constexpr std::size_t MaxVerifications = 4;
@@ -33,6 +38,8 @@
 MembershipActions MembershipCore::tick(Time Now) {
   MembershipActions Out;
   RepliesLeft = MaxReplies;
+  if (!JoinUntil)
+    JoinUntil = Now + JoinPeriod;
   checkLateness(Now);
   checkProbes(Now, Out);
   checkSuspicions(Now, Out);
@@ -235,7 +242,10 @@
     return;
   HasSynced = true;
   // Random length, so that nodes that started together spread out.
-  NextSync = Now + Settings.SyncInterval * (0.9 + 0.2 * Random.uniform());
+  Duration Interval = isJoining(Now)
+                          ? std::min(JoinSyncInterval, Settings.SyncInterval)
+                          : Settings.SyncInterval;
+  NextSync = Now + Interval * (0.9 + 0.2 * Random.uniform());
   const NodeEntry *Hinted = Records.find(SyncHint);
   SyncHint = NodeName();
   bool UsesHint = Hinted != nullptr && Hinted->LivePosition;
@@ -256,7 +266,7 @@
     const NodeEntry *Entry = Lost[Random.below(Lost.size())];
     contact(Entry->Record.Address, {Entry->Record}, Now, Out);
   }
-  if (!Live.empty() && Random.uniform() >= IdleContactShare)
+  if (!Live.empty() && !isJoining(Now) && Random.uniform() >= IdleContactShare)
     return;
   std::vector<Endpoint> Unknown;
   for (const Endpoint &Seed : Settings.Seeds) {
--- a/lib/Membership/MembershipCore.h
+++ b/lib/Membership/MembershipCore.h
@@ -75,6 +75,7 @@
   };
 
   // Timers.
+  bool isJoining(Time Now) const { return JoinUntil && Now < *JoinUntil; }
   void checkLateness(Time Now);
   void checkProbes(Time Now, MembershipActions &Out);
   void checkSuspicions(Time Now, MembershipActions &Out);
@@ -158,6 +159,8 @@
   unsigned RepliesLeft = 0;
 
   std::optional<Time> LastTick;
+  /// End of the time after the start; set by the first tick.
+  std::optional<Time> JoinUntil;
   Time NextProbe;
   Time NextGossip;
   Time NextSync;
--- a/unittests/Membership/MembershipTest.cpp
+++ b/unittests/Membership/MembershipTest.cpp
@@ -38,6 +38,8 @@
   CPPUNIT_TEST(snapshotsShareUnchangedServices);
   CPPUNIT_TEST(publishedAgainIsNotSentAgain);
   CPPUNIT_TEST(leavingNodeIsNotSuspected);
+  CPPUNIT_TEST(leavingNodeOffersNoBackendServers);
+  CPPUNIT_TEST(startingNodeSeeksAllSeeds);
   CPPUNIT_TEST(headOnlyGrows);
   CPPUNIT_TEST(quarantinesReachEveryNode);
   CPPUNIT_TEST(settingsAreChecked);
@@ -124,6 +126,54 @@
     CPPUNIT_ASSERT(Net.goneEverywhere(3));
   }
 
+  /// Guards against requests and key requests that a node which shuts down, or
+  /// its peers, still send to its guard, which refuses them.
+  void leavingNodeOffersNoBackendServers() {
+    TestNetwork Net(10, 9);
+    addServers(Net, 1);
+    Net.Nodes[3].Core->leave(Net.Now);
+    CPPUNIT_ASSERT(!findServer(*Net.Nodes[3].Core->view(), 3, "seats-0"));
+    Net.advance(Duration::seconds(3));
+    CPPUNIT_ASSERT(Net.everywhere(Nobody, [](const FleetView &View) {
+      return !findServer(View, 3, "seats-0") && findServer(View, 4, "seats-0");
+    }));
+  }
+
+  /// Guards against nodes that start at the same time and stay in separate
+  /// groups: with one peer known, the other seeds were hardly ever contacted,
+  /// and the backend servers of the other group came after 10 s or more.
+  void startingNodeSeeksAllSeeds() {
+    MembershipSettings Settings;
+    Settings.Seeds = {{"10.0.0.1", 7000}, {"10.0.0.2", 7000}};
+    NodeRecord Self;
+    Self.Name = TestNetwork::nameOf(0);
+    Self.Address = {"10.0.0.0", 7000};
+    Self.Version = {1, 1};
+    SeededRandom Random(1);
+    Time Now(1000);
+    auto Core = valueOf(Membership::create(Settings, Self, Random, Now));
+    Datagram Hello;
+    Hello.Kind = DatagramKind::Gossip;
+    Hello.Sender = TestNetwork::nameOf(1);
+    Hello.SenderIncarnation = 1;
+    NodeRecord Peer = Self;
+    Peer.Name = Hello.Sender;
+    Peer.Address = Settings.Seeds[0];
+    Hello.Changes.Nodes = {Peer};
+    Core->tick(Now);
+    Core->receive(Hello, Peer.Address, Now);
+    unsigned Contacts = 0;
+    unsigned Syncs = 0;
+    for (Time End = Now + Duration(4900); Now < End; Now = Now + Duration(20))
+      for (const MembershipAction &Action : Core->tick(Now)) {
+        const auto *Out = std::get_if<SendDatagram>(&Action);
+        Contacts += Out && Out->To == Settings.Seeds[1] ? 1 : 0;
+        Syncs += std::holds_alternative<StartSync>(Action) ? 1 : 0;
+      }
+    CPPUNIT_ASSERT(Contacts >= 3);
+    CPPUNIT_ASSERT(Syncs >= 3);
+  }
+
   /// Guards against a configuration that reverts.
   void headOnlyGrows() {
     TestNetwork Net(10, 8);
