--- a/cmake/TeaselhitchTargets.cmake
+++ b/cmake/TeaselhitchTargets.cmake
@@ -67,6 +67,11 @@
   target_link_libraries(${Target}
     PUBLIC ${Arg_DEPENDS}
     PRIVATE ${Arg_PRIVATE_DEPENDS} $<BUILD_INTERFACE:teaselhitch_options>)
+  # What the public headers need in programs that embed the library. Inline
+  # functions of LEAF differ with another value of the definition.
+  target_compile_features(${Target} PUBLIC cxx_std_20)
+  target_compile_definitions(${Target} INTERFACE
+    $<INSTALL_INTERFACE:BOOST_LEAF_CFG_DIAGNOSTICS=0>)
   foreach(Plugin ${Arg_PLUGINS})
     target_link_options(${Target} INTERFACE
       "LINKER:-u,teaselhitchPlugin${Plugin}")
