Split the datagrams off MembershipCore.cpp and test indirect probes

A trial without indirect probes passed all tests, because refutations hid it; the test of the one-way partition now demands that nobody is even suspected without loss, and fails in that trial.

--- a/lib/Membership/MembershipCore.h
+++ b/lib/Membership/MembershipCore.h
@@ -3,8 +3,8 @@
 
 /// \file
 /// The state machine behind Membership. MembershipCore.cpp has probes and
-/// timers, MembershipMerge.cpp decides on received records, Membership.cpp has
-/// what the own node writes.
+/// timers, MembershipMessages.cpp has datagrams, MembershipMerge.cpp decides on
+/// received records, Membership.cpp has what the own node writes.
 
 #include "GossipQueue.h"
 #include "Roster.h"
--- a/unittests/Membership/MembershipFaultTest.cpp
+++ b/unittests/Membership/MembershipFaultTest.cpp
@@ -74,7 +74,8 @@
   }
 
   /// Guards against a node that is declared dead because one path to it fails
-  /// in one direction, with and without loss elsewhere.
+  /// in one direction, with and without loss elsewhere. Without loss, indirect
+  /// probes prevent even the suspicion.
   void oneWayPartitionKillsNobody() {
     for (std::uint64_t Seed : {21, 22, 23}) {
       TestNetwork Net(12, Seed);
@@ -82,8 +83,10 @@
       Net.IsBlocked = [](std::size_t From, std::size_t To) {
         return From == 2 && To == 7;
       };
+      Net.Suspicions = 0;
       Net.advance(TenMinutes);
       CPPUNIT_ASSERT_EQUAL(std::size_t(0), Net.Deaths.size());
+      CPPUNIT_ASSERT(Net.Loss > 0 || Net.Suspicions == 0);
     }
   }
 
--- a/unittests/Membership/TestNetwork.h
+++ b/unittests/Membership/TestNetwork.h
@@ -136,6 +136,7 @@
   std::size_t DeltaBytes = 0;
   /// Observer and subject of each declaration of death.
   std::vector<std::pair<std::size_t, NodeName>> Deaths;
+  std::size_t Suspicions = 0;
   DatagramAuth Auth{"fleet", "key", std::nullopt};
 
 private:
@@ -166,9 +167,11 @@
         send(I, *Out);
       if (const auto *Sync = std::get_if<StartSync>(&Action))
         sync(I, Sync->With);
-      if (const auto *Change = std::get_if<NodeStateChanged>(&Action))
+      if (const auto *Change = std::get_if<NodeStateChanged>(&Action)) {
         if (Change->State == NodeState::Dead)
           Deaths.emplace_back(I, Change->Node);
+        Suspicions += Change->State == NodeState::Suspected ? 1 : 0;
+      }
     }
   }
 
