--- a/lib/Entry/Entry.cpp
+++ b/lib/Entry/Entry.cpp
@@ -149,9 +149,9 @@
     P.ClaimRow = Claims::rowKey(Request.Organisation, R.Name, Request.Key);
   std::string Identity = Request.Key.empty() ? std::to_string(Request.BodyHash)
                                              : "key " + Request.Key;
-  P.Fingerprint = hash64(Request.Organisation.str() + "\n" + R.Name.str() +
-                         "\n" + Request.Method + " " + Request.Path + "\n" +
-                         Identity);
+  P.Fingerprint =
+      hash64(Request.Organisation.str() + "\n" + R.Name.str() + "\n" +
+             Request.Method + " " + Request.Path + "\n" + Identity);
   return P;
 }
 
