Use one tracker for the figures of a service at entries and guards

Cause: entries decayed their figures by count, guards expect a half-life of one second and subtract their own share on that assumption; the detector compared with figures of another kind.

Ruled out: changing the guard to decay by count, because a quiet service would then compare with minutes-old figures.

Conclusion: both sides measure alike.

--- a/include/teaselhitch/Routing/LoadTracker.h
+++ b/include/teaselhitch/Routing/LoadTracker.h
@@ -13,8 +13,7 @@
 
 namespace teaselhitch {
 
-/// Load, run time and path failures by backend server, and the recent error
-/// rate and run time by service.
+/// Load, run time and path failures by backend server.
 class LoadTracker {
 public:
   void attemptStarted(const BackendServerId &Server);
@@ -22,21 +21,17 @@
   void attemptEnded(const BackendServerId &Server);
 
   /// An answer arrived. Success is false for server errors (status 500 and
-  /// above).
-  void recordAnswer(const BackendServerId &Server, const ServiceName &Service,
-                    bool Success, Duration RunTime,
-                    std::uint32_t ReportedInProgress, Time Now);
+  /// above), whose run time says nothing.
+  void recordAnswer(const BackendServerId &Server, bool Success,
+                    Duration RunTime, std::uint32_t ReportedInProgress,
+                    Time Now);
 
-  /// An attempt may have run, but brought no answer.
-  void recordFailure(const ServiceName &Service);
   /// The link to the guard of the backend server failed.
   void recordPathFailure(const BackendServerId &Server);
 
   /// Fills in the load figures of a candidate.
   void describe(Candidate &C, Time Now) const;
 
-  ServiceBaseline baseline(const ServiceName &Service) const;
-
   /// Drops what is known of backend servers that are not in the view and have
   /// no attempt in progress.
   void prune(const FleetView &View);
@@ -50,17 +45,7 @@
     double PathFailures = 0;
   };
 
-  struct ServiceLoad {
-    double Weight = 0;
-    double Errors = 0;
-    double LogRunTimeSum = 0;
-    double RunTimeWeight = 0;
-
-    void add(bool Success, Duration RunTime);
-  };
-
   std::unordered_map<BackendServerId, ServerLoad> Servers;
-  std::unordered_map<ServiceName, ServiceLoad> Services;
 };
 
 } // namespace teaselhitch
--- a/lib/Entry/Entry.cpp
+++ b/lib/Entry/Entry.cpp
@@ -1,6 +1,7 @@
 #include "teaselhitch/Entry/Entry.h"
 
 #include "RequestTable.h"
+#include "teaselhitch/Detection/Baseline.h"
 #include "teaselhitch/Entry/Claims.h"
 #include "teaselhitch/Entry/RetryBudget.h"
 #include "teaselhitch/Guard/GuardKey.h"
@@ -96,6 +97,9 @@
               EntryActions &Actions);
   void applyClaims(ClaimStep Step, Time Now, EntryActions &Actions);
   PendingRequest *findAttempt(const AttemptId &Attempt);
+  void recordFailure(const PendingRequest &P, Time Now) {
+    Baselines[P.Target.TargetService->Name].record(false, Duration(), Now);
+  }
   void expire(PendingRequest &P, Time Now, EntryActions &Actions);
 
   EntrySettings Settings;
@@ -104,6 +108,7 @@
   std::shared_ptr<const RuleTable> Rules;
   std::shared_ptr<const FleetView> View = std::make_shared<FleetView>();
   LoadTracker Load;
+  std::unordered_map<ServiceName, BaselineTracker> Baselines;
   std::unordered_map<ServiceName, RetryBudget> Budgets;
   RequestTable Requests;
   Claims KeyClaims;
@@ -264,7 +269,7 @@
   Info.Remaining = P.Deadline - Now;
   Info.GuardKey = P.GuardKey;
   Info.Fingerprint = P.Fingerprint;
-  Info.Baseline = Load.baseline(Info.Service);
+  Info.Baseline = Baselines[Info.Service].baseline(Now);
   Actions.push_back(SendAttempt{GuardNode, std::move(Info)});
 }
 
@@ -285,9 +290,9 @@
   bool Success = Answer.Answer.Status < FirstServerError;
   Load.attemptEnded(P->Server);
   // The guard may have used another backend server than the preferred one.
-  Load.recordAnswer(BackendServerId{P->Server.Node, Answer.RanOn},
-                    P->Target.TargetService->Name, Success, Answer.RunTime,
-                    Answer.InProgress, Now);
+  Load.recordAnswer(BackendServerId{P->Server.Node, Answer.RanOn}, Success,
+                    Answer.RunTime, Answer.InProgress, Now);
+  Baselines[P->Target.TargetService->Name].record(Success, Answer.RunTime, Now);
   P->InFlight = false;
   Actions.push_back(ReplyAnswer{Answer.Attempt});
   finish(*P, Outcome::Completed, Now, Actions);
@@ -304,7 +309,7 @@
   if (Failure.Why == Reason::LinkLost)
     Load.recordPathFailure(P->Server);
   else if (Failure.Result == Outcome::Unknown)
-    Load.recordFailure(P->Target.TargetService->Name);
+    recordFailure(*P, Now);
   retryOrFail(*P, Failure, Now, Actions);
   return Actions;
 }
@@ -407,7 +412,7 @@
   if (P.InFlight) {
     Actions.push_back(SendCancel{P.Server.Node, P.Attempt});
     Load.attemptEnded(P.Server);
-    Load.recordFailure(P.Target.TargetService->Name);
+    recordFailure(P, Now);
     P.MayHaveRun = true;
   }
   fail(P,
--- a/lib/Routing/LoadTracker.cpp
+++ b/lib/Routing/LoadTracker.cpp
@@ -1,7 +1,6 @@
 #include "teaselhitch/Routing/LoadTracker.h"
 
 #include <algorithm>
-#include <cmath>
 #include <set>
 
 namespace teaselhitch {
@@ -10,9 +9,6 @@
 
 /// Weight of the newest sample in moving averages.
 constexpr double Smoothing = 0.2;
-/// Each sample lowers the weight of earlier ones by this factor, so a baseline
-/// rests on about the last 100 requests.
-constexpr double BaselineDecay = 0.99;
 /// Load reports older than this many milliseconds are ignored, because load
 /// changes within a few run times.
 constexpr double ReportLifetimeMs = 1000;
@@ -20,16 +16,6 @@
 
 } // namespace
 
-void LoadTracker::ServiceLoad::add(bool Success, Duration RunTime) {
-  Weight = Weight * BaselineDecay + 1;
-  Errors = Errors * BaselineDecay + (Success ? 0 : 1);
-  if (!Success)
-    return;
-  RunTimeWeight = RunTimeWeight * BaselineDecay + 1;
-  LogRunTimeSum = LogRunTimeSum * BaselineDecay +
-                  std::log(std::max(RunTime.ms(), MinRunTimeMs));
-}
-
 void LoadTracker::attemptStarted(const BackendServerId &Server) {
   ++Servers[Server].Own;
 }
@@ -39,11 +25,9 @@
   Load.Own -= Load.Own > 0 ? 1 : 0;
 }
 
-void LoadTracker::recordAnswer(const BackendServerId &Server,
-                               const ServiceName &Service, bool Success,
+void LoadTracker::recordAnswer(const BackendServerId &Server, bool Success,
                                Duration RunTime,
                                std::uint32_t ReportedInProgress, Time Now) {
-  Services[Service].add(Success, RunTime);
   ServerLoad &Load = Servers[Server];
   Load.Reported = ReportedInProgress;
   Load.ReportedAt = Now;
@@ -56,10 +40,6 @@
                        : Load.RunTimeMs + Smoothing * (Ms - Load.RunTimeMs);
 }
 
-void LoadTracker::recordFailure(const ServiceName &Service) {
-  Services[Service].add(false, Duration());
-}
-
 void LoadTracker::recordPathFailure(const BackendServerId &Server) {
   ServerLoad &Load = Servers[Server];
   Load.PathFailures += Smoothing * (1 - Load.PathFailures);
@@ -76,19 +56,6 @@
   C.PathFailures = Load.PathFailures;
 }
 
-ServiceBaseline LoadTracker::baseline(const ServiceName &Service) const {
-  auto It = Services.find(Service);
-  if (It == Services.end())
-    return ServiceBaseline();
-  const ServiceLoad &Load = It->second;
-  ServiceBaseline Baseline;
-  Baseline.Weight = Load.Weight;
-  Baseline.ErrorRate = Load.Weight > 0 ? Load.Errors / Load.Weight : 0;
-  if (Load.RunTimeWeight > 0)
-    Baseline.RunTimeMs = std::exp(Load.LogRunTimeSum / Load.RunTimeWeight);
-  return Baseline;
-}
-
 void LoadTracker::prune(const FleetView &View) {
   std::set<BackendServerId> Known;
   for (const auto &[Name, Service] : View.Services)
--- a/tools/teaselhitch-bench/CapacityBench.cpp
+++ b/tools/teaselhitch-bench/CapacityBench.cpp
@@ -154,6 +154,7 @@
   GuardSettings Settings;
   Settings.Node = NodeName("node-0");
   Settings.Domain = FailureDomain("domain-0");
+  Settings.Incarnation = 1;
   Settings.KeySecret = "0123456789abcdef";
   std::unique_ptr<Guard> Core =
       handleError([&] { return Guard::create(Settings); },
@@ -172,6 +173,7 @@
     A.Service = serviceName(static_cast<std::size_t>(I) % Row.Size.Services);
     A.Address = Endpoint{"127.0.0.1", 9000};
     A.Slots = 4;
+    A.Incarnation = 1;
     A.State = BackendServerState::Ready;
     handleError([&] { return Core->announce(A, Time()); },
                 [](const Error &E) {
--- a/unittests/Entry/EntryTest.cpp
+++ b/unittests/Entry/EntryTest.cpp
@@ -92,6 +92,7 @@
   CPPUNIT_TEST(deadlineTellsWhetherItMayHaveRun);
   CPPUNIT_TEST(retryBudgetBoundsRetries);
   CPPUNIT_TEST(callerGoneCancels);
+  CPPUNIT_TEST(dispatchCarriesTheBaselineOfTheService);
   CPPUNIT_TEST(claimComesBeforeDispatch);
   CPPUNIT_TEST(claimOutcomes);
   CPPUNIT_TEST(lostClaimAnswerIsReadBack);
@@ -272,6 +273,20 @@
     CPPUNIT_ASSERT(Core->isIdle());
   }
 
+  /// Guards against guards that compare their backend servers with nothing.
+  void dispatchCarriesTheBaselineOfTheService() {
+    EntryActions First = accept("GET", "/read");
+    CPPUNIT_ASSERT_EQUAL(0.0, find<SendAttempt>(First)->Info.Baseline.Weight);
+    AttemptAnswer Answer;
+    Answer.Attempt = find<SendAttempt>(First)->Info.Attempt;
+    Answer.Answer.Status = 500;
+    Core->answered(Answer, Now);
+    EntryActions Second = accept("GET", "/read");
+    const ServiceBaseline &Baseline = find<SendAttempt>(Second)->Info.Baseline;
+    CPPUNIT_ASSERT_EQUAL(1.0, Baseline.Weight);
+    CPPUNIT_ASSERT_EQUAL(1.0, Baseline.ErrorRate);
+  }
+
   /// Guards against a dispatch before the key is claimed.
   void claimComesBeforeDispatch() {
     EntryActions First = accept("POST", "/pay", "key-1");
--- a/unittests/Routing/RoutingTest.cpp
+++ b/unittests/Routing/RoutingTest.cpp
@@ -141,12 +141,11 @@
     CPPUNIT_ASSERT_EQUAL(100, Elsewhere);
   }
 
-  /// Guards against counters that drift and baselines that mix services.
+  /// Guards against counters that drift and load reports that are stale.
   void trackerFollowsAttempts() {
     LoadTracker Load;
     BackendServerRecord Server;
     Server.Id = BackendServerId{NodeName("n"), BackendServerName("b")};
-    ServiceName S("s");
     Time Now(1000);
     Load.attemptStarted(Server.Id);
     Load.attemptStarted(Server.Id);
@@ -155,16 +154,17 @@
     Load.describe(C, Now);
     CPPUNIT_ASSERT_EQUAL(2.0, C.InProgress);
     Load.attemptEnded(Server.Id);
-    Load.recordAnswer(Server.Id, S, true, Duration(8), 3, Now);
+    Load.recordAnswer(Server.Id, true, Duration(8), 3, Now);
     Load.describe(C, Now);
     CPPUNIT_ASSERT_EQUAL(3.0, C.InProgress);
     CPPUNIT_ASSERT_EQUAL(8.0, C.RunTimeMs);
     // A report loses its worth after a second.
     Load.describe(C, Now + Duration::seconds(2));
     CPPUNIT_ASSERT_EQUAL(1.0, C.InProgress);
-    Load.recordFailure(S);
-    CPPUNIT_ASSERT(Load.baseline(S).ErrorRate > 0.4);
-    CPPUNIT_ASSERT_EQUAL(0.0, Load.baseline(ServiceName("t")).Weight);
+    // A server error ends fast and must not attract work.
+    Load.recordAnswer(Server.Id, false, Duration(1), 3, Now);
+    Load.describe(C, Now);
+    CPPUNIT_ASSERT_EQUAL(8.0, C.RunTimeMs);
   }
 };
 
