Net: take a backend server that ends for crashed

When a process ends, its connections can close a little before its listening socket. The check by a fresh connection then succeeded, the end counted as a lost connection, and an idempotent request was tried again. Seen with two nodes and four stand-ins: two requests that crash their server crashed three servers (c1 and b1 by the first of them).

The fresh connection must now last 250 ms; if it is reset or closed before, the server crashed. A lost connection is reported 250 ms later than before, and its slot is held as long. Retrying the connect after a pause was ruled out: it costs a second connection and the same time.

--- a/lib/Net/BackendClient.cpp
+++ b/lib/Net/BackendClient.cpp
@@ -22,6 +22,10 @@
 namespace {
 
 constexpr Duration ConnectTimeout = Duration::seconds(1);
+/// How long a fresh connection must last to show that the server works. When a
+/// process ends, its connections can close a little before its listening
+/// socket; a connection that is made between the two is reset at once.
+constexpr Duration CheckTime = Duration(250);
 /// Idle connections close after this time, before common server timeouts.
 constexpr Duration IdleTimeout = Duration::seconds(4);
 /// Idle connections kept for one backend server.
@@ -59,6 +63,7 @@
   void read();
   void onRead(ErrorCodeT Fault);
   void checkServer();
+  void checkLasts();
   void end(RunEnd How, HttpAnswer Answer = HttpAnswer());
 
   BackendClientImpl &Client;
@@ -69,6 +74,7 @@
   std::optional<http::response_parser<http::string_body>> Parser;
   ConnectionPtr Link;
   std::unique_ptr<beast::tcp_stream> Check;
+  char CheckByte = 0;
   Time SentAt;
   bool Ended = false;
 };
@@ -230,11 +236,28 @@
       *toTcp(Server), [Self = shared_from_this()](ErrorCodeT Fault) {
         if (Self->Ended)
           return;
-        bool Refused = Fault == asio::error::connection_refused;
+        if (!Fault)
+          return Self->checkLasts();
+        bool Refused = Fault == asio::error::connection_refused ||
+                       Fault == asio::error::connection_reset;
         Self->end(Refused ? RunEnd::Crashed : RunEnd::ConnectionLost);
       });
 }
 
+/// A server sends nothing on a connection without a request, so that a fresh
+/// connection becomes readable only by its end.
+void Exchange::checkLasts() {
+  Check->expires_after(toChrono(CheckTime));
+  Check->async_read_some(
+      asio::buffer(&CheckByte, 1),
+      [Self = shared_from_this()](ErrorCodeT Fault, std::size_t) {
+        if (Self->Ended)
+          return;
+        bool Lasts = !Fault || Fault == beast::error::timeout;
+        Self->end(Lasts ? RunEnd::ConnectionLost : RunEnd::Crashed);
+      });
+}
+
 void Exchange::abort() {
   if (Ended)
     return;
