--- a/lib/Net/Asio.h
+++ b/lib/Net/Asio.h
@@ -19,7 +19,7 @@
 namespace teaselhitch {
 
 namespace asio = boost::asio;
-using tcp = asio::ip::tcp;
+using Tcp = asio::ip::tcp;
 using ErrorCodeT = boost::system::error_code;
 
 struct EventLoop::Impl {
@@ -38,18 +38,18 @@
 }
 
 /// A TCP endpoint, or nothing if the address is not an IP address.
-inline std::optional<tcp::endpoint> toTcp(const Endpoint &E) {
+inline std::optional<Tcp::endpoint> toTcp(const Endpoint &E) {
   ErrorCodeT Fault;
   auto Address = asio::ip::make_address(E.Address, Fault);
   if (Fault)
     return std::nullopt;
-  return tcp::endpoint(Address, E.Port);
+  return Tcp::endpoint(Address, E.Port);
 }
 
 /// Sets what all TCP connections of the system use: no delay, keepalive, and a
 /// limit of the kernel for unacknowledged data, which ends connections that a
 /// device on the path has forgotten.
-void configureSocket(tcp::socket &Socket);
+void configureSocket(Tcp::socket &Socket);
 
 } // namespace teaselhitch
 
--- a/lib/Net/DatagramSocket.cpp
+++ b/lib/Net/DatagramSocket.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-using udp = asio::ip::udp;
+using Udp = asio::ip::udp;
 
 constexpr std::size_t MaxDatagramBytes = 65536;
 
@@ -19,7 +19,7 @@
   DatagramSocketImpl(EventLoop &Loop, Receiver OnReceive)
       : Socket(contextOf(Loop)), OnReceive(std::move(OnReceive)) {}
 
-  ErrorCodeT open(const udp::endpoint &Address) {
+  ErrorCodeT open(const Udp::endpoint &Address) {
     ErrorCodeT Fault;
     Socket.open(Address.protocol(), Fault);
     if (!Fault)
@@ -37,7 +37,7 @@
     if (Fault)
       return;
     Socket.send_to(asio::buffer(Bytes.data(), Bytes.size()),
-                   udp::endpoint(Address, To.Port), 0, Fault);
+                   Udp::endpoint(Address, To.Port), 0, Fault);
   }
 
 private:
@@ -53,8 +53,8 @@
         });
   }
 
-  udp::socket Socket;
-  udp::endpoint From;
+  Udp::socket Socket;
+  Udp::endpoint From;
   std::array<char, MaxDatagramBytes> Buffer{};
   Receiver OnReceive;
 };
@@ -71,7 +71,7 @@
                      "'" + Listen.Address + "' is not an IP address");
   auto Created =
       std::make_unique<DatagramSocketImpl>(Loop, std::move(OnReceive));
-  Fault = Created->open(udp::endpoint(Address, Listen.Port));
+  Fault = Created->open(Udp::endpoint(Address, Listen.Port));
   if (Fault)
     return makeError(ErrorCode::Unavailable, "cannot bind UDP " +
                                                  toString(Listen) + ": " +
--- a/lib/Net/EventLoop.cpp
+++ b/lib/Net/EventLoop.cpp
@@ -89,7 +89,7 @@
 void EventLoop::run() { State->Context.run(); }
 void EventLoop::stop() { State->Context.stop(); }
 
-void configureSocket(tcp::socket &Socket) {
+void configureSocket(Tcp::socket &Socket) {
   int Handle = Socket.native_handle();
   setOption(Handle, IPPROTO_TCP, TCP_NODELAY, 1);
   setOption(Handle, IPPROTO_TCP, TCP_USER_TIMEOUT, UserTimeoutMs);
--- a/lib/Net/HttpServer.cpp
+++ b/lib/Net/HttpServer.cpp
@@ -50,7 +50,7 @@
 /// One connection. Requests are answered one after the other.
 class Session : public std::enable_shared_from_this<Session> {
 public:
-  Session(tcp::socket Socket, std::shared_ptr<ServerState> Server)
+  Session(Tcp::socket Socket, std::shared_ptr<ServerState> Server)
       : Stream(std::move(Socket)), Server(std::move(Server)) {
     this->Server->Sessions.insert(this);
   }
@@ -72,7 +72,7 @@
 
   void close() {
     ErrorCodeT Ignored;
-    Stream.socket().shutdown(tcp::socket::shutdown_both, Ignored);
+    Stream.socket().shutdown(Tcp::socket::shutdown_both, Ignored);
     Stream.close();
   }
 
@@ -177,7 +177,7 @@
 
 void Session::watchForClose() {
   Stream.socket().async_wait(
-      tcp::socket::wait_read,
+      Tcp::socket::wait_read,
       [Self = shared_from_this(), Watched = Serial](ErrorCodeT Fault) {
         if (!Fault && Self->Awaiting && Self->Serial == Watched)
           Self->checkForClose();
@@ -189,7 +189,7 @@
   ErrorCodeT Fault;
   Stream.socket().non_blocking(true, Fault);
   std::size_t Count = Stream.socket().receive(asio::buffer(&Byte, 1),
-                                              tcp::socket::message_peek, Fault);
+                                              Tcp::socket::message_peek, Fault);
   // More bytes are a pipelined request, which is read after this one.
   if (Count > 0 || Fault == asio::error::would_block)
     return;
@@ -221,11 +221,11 @@
       : State(std::move(Server)), Acceptor(contextOf(Loop)) {}
   ~HttpServerImpl() override { close(); }
 
-  ErrorCodeT listen(const tcp::endpoint &Address) {
+  ErrorCodeT listen(const Tcp::endpoint &Address) {
     ErrorCodeT Fault;
     Acceptor.open(Address.protocol(), Fault);
     if (!Fault)
-      Acceptor.set_option(tcp::acceptor::reuse_address(true), Fault);
+      Acceptor.set_option(Tcp::acceptor::reuse_address(true), Fault);
     if (!Fault)
       Acceptor.bind(Address, Fault);
     if (!Fault)
@@ -258,7 +258,7 @@
 
 private:
   void accept() {
-    Acceptor.async_accept([this](ErrorCodeT Fault, tcp::socket Socket) {
+    Acceptor.async_accept([this](ErrorCodeT Fault, Tcp::socket Socket) {
       if (Fault == asio::error::operation_aborted)
         return;
       if (!Fault)
@@ -267,7 +267,7 @@
     });
   }
 
-  void admit(tcp::socket Socket) {
+  void admit(Tcp::socket Socket) {
     // Closing at once is the only refusal that costs no further memory.
     if (State->Sessions.size() >= State->Settings.MaxConnections)
       return;
@@ -276,7 +276,7 @@
   }
 
   std::shared_ptr<ServerState> State;
-  tcp::acceptor Acceptor;
+  Tcp::acceptor Acceptor;
 };
 
 } // namespace
@@ -285,7 +285,7 @@
 HttpServer::create(EventLoop &Loop, HttpServerSettings Settings, Handler Handle,
                    Refusal Refuse) {
   Endpoint Listen = Settings.Listen;
-  std::optional<tcp::endpoint> Address = toTcp(Listen);
+  std::optional<Tcp::endpoint> Address = toTcp(Listen);
   if (!Address)
     return makeError(ErrorCode::InvalidInput,
                      "'" + Listen.Address + "' is not an IP address");
--- a/lib/Net/PeerLinks.cpp
+++ b/lib/Net/PeerLinks.cpp
@@ -14,7 +14,7 @@
 
 namespace {
 
-constexpr std::size_t ReadBytes = 16 * 1024;
+constexpr std::size_t ReadBytes = 16ULL * 1024;
 
 /// True for messages to which the other side replies.
 bool expectsReply(const PeerMessage &Message) {
@@ -42,8 +42,8 @@
       : Socket(Context), Timer(Context), Owner(&Owner), Settings(Settings),
         IsOutgoing(IsOutgoing), LastByte(Wall.now()), LastUse(LastByte) {}
 
-  void connect(const tcp::endpoint &Address);
-  void accepted(tcp::socket Accepted);
+  void connect(const Tcp::endpoint &Address);
+  void accepted(Tcp::socket Accepted);
   /// False if too much waits already.
   bool send(const PeerMessage &Message);
   void close();
@@ -65,7 +65,7 @@
   void flush();
   void fail(const char *Why);
 
-  tcp::socket Socket;
+  Tcp::socket Socket;
   asio::steady_timer Timer;
   LinkOwner *Owner;
   const PeerLinksSettings &Settings;
@@ -86,7 +86,7 @@
   Time LastHeartbeat;
 };
 
-void Link::connect(const tcp::endpoint &Address) {
+void Link::connect(const Tcp::endpoint &Address) {
   Timer.expires_after(toChrono(Settings.ConnectTimeout));
   Timer.async_wait([Self = shared_from_this()](ErrorCodeT Fault) {
     if (!Fault && !Self->IsOpen)
@@ -101,7 +101,7 @@
   });
 }
 
-void Link::accepted(tcp::socket Accepted) {
+void Link::accepted(Tcp::socket Accepted) {
   Socket = std::move(Accepted);
   begin();
 }
@@ -268,11 +268,11 @@
     }
   }
 
-  ErrorCodeT listen(const tcp::endpoint &Address) {
+  ErrorCodeT listen(const Tcp::endpoint &Address) {
     ErrorCodeT Fault;
     Acceptor.open(Address.protocol(), Fault);
     if (!Fault)
-      Acceptor.set_option(tcp::acceptor::reuse_address(true), Fault);
+      Acceptor.set_option(Tcp::acceptor::reuse_address(true), Fault);
     if (!Fault)
       Acceptor.bind(Address, Fault);
     if (!Fault)
@@ -287,7 +287,7 @@
     auto It = Outgoing.find(Node);
     if (It != Outgoing.end())
       return It->second->send(Message);
-    std::optional<tcp::endpoint> To = toTcp(Address);
+    std::optional<Tcp::endpoint> To = toTcp(Address);
     if (!To)
       return false;
     auto L = std::make_shared<Link>(Context, *this, true, Settings);
@@ -336,7 +336,7 @@
   }
 
   void accept() {
-    Acceptor.async_accept([this](ErrorCodeT Fault, tcp::socket Socket) {
+    Acceptor.async_accept([this](ErrorCodeT Fault, Tcp::socket Socket) {
       if (Fault == asio::error::operation_aborted)
         return;
       if (!Fault) {
@@ -370,7 +370,7 @@
   asio::io_context &Context;
   PeerLinksSettings Settings;
   PeerLinksHandler &Handler;
-  tcp::acceptor Acceptor;
+  Tcp::acceptor Acceptor;
   LinkId NextId = 1;
   std::map<NodeName, std::shared_ptr<Link>> Outgoing;
   std::map<LinkId, std::shared_ptr<Link>> Incoming;
@@ -382,7 +382,7 @@
 PeerLinks::create(EventLoop &Loop, PeerLinksSettings Settings,
                   PeerLinksHandler &Handler) {
   Endpoint Listen = Settings.Listen;
-  std::optional<tcp::endpoint> Address = toTcp(Listen);
+  std::optional<Tcp::endpoint> Address = toTcp(Listen);
   if (!Address)
     return makeError(ErrorCode::InvalidInput,
                      "'" + Listen.Address + "' is not an IP address");
--- a/lib/Node/BackendsDuty.cpp
+++ b/lib/Node/BackendsDuty.cpp
@@ -129,7 +129,7 @@
       });
   if (!Fault.empty())
     return Exchange->reply(makeJson(BadRequest, errorBody(Fault)));
-  run(std::move(Actions));
+  run(Actions);
   run(Control->announced(Parsed.Service, Parsed.Name, Parsed.State,
                          Parsed.Incarnation, now()));
   boost::json::object Body;
@@ -182,7 +182,7 @@
   }
 }
 
-void BackendsDuty::run(GuardActions Actions) {
+void BackendsDuty::run(const GuardActions &Actions) {
   for (const GuardAction &Action : Actions)
     std::visit([&](const auto &A) { perform(A); }, Action);
 }
@@ -233,7 +233,7 @@
                            now()));
 }
 
-void BackendsDuty::run(ControlActions Actions) {
+void BackendsDuty::run(const ControlActions &Actions) {
   for (const ControlAction &Action : Actions)
     std::visit([&](const auto &A) { perform(A); }, Action);
 }
--- a/lib/Node/BackendsDuty.h
+++ b/lib/Node/BackendsDuty.h
@@ -52,14 +52,14 @@
   void receive(std::optional<LinkId> Origin, GuardMessage Message);
   void receive(PeersToBackends Message);
   void entryLost(LinkId Link);
-  void run(GuardActions Actions);
+  void run(const GuardActions &Actions);
   void perform(const StartAttempt &Action);
   void perform(const AbortAttempt &Action);
   void perform(const AttemptFailed &Action);
   void perform(const PublishRecord &Action);
   void perform(const Quarantine &Action);
   void perform(const CrashMark &Action);
-  void run(ControlActions Actions);
+  void run(const ControlActions &Actions);
   void perform(const SetHealth &Action);
   void perform(const TableRequest &Action);
   void sample(const AttemptId &Attempt, const Running &R,
--- a/lib/Node/CallersDuty.cpp
+++ b/lib/Node/CallersDuty.cpp
@@ -149,10 +149,10 @@
   const std::string &Target = Exchange->request().Target;
   if (Target.rfind(OwnPathPrefix, 0) == 0)
     return handleMint(std::move(Exchange));
-  handleRequest(std::move(Exchange));
+  handleRequest(Exchange);
 }
 
-void CallersDuty::handleRequest(std::shared_ptr<HttpExchange> Exchange) {
+void CallersDuty::handleRequest(const std::shared_ptr<HttpExchange> &Exchange) {
   HttpRequest &Request = Exchange->request();
   std::optional<CallerRequest> Described = describe(Request);
   if (!Described)
--- a/lib/Node/CallersDuty.h
+++ b/lib/Node/CallersDuty.h
@@ -37,7 +37,7 @@
   };
 
   void handle(std::shared_ptr<HttpExchange> Exchange);
-  void handleRequest(std::shared_ptr<HttpExchange> Exchange);
+  void handleRequest(const std::shared_ptr<HttpExchange> &Exchange);
   void handleMint(std::shared_ptr<HttpExchange> Exchange);
   void receive(EntryMessage Message);
   void run(EntryActions Actions);
--- a/lib/Wire/FrameCodec.cpp
+++ b/lib/Wire/FrameCodec.cpp
@@ -14,7 +14,7 @@
 constexpr std::size_t LengthBytes = 4;
 constexpr std::size_t TypeBytes = 1;
 /// Consumed bytes are dropped from the buffer when there are more than these.
-constexpr std::size_t CompactBytes = 64 * 1024;
+constexpr std::size_t CompactBytes = 64ULL * 1024;
 
 template <typename T> std::string encodePayload(const T &Message) {
   if constexpr (std::is_same_v<T, Delta>) {
--- a/tools/teaselhitch-bench/SyntheticSet.cpp
+++ b/tools/teaselhitch-bench/SyntheticSet.cpp
@@ -1,6 +1,7 @@
 #include "SyntheticSet.h"
 
 #include <algorithm>
+#include <cassert>
 #include <cstdio>
 
 namespace teaselhitch::bench {
@@ -57,6 +58,7 @@
     G.ExpectedSize = 42;
     Objects.Groups.push_back(G);
   }
+  assert(Size.Services > 0 && "rules need a service");
   for (std::size_t I = 0; I != Size.Rules; ++I) {
     Rule R;
     R.Name = RuleName(numbered("rule", I));
@@ -83,6 +85,7 @@
     Node.Domain = DomainOf(I);
     Nodes->emplace(Node.Name, Node);
   }
+  assert(Size.Nodes > 0 && Size.Services > 0 && "the size has no fleet");
   std::map<ServiceName, std::shared_ptr<ServiceView>> Services;
   for (std::size_t I = 0; I != Size.Servers; ++I) {
     std::size_t Node = I % Size.Nodes;
--- a/unittests/Detection/EjectionLeasesTest.cpp
+++ b/unittests/Detection/EjectionLeasesTest.cpp
@@ -104,7 +104,7 @@
     Holder H;
     H.eject(Time(0));
     H.Down = true;
-    for (double Ms = 50; Ms < 29999; Ms += 50)
+    for (int Ms = 50; Ms < 29999; Ms += 50)
       H.handle(H.Leases->tick(Time(Ms)), Time(Ms));
     CPPUNIT_ASSERT(!H.LastReadmission);
     H.handle(H.Leases->tick(Time(30000)), Time(30000));
--- a/unittests/Entry/EntryTest.cpp
+++ b/unittests/Entry/EntryTest.cpp
@@ -301,19 +301,19 @@
   /// Guards against a run under a key that is taken or cannot be claimed.
   void claimOutcomes() {
     struct Case {
+      const char *Row;
       TableStatus Insert;
       TableStatus Read;
-      const char *Row;
       Reason Expected;
     };
     const Case Cases[] = {
-        {TableStatus::Unavailable, TableStatus::Ok, "",
+        {"", TableStatus::Unavailable, TableStatus::Ok,
          Reason::ClaimStoreUnavailable},
-        {TableStatus::Conflict, TableStatus::Ok,
-         R"({"claimant":"n9-1-1","state":"claimed"})", Reason::KeyAlreadyUsed},
-        {TableStatus::Conflict, TableStatus::Ok, "not json",
+        {R"({"claimant":"n9-1-1","state":"claimed"})", TableStatus::Conflict,
+         TableStatus::Ok, Reason::KeyAlreadyUsed},
+        {"not json", TableStatus::Conflict, TableStatus::Ok,
          Reason::KeyAlreadyUsed},
-        {TableStatus::Unknown, TableStatus::Unavailable, "",
+        {"", TableStatus::Unknown, TableStatus::Unavailable,
          Reason::ClaimStoreUnavailable},
     };
     for (const Case &C : Cases) {
--- a/unittests/Net/HttpServerTest.cpp
+++ b/unittests/Net/HttpServerTest.cpp
@@ -77,7 +77,7 @@
               Server,
               HttpServer::create(
                   *Loop, Settings,
-                  [this](std::shared_ptr<HttpExchange> E) { handle(E); },
+                  [this](const std::shared_ptr<HttpExchange> &E) { handle(E); },
                   [](Reason Why) {
                     return HttpAnswer{
                         reasonInfo(Why).Status,
