--- a/lib/Net/Asio.h
+++ b/lib/Net/Asio.h
@@ -46,6 +46,9 @@
   return Tcp::endpoint(Address, E.Port);
 }
 
+/// Opens, binds and listens.
+ErrorCodeT listenOn(Tcp::acceptor &Acceptor, const Tcp::endpoint &Address);
+
 /// Sets what all TCP connections of the system use: no delay, keepalive, and a
 /// limit of the kernel for unacknowledged data, which ends connections that a
 /// device on the path has forgotten.
--- a/lib/Net/EventLoop.cpp
+++ b/lib/Net/EventLoop.cpp
@@ -89,6 +89,18 @@
 void EventLoop::run() { State->Context.run(); }
 void EventLoop::stop() { State->Context.stop(); }
 
+ErrorCodeT listenOn(Tcp::acceptor &Acceptor, const Tcp::endpoint &Address) {
+  ErrorCodeT Fault;
+  Acceptor.open(Address.protocol(), Fault);
+  if (!Fault)
+    Acceptor.set_option(Tcp::acceptor::reuse_address(true), Fault);
+  if (!Fault)
+    Acceptor.bind(Address, Fault);
+  if (!Fault)
+    Acceptor.listen(asio::socket_base::max_listen_connections, Fault);
+  return Fault;
+}
+
 void configureSocket(Tcp::socket &Socket) {
   int Handle = Socket.native_handle();
   setOption(Handle, IPPROTO_TCP, TCP_NODELAY, 1);
--- a/lib/Net/HttpServer.cpp
+++ b/lib/Net/HttpServer.cpp
@@ -222,14 +222,7 @@
   ~HttpServerImpl() override { close(); }
 
   ErrorCodeT listen(const Tcp::endpoint &Address) {
-    ErrorCodeT Fault;
-    Acceptor.open(Address.protocol(), Fault);
-    if (!Fault)
-      Acceptor.set_option(Tcp::acceptor::reuse_address(true), Fault);
-    if (!Fault)
-      Acceptor.bind(Address, Fault);
-    if (!Fault)
-      Acceptor.listen(asio::socket_base::max_listen_connections, Fault);
+    ErrorCodeT Fault = listenOn(Acceptor, Address);
     if (!Fault)
       accept();
     return Fault;
--- a/tools/teaselhitch-bench/DetectionBench.cpp
+++ b/tools/teaselhitch-bench/DetectionBench.cpp
@@ -64,7 +64,7 @@
 
 std::string cellName(const Row &R, const Cell &C) {
   return R.Deployment + ", " + R.Name + ", " + C.Detector + " " +
-         presetName(C.Preset);
+         detectionPresetName(C.Preset);
 }
 
 void DetectionCommand::checkRow(const Row &R, const Cell &C) {
@@ -116,7 +116,7 @@
         Other.P50 < Own.P50 || Other.P99 < Own.P99 || OtherFalse < OwnFalse;
     if (NowhereWorse && Better)
       Failures.push_back(cellName(R, Own) + ": dominated by " + Other.Detector +
-                         " " + presetName(Other.Preset));
+                         " " + detectionPresetName(Other.Preset));
   }
 }
 
@@ -142,7 +142,7 @@
         C.Detector == ChosenDetector && C.Preset == presetOf(R);
     std::cout << "| " << R.Deployment << " | " << R.Name << " | " << R.Base.Seed
               << " | " << C.Detector << (IsChosen ? " *" : "") << " | "
-              << presetName(C.Preset) << " | " << C.Trials << " | "
+              << detectionPresetName(C.Preset) << " | " << C.Trials << " | "
               << seconds(C.P50) << " | " << seconds(C.P99) << " | "
               << seconds(C.LoweredP50) << " | " << seconds(C.LoweredP99)
               << " | " << C.FalseEjections << " | " << std::setprecision(3)
@@ -167,7 +167,7 @@
                      {"row", R.Name},
                      {"seed", R.Base.Seed},
                      {"detector", C.Detector},
-                     {"preset", presetName(C.Preset)},
+                     {"preset", detectionPresetName(C.Preset)},
                      {"trials", C.Trials},
                      {"detected", C.Detected},
                      {"p50_s", OrNull(C.P50)},
--- a/tools/teaselhitch-bench/DetectionRows.cpp
+++ b/tools/teaselhitch-bench/DetectionRows.cpp
@@ -140,18 +140,6 @@
 
 } // namespace
 
-const char *presetName(DetectionPreset Preset) {
-  switch (Preset) {
-  case DetectionPreset::FewFalseEjections:
-    return "few-false-ejections";
-  case DetectionPreset::Balanced:
-    return "balanced";
-  case DetectionPreset::FastDetection:
-    return "fast-detection";
-  }
-  return "balanced";
-}
-
 DetectionPreset presetOf(const Row &R) {
   if (R.Deployment == VentiloArmor.Name)
     return DetectionPreset::FewFalseEjections;
--- a/tools/teaselhitch-bench/DetectionRows.h
+++ b/tools/teaselhitch-bench/DetectionRows.h
@@ -55,8 +55,6 @@
 /// The default detector of a service; the others are baselines.
 constexpr const char *ChosenDetector = "sequential";
 
-const char *presetName(DetectionPreset Preset);
-
 /// The preset that the deployment of the row uses.
 DetectionPreset presetOf(const Row &R);
 
--- a/unittests/Net/BackendClientTest.cpp
+++ b/unittests/Net/BackendClientTest.cpp
@@ -57,7 +57,8 @@
   EventLoop Loop;
   std::optional<RunEnd> End;
   std::unique_ptr<BackendClient> Client = BackendClient::create(
-      Loop, 1024, [&](const AttemptId &, const RunResult &Result, HttpAnswer) {
+      Loop, 1024,
+      [&](const AttemptId &, const RunResult &Result, const HttpAnswer &) {
         End = Result.End;
         Loop.stop();
       });
