Poll the head by fleet size, report joining, keep the audit trail

Cause: in fleets of a few nodes a published version came into force only at the next poll, up to 10 s later, against the bound of 3 s. A node was ready before it knew the backend servers of other nodes, and refused requests for a moment. The audit trail of a node was lost with its instance. A stopped backend server went on through the steps of its slow start.

Change: a fleet of N nodes reads the head every N/140 s, between 1 s and 10 s; /readyz answers `joining` until 1.5 s after the first contact, at most 5 s; new audit events go to the object store every 30 s, and a write is repeated with the same bytes; slow start stops for servers that are gone.

Ruled out: a refresh by the publish command alone, because other publishers would have to know it; an audit row per event in the table, because of its few hundred writes a second.

--- a/include/teaselhitch/Audit/AuditTrail.h
+++ b/include/teaselhitch/Audit/AuditTrail.h
@@ -49,6 +49,15 @@
   std::uint64_t Dropped = 0;
 };
 
+/// The events as JSON, one object a line.
+std::string toJsonLines(const std::vector<AuditEvent> &Events);
+
+/// Key of the object with the events of a node from First on:
+/// `audit/<node>/<incarnation>/<first>` with the numbers in 20 digits, so that
+/// keys sort by time.
+std::string auditObjectKey(const std::string &Node, std::uint64_t Incarnation,
+                           std::uint64_t First);
+
 } // namespace teaselhitch
 
 #endif
--- a/include/teaselhitch/Settings/NodeSettings.h
+++ b/include/teaselhitch/Settings/NodeSettings.h
@@ -43,6 +43,8 @@
   // [platform]
   Endpoint Platform;
   Duration PlatformTimeout = Duration::seconds(2);
+  /// Longest time between two reads of the configuration's head; small fleets
+  /// read more often.
   Duration HeadPollInterval = Duration::seconds(10);
 
   // [limits]
--- a/lib/Audit/AuditTrail.cpp
+++ b/lib/Audit/AuditTrail.cpp
@@ -3,8 +3,35 @@
 #include "teaselhitch/Support/Clock.h"
 #include "teaselhitch/Support/Log.h"
 
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <cinttypes>
+#include <cstdio>
+
 namespace teaselhitch {
 
+std::string toJsonLines(const std::vector<AuditEvent> &Events) {
+  std::string Lines;
+  for (const AuditEvent &Event : Events) {
+    boost::json::object Item{{"sequence", Event.Sequence},
+                             {"time_ms", Event.TimeMs},
+                             {"kind", Event.Kind},
+                             {"subject", Event.Subject},
+                             {"detail", Event.Detail}};
+    Lines += boost::json::serialize(Item) + "\n";
+  }
+  return Lines;
+}
+
+std::string auditObjectKey(const std::string &Node, std::uint64_t Incarnation,
+                           std::uint64_t First) {
+  char Numbers[64];
+  std::snprintf(Numbers, sizeof(Numbers), "/%020" PRIu64 "/%020" PRIu64,
+                Incarnation, First);
+  return "audit/" + Node + Numbers;
+}
+
 void AuditTrail::record(std::string Kind, std::string Subject,
                         std::string Detail) {
   logEvent(LogLevel::Info, "audit", Kind,
--- a/lib/Guard/ServerTable.cpp
+++ b/lib/Guard/ServerTable.cpp
@@ -234,7 +234,9 @@
 }
 
 void ServerTable::updateWeight(GuardedServer &Server, Time Now) {
-  if (Server.SlowStartAt) {
+  // A record changes for each step, so steps of a stopped backend server would
+  // only cost gossip.
+  if (Server.SlowStartAt && Server.Record.State != BackendServerState::Gone) {
     Server.SlowStartWeight =
         slowStartPercent(Now - *Server.SlowStartAt, Settings.SlowStart);
     if (Server.SlowStartWeight == FullPercent)
--- a/lib/Node/Node.cpp
+++ b/lib/Node/Node.cpp
@@ -23,7 +23,8 @@
     // A later start has a higher incarnation. If the wall clock was set back,
     // the membership raises the incarnation above the one that peers know.
     auto Incarnation = static_cast<std::uint64_t>(wallClockMs());
-    BOOST_LEAF_ASSIGN(Platform, PlatformDuty::create(Settings, Rings));
+    BOOST_LEAF_ASSIGN(Platform,
+                      PlatformDuty::create(Settings, Incarnation, Rings));
     BOOST_LEAF_ASSIGN(Peers, PeersDuty::create(Settings, Incarnation, Rings));
     BOOST_LEAF_ASSIGN(Backends,
                       BackendsDuty::create(Settings, Incarnation, Rings));
--- a/lib/Node/OperatorsDuty.cpp
+++ b/lib/Node/OperatorsDuty.cpp
@@ -19,6 +19,12 @@
 constexpr unsigned MethodNotAllowed = 405;
 constexpr unsigned Unavailable = 503;
 constexpr std::uint64_t DefaultAuditLimit = 100;
+/// A node is ready without other nodes after this time: it may be the first.
+constexpr Duration LongestJoin = Duration::seconds(5);
+/// From the first contact until the records of other nodes have arrived: a
+/// starting node exchanges them each second.
+constexpr Duration SyncTime = Duration(1500);
+constexpr Duration PeersCheckInterval = Duration(100);
 
 HttpAnswer error(unsigned Status, const std::string &Message) {
   boost::json::object Body;
@@ -111,6 +117,7 @@
                           return error(reasonInfo(Why).Status,
                                        reasonInfo(Why).Detail);
                         }));
+  Self->Loop.every(PeersCheckInterval, [Self] { Self->notePeers(); });
   return Made;
 }
 
@@ -140,14 +147,30 @@
 
 HttpAnswer OperatorsDuty::readiness() const {
   std::shared_ptr<const ActiveConfig> Config = Rings.Config.current();
-  const char *Cause = Draining  ? "draining"
-                      : !Config ? "no-configuration"
-                                : nullptr;
+  const char *Cause = Draining     ? "draining"
+                      : !Config    ? "no-configuration"
+                      : !hasView() ? "joining"
+                                   : nullptr;
   if (Cause)
     return makeJson(Unavailable, boost::json::object{{"status", Cause}});
   return makeJson(Ok, boost::json::object{{"status", "ready"}});
 }
 
+bool OperatorsDuty::hasView() const {
+  Duration Up = now() - StartedAt;
+  if (Settings.Seeds.empty() || Up >= LongestJoin)
+    return true;
+  return HasPeers && now() - HadPeersAt >= SyncTime;
+}
+
+void OperatorsDuty::notePeers() {
+  std::shared_ptr<const FleetView> View = Rings.View.current();
+  if (HasPeers || !View || !View->Nodes || View->Nodes->size() < 2)
+    return;
+  HasPeers = true;
+  HadPeersAt = now();
+}
+
 HttpAnswer OperatorsDuty::metrics() const {
   HttpAnswer Answer;
   Answer.Status = Ok;
--- a/lib/Node/OperatorsDuty.h
+++ b/lib/Node/OperatorsDuty.h
@@ -30,6 +30,9 @@
 
   HttpAnswer handle(const HttpRequest &Request);
   HttpAnswer readiness() const;
+  /// The backend servers of other nodes should be known by now.
+  bool hasView() const;
+  void notePeers();
   HttpAnswer status() const;
   HttpAnswer audit(const std::string &Target) const;
   HttpAnswer metrics() const;
@@ -39,6 +42,8 @@
   Channels &Rings;
   std::atomic<bool> Draining{false};
   Time StartedAt = now();
+  bool HasPeers = false;
+  Time HadPeersAt;
   std::unique_ptr<HttpServer> Server;
 };
 
--- a/lib/Node/PeersDuty.cpp
+++ b/lib/Node/PeersDuty.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/json/object.hpp>
 
+#include <algorithm>
 #include <random>
 
 namespace teaselhitch {
@@ -28,6 +29,17 @@
   return Request;
 }
 
+/// Mean time between two polls of a node. A fleet makes at most
+/// FleetReadsPerSecond reads, of which the table service takes about 2,000; a
+/// small fleet still sees a new version within about a second.
+Duration headPollInterval(std::size_t Nodes, Duration Longest) {
+  constexpr double FleetReadsPerSecond = 140;
+  constexpr Duration Shortest = Duration::seconds(1);
+  Duration Shared =
+      Duration::seconds(static_cast<double>(Nodes) / FleetReadsPerSecond);
+  return std::min(std::max(Shared, Shortest), Longest);
+}
+
 MembershipSettings membershipSettings(const NodeSettings &Settings) {
   MembershipSettings Result;
   Result.Seeds = Settings.Seeds;
@@ -96,19 +108,11 @@
   Self->Duty::receive(Rings.PlatformToPeersRing, [Self](PlatformToPeers &&M) {
     Self->receive(std::move(M));
   });
-  auto ReadHead = [&Rings] {
+  Self->Duty::receive(Rings.OperatorsToPeers, [&Rings](RefreshConfig &&) {
     // A full ring means that the platform is slow; the next poll asks again.
     (void)Rings.PeersToPlatformRing.trySend(headRequest());
-  };
-  Self->Duty::receive(Rings.OperatorsToPeers,
-                      [ReadHead](RefreshConfig &&) { ReadHead(); });
-  Self->Loop.post(ReadHead);
-  // A random first delay spreads the reads of a fleet that starts at once.
-  Self->Loop.after(
-      Settings.HeadPollInterval * Made->Random->uniform(), [Self, ReadHead] {
-        ReadHead();
-        Self->Loop.every(Self->Settings.HeadPollInterval, ReadHead);
-      });
+  });
+  Self->Loop.post([Self] { Self->pollHead(); });
   Self->Loop.every(TickInterval, [Self] { Self->tick(); });
   Self->Loop.every(StatusInterval, [Self] { Self->publishStatus(); });
   return Made;
@@ -118,6 +122,15 @@
   Loop.post([this] { Members->leave(now()); });
 }
 
+void PeersDuty::pollHead() {
+  (void)Rings.PeersToPlatformRing.trySend(headRequest());
+  std::shared_ptr<const FleetView> View = Members->view();
+  std::size_t Nodes = View->Nodes ? View->Nodes->size() : 1;
+  Duration Interval = headPollInterval(Nodes, Settings.HeadPollInterval);
+  // A random part keeps nodes that start together from reading together.
+  Loop.after(Interval * (0.5 + Random->uniform()), [this] { pollHead(); });
+}
+
 void PeersDuty::tick() {
   run(Members->tick(now()));
   Links->tick(now());
--- a/lib/Node/PeersDuty.h
+++ b/lib/Node/PeersDuty.h
@@ -54,6 +54,8 @@
   std::vector<PieceFetch> takePiece(Piece Received);
   void fetch(const std::vector<PieceFetch> &Fetches);
   void adopted();
+  /// Reads the head of the configuration, again and again.
+  void pollHead();
   void tick();
   void publishStatus();
 
--- a/lib/Node/PlatformDuty.cpp
+++ b/lib/Node/PlatformDuty.cpp
@@ -7,6 +7,10 @@
 
 namespace {
 
+/// At 1,400 nodes that all have new events: 47 writes a second.
+constexpr Duration AuditInterval = Duration::seconds(30);
+constexpr std::size_t MaxAuditBatch = 1000;
+
 /// After a call without an answer, calls are refused for this time. Otherwise
 /// each of many waiting calls would take the whole time limit in turn.
 constexpr Duration SuspensionTime = Duration(500);
@@ -18,8 +22,10 @@
 } // namespace
 
 Result<std::unique_ptr<PlatformDuty>>
-PlatformDuty::create(const NodeSettings &Settings, Channels &Rings) {
-  std::unique_ptr<PlatformDuty> Made(new PlatformDuty(Settings, Rings));
+PlatformDuty::create(const NodeSettings &Settings, std::uint64_t Incarnation,
+                     Channels &Rings) {
+  std::unique_ptr<PlatformDuty> Made(
+      new PlatformDuty(Settings, Incarnation, Rings));
   BOOST_LEAF_ASSIGN(
       Made->Table,
       createHttpTableStore(Settings.Platform, Settings.PlatformTimeout));
@@ -43,9 +49,39 @@
         Message);
     (void)Self->Rings.PlatformToPeersRing.trySend(Reply);
   });
+  Self->Loop.every(AuditInterval, [Self] { Self->uploadAudit(); });
   return Made;
 }
 
+void PlatformDuty::uploadAudit() {
+  if (!Pending) {
+    std::vector<AuditEvent> Events =
+        Rings.Audit.events(UploadedSequence, MaxAuditBatch);
+    if (Events.empty())
+      return;
+    Pending = AuditBatch{auditObjectKey(Settings.Node.str(), Incarnation,
+                                        Events.front().Sequence),
+                         toJsonLines(Events), Events.back().Sequence};
+  }
+  if (isSuspended())
+    return;
+  bool Written = handleError(
+      [&]() -> Result<bool> {
+        BOOST_LEAF_CHECK(Objects->write(Pending->Key, Pending->Bytes));
+        return true;
+      },
+      [&](const Error &E) {
+        logEvent(LogLevel::Warning, "platform", "audit-write-failed",
+                 {{"error", E.Message}});
+        return false;
+      });
+  noteResult(Written);
+  if (!Written)
+    return;
+  UploadedSequence = Pending->LastSequence;
+  Pending.reset();
+}
+
 void PlatformDuty::noteResult(bool Answered) {
   if (!Answered)
     SuspendedUntil = now() + SuspensionTime;
