--- a/lib/Net/PeerLinks.cpp
+++ b/lib/Net/PeerLinks.cpp
@@ -14,7 +14,8 @@
 
 namespace {
 
-constexpr std::size_t ReadBytes = 16ULL * 1024;
+/// Each of up to 2,800 links of a node has a buffer of this size.
+constexpr std::size_t ReadBytes = 4096;
 
 /// True for messages to which the other side replies.
 bool expectsReply(const PeerMessage &Message) {
