Test the parts of the node; one style of announcement errors

Cause: announcements, the choice of sources for configuration pieces, and the end of attempts on lost links had no unit tests. Announcement errors had two styles, one from the parser and one from the guard.

Change: NodeTests with tables; the parser names fields like the guard does.

--- a/lib/Node/Announcement.cpp
+++ b/lib/Node/Announcement.cpp
@@ -25,7 +25,7 @@
   const json::value *Value = Object.if_contains(Name);
   if (!Value || !Value->is_string())
     return makeError(ErrorCode::InvalidInput,
-                     std::string("field '") + Name + "': expected a text");
+                     std::string(Name) + ": expected a text");
   return std::string(Value->as_string());
 }
 
@@ -37,8 +37,7 @@
   if (Value && Value->is_uint64())
     return Value->as_uint64();
   return makeError(ErrorCode::InvalidInput,
-                   std::string("field '") + Name +
-                       "': expected a whole number from 0");
+                   std::string(Name) + ": expected a whole number from 0");
 }
 
 Result<BackendServerState> stateField(const json::object &Object) {
@@ -49,7 +48,7 @@
     if (Text == backendServerStateName(State))
       return State;
   return makeError(ErrorCode::InvalidInput,
-                   "field 'state': unknown value '" + Text +
+                   "state: unknown value '" + Text +
                        "', expected starting, ready or draining");
 }
 
@@ -82,12 +81,12 @@
   std::optional<Endpoint> Parsed = parseEndpoint(Address);
   if (!Parsed)
     return makeError(ErrorCode::InvalidInput,
-                     "field 'address': '" + Address +
+                     "address: '" + Address +
                          "' is not an IP address and port");
   A.Address = *Parsed;
   BOOST_LEAF_AUTO(Slots, numberField(Object, "slots"));
   if (Slots > std::numeric_limits<std::uint32_t>::max())
-    return makeError(ErrorCode::InvalidInput, "field 'slots': too large");
+    return makeError(ErrorCode::InvalidInput, "slots: too large");
   A.Slots = static_cast<std::uint32_t>(Slots);
   BOOST_LEAF_ASSIGN(A.Incarnation, numberField(Object, "incarnation"));
   BOOST_LEAF_ASSIGN(A.State, stateField(Object));
@@ -96,8 +95,7 @@
   }
   if (const json::value *Load = Object.if_contains("load")) {
     if (!Load->is_number())
-      return makeError(ErrorCode::InvalidInput,
-                       "field 'load': expected a number");
+      return makeError(ErrorCode::InvalidInput, "load: expected a number");
     A.Load = Load->to_number<double>();
   }
   return A;
--- /dev/null
+++ b/unittests/Node/NodePartsTest.cpp
@@ -0,0 +1,156 @@
+#include "../../lib/Node/Announcement.h"
+#include "../../lib/Node/ConfigFetcher.h"
+#include "../../lib/Node/OutstandingAttempts.h"
+#include "../../lib/Node/Problem.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace teaselhitch;
+
+namespace {
+
+constexpr std::uint64_t Seed = 17;
+
+/// The fault of an announcement, or "ok".
+std::string faultOf(const std::string &Text) {
+  return handleError(
+      [&]() -> Result<std::string> {
+        BOOST_LEAF_CHECK(parseAnnouncement(Text));
+        return std::string("ok");
+      },
+      [](const Error &E) { return E.Message; });
+}
+
+/// An announcement in which the text From is replaced by To.
+std::string announcement(const std::string &From = "",
+                         const std::string &To = "") {
+  std::string Text = R"({"name":"b1","service":"seats",)"
+                     R"("address":"127.0.0.1:80","slots":4,"incarnation":1,)"
+                     R"("state":"ready","label":"v1","load":0.5})";
+  std::size_t Place = Text.find(From);
+  CPPUNIT_ASSERT(Place != std::string::npos);
+  return Text.replace(Place, From.size(), To);
+}
+
+FleetView makeView(int Others) {
+  FleetView View;
+  auto Nodes = std::make_shared<std::map<NodeName, NodeRecord>>();
+  for (int I = 0; I <= Others; ++I) {
+    NodeRecord Node;
+    Node.Name = NodeName("n" + std::to_string(I));
+    Nodes->emplace(Node.Name, Node);
+  }
+  View.Nodes = Nodes;
+  return View;
+}
+
+class NodePartsTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(NodePartsTest);
+  CPPUNIT_TEST(announcementsAreChecked);
+  CPPUNIT_TEST(lostLinksEndTheirAttempts);
+  CPPUNIT_TEST(piecesComeFromNodesThenFromTheStore);
+  CPPUNIT_TEST(loneNodeAsksTheStore);
+  CPPUNIT_TEST(problemsCarryReasonAndOutcome);
+  CPPUNIT_TEST_SUITE_END();
+
+  /// Guards against announcements that are taken although a field is wrong, and
+  /// against errors that do not name the field.
+  void announcementsAreChecked() {
+    struct Case {
+      const char *From;
+      const char *To;
+      const char *Expected;
+    };
+    const Case Cases[] = {
+        {"", "", "ok"},
+        {"4", "-4", "slots: expected a whole number from 0"},
+        {"4", "4294967296", "slots: too large"},
+        {"\"ready\"", "\"up\"",
+         "state: unknown value 'up', expected starting, ready or draining"},
+        {"127.0.0.1:80", "host:80",
+         "address: 'host:80' is not an IP address and port"},
+        {"label", "lable", "unknown field 'lable', did you mean 'label'?"},
+        {"0.5", "\"x\"", "load: expected a number"},
+        {"\"seats\"", "7", "service: expected a text"},
+    };
+    for (const Case &C : Cases)
+      CPPUNIT_ASSERT_EQUAL(std::string(C.Expected),
+                           faultOf(announcement(C.From, C.To)));
+    CPPUNIT_ASSERT_EQUAL(std::string("the body is not a JSON object"),
+                         faultOf("["));
+  }
+
+  /// Guards against attempts that wait for ever after their link is lost, and
+  /// against "unknown" for attempts that were never sent.
+  void lostLinksEndTheirAttempts() {
+    for (bool WasOpen : {true, false}) {
+      OutstandingAttempts Outstanding;
+      Dispatch First;
+      First.Info.Attempt.Request.Sequence = 1;
+      Dispatch Second;
+      Second.Info.Attempt.Request.Sequence = 2;
+      NodeName Guard("n1");
+      Outstanding.sent(Guard, First);
+      Outstanding.sent(Guard, Second);
+      Outstanding.sent(Guard, MintKey{7, ServiceName("s")});
+      AttemptAnswer Answer;
+      Answer.Attempt = First.Info.Attempt;
+      Outstanding.answered(Guard, Answer);
+      std::vector<EntryMessage> Lost = Outstanding.lost(Guard, WasOpen);
+      CPPUNIT_ASSERT_EQUAL(std::size_t(2), Lost.size());
+      const auto &Failure = std::get<AttemptFailed>(Lost[0]);
+      CPPUNIT_ASSERT(Failure.Attempt == Second.Info.Attempt);
+      CPPUNIT_ASSERT(Failure.Result ==
+                     (WasOpen ? Outcome::Unknown : Outcome::NotRun));
+      CPPUNIT_ASSERT(std::get<KeyMinted>(Lost[1]).Key.empty());
+      CPPUNIT_ASSERT(Outstanding.lost(Guard, WasOpen).empty());
+    }
+  }
+
+  /// Guards against a fleet that reads each change from the store at once, and
+  /// against a node that never asks the store.
+  void piecesComeFromNodesThenFromTheStore() {
+    SeededRandom Random(Seed);
+    FleetView View = makeView(5);
+    ConfigFetcher Fetcher(NodeName("n0"));
+    PieceHash Hash(64, 'a');
+    std::vector<PieceFetch> First =
+        Fetcher.headSeen(ConfigHead{1, Hash}, true, View, Random, Time(0));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), First.size());
+    CPPUNIT_ASSERT(First[0].From && First[0].From->Name != NodeName("n0"));
+    std::vector<PieceFetch> Second = Fetcher.pieceMissing(Hash, View, Random);
+    CPPUNIT_ASSERT(Second.size() == 1 && Second[0].From);
+    std::vector<PieceFetch> Third = Fetcher.pieceMissing(Hash, View, Random);
+    CPPUNIT_ASSERT(Third.size() == 1 && !Third[0].From);
+    // A whole round failed; the retry interval sets the pace.
+    CPPUNIT_ASSERT(Fetcher.pieceMissing(Hash, View, Random).empty());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1),
+                         Fetcher.tick(View, Random, Time(1000)).size());
+  }
+
+  /// Guards against a first node that waits for others.
+  void loneNodeAsksTheStore() {
+    SeededRandom Random(Seed);
+    ConfigFetcher Fetcher(NodeName("n0"));
+    std::vector<PieceFetch> Fetches = Fetcher.headSeen(
+        ConfigHead{1, PieceHash(64, 'a')}, false, makeView(0), Random, Time(0));
+    CPPUNIT_ASSERT(Fetches.size() == 1 && !Fetches[0].From);
+  }
+
+  /// Guards against refusals that callers cannot interpret.
+  void problemsCarryReasonAndOutcome() {
+    HttpAnswer Answer =
+        makeProblem(Reason::QueueFull, Outcome::NotRun, "id", Duration(1500));
+    CPPUNIT_ASSERT_EQUAL(503U, Answer.Status);
+    const HeaderList Expected = {{"Content-Type", "application/problem+json"},
+                                 {"Teaselhitch-Outcome", "not-run"},
+                                 {"Teaselhitch-Reason", "queue-full"},
+                                 {"Teaselhitch-Request-Id", "id"},
+                                 {"Retry-After", "2"}};
+    CPPUNIT_ASSERT(Answer.Headers == Expected);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(NodePartsTest);
+
+} // namespace
