Count refusals that got no request id

Cause: malformed requests, 413 and 431 of the listener and refused key requests were in no metric.

Change: they are counted in teaselhitch_requests_total by reason.

Ruled out: a request id for them, because a malformed request has no fields to correlate.

Conclusion: refusals show alike in the answer and in the metrics.

--- a/lib/Node/CallersDuty.cpp
+++ b/lib/Node/CallersDuty.cpp
@@ -43,6 +43,16 @@
   return Start == OwnHeaderPrefix;
 }
 
+void countRequest(MetricRegistry &Metrics, Outcome Result,
+                  const char *ReasonName) {
+  Metrics
+      .counter("teaselhitch_requests_total",
+               "Requests by outcome and reason code.",
+               std::string("outcome=\"") + outcomeName(Result) +
+                   "\",reason=\"" + ReasonName + "\"")
+      .add();
+}
+
 /// What the entry needs of a request, or nothing if a header is malformed.
 std::optional<CallerRequest> describe(const HttpRequest &Request) {
   CallerRequest Described;
@@ -98,15 +108,13 @@
   Http.MaxBodyBytes = Settings.MaxBodyBytes;
   Http.MaxConnections = Settings.MaxCallerConnections;
   CallersDuty *Self = Made.get();
-  BOOST_LEAF_ASSIGN(Made->Server, HttpServer::create(
-                                      Made->Loop, Http,
-                                      [Self](std::shared_ptr<HttpExchange> E) {
-                                        Self->handle(std::move(E));
-                                      },
-                                      [](Reason Why) {
-                                        return makeProblem(Why, Outcome::NotRun,
-                                                           "", Duration());
-                                      }));
+  BOOST_LEAF_ASSIGN(Made->Server,
+                    HttpServer::create(
+                        Made->Loop, Http,
+                        [Self](std::shared_ptr<HttpExchange> E) {
+                          Self->handle(std::move(E));
+                        },
+                        [Self](Reason Why) { return Self->refuse(Why); }));
   auto Receive = [Self](EntryMessage &&M) { Self->receive(std::move(M)); };
   Self->Duty::receive(Rings.BackendsToCallers, Receive);
   Self->Duty::receive(Rings.PeersToCallers, Receive);
@@ -144,6 +152,11 @@
   }
 }
 
+HttpAnswer CallersDuty::refuse(Reason Why) {
+  countRequest(Rings.Metrics, Outcome::NotRun, reasonInfo(Why).Name);
+  return makeProblem(Why, Outcome::NotRun, "", Duration());
+}
+
 void CallersDuty::handle(std::shared_ptr<HttpExchange> Exchange) {
   refresh();
   const std::string &Target = Exchange->request().Target;
@@ -156,8 +169,7 @@
   HttpRequest &Request = Exchange->request();
   std::optional<CallerRequest> Described = describe(Request);
   if (!Described)
-    return Exchange->reply(
-        makeProblem(Reason::BadRequest, Outcome::NotRun, "", Duration()));
+    return Exchange->reply(refuse(Reason::BadRequest));
   std::erase_if(Request.Headers,
                 [](const Header &H) { return isOwnHeader(H.Name); });
   Request.Headers.push_back(
@@ -182,8 +194,7 @@
       [](const Error &) { return ServiceName(); });
   if (Request.Method != "POST" || pathOf(Request.Target) != KeysPath ||
       !isValidName(Service.str()))
-    return Exchange->reply(
-        makeProblem(Reason::BadRequest, Outcome::NotRun, "", Duration()));
+    return Exchange->reply(refuse(Reason::BadRequest));
   std::uint64_t Token = NextMint++;
   Mints.emplace(Token, std::move(Exchange));
   run(Core->mintKey(Token, Service, now()));
@@ -263,8 +274,7 @@
   std::shared_ptr<HttpExchange> Exchange = std::move(It->second);
   Mints.erase(It);
   if (Action.Key.empty())
-    return Exchange->reply(
-        makeProblem(Reason::NoBackendServer, Outcome::NotRun, "", Duration()));
+    return Exchange->reply(refuse(Reason::NoBackendServer));
   boost::json::object Body;
   Body["key"] = Action.Key;
   Body["expires_in_ms"] = static_cast<std::int64_t>(Action.ValidFor.ms());
@@ -292,12 +302,7 @@
 
 void CallersDuty::finish(const RequestId &Id, HttpAnswer Answer, Outcome Result,
                          const char *ReasonName) {
-  Rings.Metrics
-      .counter("teaselhitch_requests_total",
-               "Requests by outcome and reason code.",
-               std::string("outcome=\"") + outcomeName(Result) +
-                   "\",reason=\"" + ReasonName + "\"")
-      .add();
+  countRequest(Rings.Metrics, Result, ReasonName);
   auto It = Requests.find(Id.Sequence);
   if (It == Requests.end())
     return;
--- a/lib/Node/CallersDuty.h
+++ b/lib/Node/CallersDuty.h
@@ -37,6 +37,8 @@
   };
 
   void handle(std::shared_ptr<HttpExchange> Exchange);
+  /// The answer to a request that got no request id.
+  HttpAnswer refuse(Reason Why);
   void handleRequest(const std::shared_ptr<HttpExchange> &Exchange);
   void handleMint(std::shared_ptr<HttpExchange> Exchange);
   void receive(EntryMessage Message);
