Refuse flags other than 0 and 1 in frames and datagrams

Cause: the undefined-behaviour sanitizer stopped the datagram fuzz test, because a byte of 41 was loaded into a bool; the frames had the same fault.

Change: flags travel as a byte that is checked.

Ruled out: a suppression, because a lying peer can send such a byte.

--- a/lib/Wire/MessageSerialize.h
+++ b/lib/Wire/MessageSerialize.h
@@ -78,6 +78,15 @@
              std::string::npos;
 }
 
+/// Any other byte than 0 and 1 in a bool is undefined behaviour.
+template <typename ArchiveT> void codeFlag(ArchiveT &Ar, bool &Flag) {
+  std::uint8_t Byte = Flag ? 1 : 0;
+  Ar(Byte);
+  if (Byte > 1)
+    throw cereal::Exception("flag out of range");
+  Flag = Byte == 1;
+}
+
 template <typename ArchiveT>
 void codeHeaders(ArchiveT &Ar, HeaderList &Headers) {
   std::uint64_t Count = Headers.size();
@@ -114,7 +123,8 @@
 }
 
 template <typename ArchiveT> void codeFields(ArchiveT &Ar, Heartbeat &M) {
-  Ar(M.Sequence, M.IsReply);
+  Ar(M.Sequence);
+  codeFlag(Ar, M.IsReply);
 }
 
 template <typename ArchiveT> void codeFields(ArchiveT &Ar, Dispatch &M) {
@@ -122,7 +132,8 @@
   codeName(Ar, M.Info.Service);
   codeName(Ar, M.Info.Preferred);
   codeName(Ar, M.Info.Organisation);
-  Ar(M.Info.Idempotent, M.Info.Paid);
+  codeFlag(Ar, M.Info.Idempotent);
+  codeFlag(Ar, M.Info.Paid);
   codeDuration(Ar, M.Info.Remaining);
   codeText(Ar, M.Info.GuardKey);
   Ar(M.Info.Fingerprint);
@@ -147,7 +158,7 @@
   codeEnum(Ar, M.Why, Reason::LinkLost);
   codeEnum(Ar, M.Result, Outcome::Unknown);
   codeDuration(Ar, M.RetryAfter);
-  Ar(M.Crashed);
+  codeFlag(Ar, M.Crashed);
 }
 
 template <typename ArchiveT> void codeFields(ArchiveT &Ar, AttemptAnswer &M) {
--- a/lib/Wire/Serialize.h
+++ b/lib/Wire/Serialize.h
@@ -211,7 +211,14 @@
 void codeQuarantine(ArchiveT &Ar, RecordT &Record, CodingState &State) {
   Ar(Record.Fingerprint);
   codeVarint(Ar, Record.RemainingMs);
-  Ar(Record.Crash, Record.Repeated);
+  Ar(Record.Crash);
+  // Any other byte in a bool is undefined behaviour.
+  std::uint8_t Repeated = Record.Repeated ? 1 : 0;
+  Ar(Repeated);
+  if (Repeated > 1)
+    fail("flag out of range");
+  if constexpr (IsLoading<ArchiveT>)
+    Record.Repeated = Repeated == 1;
   codeName(Ar, Record.Service, State, true);
 }
 
--- a/unittests/Wire/FrameCodecTest.cpp
+++ b/unittests/Wire/FrameCodecTest.cpp
@@ -161,6 +161,11 @@
     AttemptAnswer Answer;
     Answer.Answer.Status = 200;
     CPPUNIT_ASSERT(isRefused(Answer, bytesOf(200U), bytesOf(4000U)));
+    // A flag that is neither 0 nor 1: the last byte of a failed attempt.
+    AttemptFailed Failed;
+    Failed.RetryAfter = Duration(1.5);
+    CPPUNIT_ASSERT(isRefused(Failed, bytesOf(1.5) + std::string(1, '\0'),
+                             bytesOf(1.5) + "\x29"));
     // The sender refuses them as well.
     D.Request.Headers[0].Value = "a\r\nb";
     CPPUNIT_ASSERT(handleError([&] { return encodeFrame(D); },
