Close the listener before a planned stop ends

At the end of the grace time the listener closed all connections without a request in progress, new ones included, and the process ended while connections could wait in the backlog.

Change: while draining, a connection closes only after 500 ms without a request. 200 ms after the grace time the listener takes its backlog and closes; the node ends when no connection is open.

Ruled out: waiting longer before the exit, because new connections arrive until the listener is closed.

Conclusion: what connects is answered.

--- a/include/teaselhitch/Net/HttpServer.h
+++ b/include/teaselhitch/Net/HttpServer.h
@@ -56,6 +56,10 @@
   /// reason.
   virtual void drain() = 0;
 
+  /// Takes the connections that wait in the backlog and stops listening. Open
+  /// connections go on.
+  virtual void stopListening() = 0;
+
   /// Stops listening and closes all connections.
   virtual void close() = 0;
 
--- a/lib/Net/HttpServer.cpp
+++ b/lib/Net/HttpServer.cpp
@@ -4,6 +4,7 @@
 #include "Http.h"
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/error.hpp>
@@ -31,6 +32,11 @@
   bool Draining = false;
 };
 
+/// While draining, a connection closes after this time without a request. A
+/// client that has just opened one is about to send its request.
+constexpr Duration MinIdle = Duration(500);
+constexpr Duration SweepInterval = Duration(100);
+
 /// The reason for which a request that does not parse is refused.
 Reason reasonFor(ErrorCodeT Fault) {
   if (Fault == http::error::body_limit)
@@ -64,9 +70,9 @@
   HttpRequest &request() { return Request; }
   std::uint64_t serial() const { return Serial; }
 
-  /// Closes the connection unless a request is in progress.
+  /// Closes the connection if no request has been in progress for MinIdle.
   void closeIfIdle() {
-    if (IsIdle)
+    if (IsIdle && Wall.now() - IdleSince >= MinIdle)
       close();
   }
 
@@ -94,6 +100,8 @@
   std::function<void()> Gone;
   /// Numbers the requests of the connection.
   std::uint64_t Serial = 0;
+  SteadyClock Wall;
+  Time IdleSince;
   bool IsIdle = true;
   bool Awaiting = false;
   bool KeepAlive = true;
@@ -124,6 +132,7 @@
 
 void Session::readHeader() {
   IsIdle = true;
+  IdleSince = Wall.now();
   Parser.emplace();
   Parser->header_limit(Server->Settings.MaxHeaderBytes);
   Parser->body_limit(Server->Settings.MaxBodyBytes);
@@ -218,7 +227,8 @@
 class HttpServerImpl final : public HttpServer {
 public:
   HttpServerImpl(EventLoop &Loop, std::shared_ptr<ServerState> Server)
-      : State(std::move(Server)), Acceptor(contextOf(Loop)) {}
+      : State(std::move(Server)), Acceptor(contextOf(Loop)),
+        Sweep(contextOf(Loop)) {}
   ~HttpServerImpl() override { close(); }
 
   ErrorCodeT listen(const Tcp::endpoint &Address) {
@@ -230,8 +240,20 @@
 
   void drain() override {
     State->Draining = true;
-    for (Session *S : std::unordered_set<Session *>(State->Sessions))
-      S->closeIfIdle();
+    sweep();
+  }
+
+  void stopListening() override {
+    ErrorCodeT Fault;
+    Acceptor.cancel(Fault);
+    Acceptor.non_blocking(true, Fault);
+    while (!Fault) {
+      Tcp::socket Socket(Acceptor.get_executor());
+      Acceptor.accept(Socket, Fault);
+      if (!Fault)
+        admit(std::move(Socket));
+    }
+    Acceptor.close(Fault);
   }
 
   void close() override {
@@ -250,6 +272,16 @@
   }
 
 private:
+  void sweep() {
+    for (Session *S : std::unordered_set<Session *>(State->Sessions))
+      S->closeIfIdle();
+    Sweep.expires_after(toChrono(SweepInterval));
+    Sweep.async_wait([this](ErrorCodeT Fault) {
+      if (!Fault)
+        sweep();
+    });
+  }
+
   void accept() {
     Acceptor.async_accept([this](ErrorCodeT Fault, Tcp::socket Socket) {
       if (Fault == asio::error::operation_aborted)
@@ -270,6 +302,7 @@
 
   std::shared_ptr<ServerState> State;
   Tcp::acceptor Acceptor;
+  asio::steady_timer Sweep;
 };
 
 } // namespace
--- a/lib/Node/CallersDuty.cpp
+++ b/lib/Node/CallersDuty.cpp
@@ -17,6 +17,9 @@
 
 constexpr Duration TickInterval = Duration(10);
 constexpr Duration StatusInterval = Duration(500);
+/// While draining, requests are refused with a reason for this time before the
+/// listener closes.
+constexpr Duration RefusalTime = Duration(200);
 constexpr std::size_t MaxKeyLength = 256;
 /// Organisation of requests that name none.
 constexpr const char *DefaultOrganisation = "default";
@@ -124,7 +127,7 @@
   Self->Loop.every(TickInterval, [Self] {
     Self->refresh();
     Self->run(Self->Core->tick(Self->now()));
-    Self->Idle = Self->Core->isIdle();
+    Self->Idle = Self->hasFinished();
   });
   Self->Loop.every(StatusInterval, [Self] { Self->publishStatus(); });
   return Made;
@@ -132,13 +135,25 @@
 
 void CallersDuty::drain(Duration Grace) {
   Loop.post([this, Grace] {
+    IsStopping = true;
     Loop.after(Grace, [this] {
       Core->drain();
       Server->drain();
     });
+    // From then on callers cannot connect, which tells them that nothing ran.
+    Loop.after(Grace + RefusalTime, [this] {
+      Server->stopListening();
+      HasStopped = true;
+    });
   });
 }
 
+bool CallersDuty::hasFinished() const {
+  if (IsStopping && (!HasStopped || Server->connectionCount() > 0))
+    return false;
+  return Core->isIdle();
+}
+
 void CallersDuty::refresh() {
   std::uint64_t NewConfig = Rings.Config.generation();
   if (NewConfig != ConfigGeneration) {
--- a/lib/Node/CallersDuty.h
+++ b/lib/Node/CallersDuty.h
@@ -53,6 +53,8 @@
   void finish(const RequestId &Id, HttpAnswer Answer, Outcome Result,
               const char *ReasonName);
   bool sendTo(const NodeName &Guard, GuardMessage Message);
+  /// Nothing is in progress, and while stopping no connection is open.
+  bool hasFinished() const;
   void refresh();
   void publishStatus();
 
@@ -66,6 +68,8 @@
   std::uint64_t ConfigGeneration = 0;
   std::uint64_t ViewGeneration = 0;
   std::atomic<bool> Idle{true};
+  bool IsStopping = false;
+  bool HasStopped = false;
   LatencyHistogram &Latency;
   // Last, so that no connection outlives what its handlers use.
   std::unique_ptr<HttpServer> Server;
