--- a/include/teaselhitch/Detection/FailureOdds.h
+++ b/include/teaselhitch/Detection/FailureOdds.h
@@ -27,10 +27,13 @@
   /// An attempt was sent to the backend server. \param Model must outlive the
   /// attempt.
   void started(const AttemptId &Attempt, const RunTimeModel &Model, Time Now);
-  /// It was answered as requested.
-  void succeeded(const AttemptId &Attempt, Time Now);
-  /// It failed through the backend server.
-  void failed(const AttemptId &Attempt, Time Now);
+  /// It was answered as requested. \param Peers how the service does; where
+  /// many requests fail everywhere, a failure says little of one backend
+  /// server.
+  void succeeded(const AttemptId &Attempt, const ServiceBaseline &Peers,
+                 Time Now);
+  /// It failed.
+  void failed(const AttemptId &Attempt, const ServiceBaseline &Peers, Time Now);
   /// It ended without telling anything, for example because the caller left.
   void ended(const AttemptId &Attempt, Time Now);
   /// It was cancelled while it was overdue: as much evidence as it was until
--- a/include/teaselhitch/Entry/Entry.h
+++ b/include/teaselhitch/Entry/Entry.h
@@ -36,6 +36,9 @@
   /// Id that the caller gave to the request, or empty. It ties log records to
   /// the caller's own.
   std::string CallerId;
+  /// A backend server made it while it runs another request, whose slot it
+  /// holds until it has the answer.
+  bool IsSubRequest = false;
   /// How long the caller waits, if it told so.
   std::optional<Duration> Deadline;
   std::uint64_t BodyBytes = 0;
@@ -44,7 +47,16 @@
   auto operator<=>(const CallerRequest &) const = default;
 };
 
-/// Send the attempt with the HTTP request of its request id to this node.
+/// Offer the attempt to this node, without the HTTP request.
+struct SendOffer {
+  NodeName Guard;
+  DispatchInfo Info;
+
+  auto operator<=>(const SendOffer &) const = default;
+};
+
+/// The offer was granted: send the attempt with the HTTP request of its request
+/// id to this node.
 struct SendAttempt {
   NodeName Guard;
   DispatchInfo Info;
@@ -73,6 +85,14 @@
   auto operator<=>(const ReplyAnswer &) const = default;
 };
 
+/// Keep this error answer for the case that no other attempt brings a better
+/// one; the failure of the request is then answered with it.
+struct KeepAnswer {
+  AttemptId Attempt;
+
+  auto operator<=>(const KeepAnswer &) const = default;
+};
+
 /// Tell the caller that there is no answer.
 struct ReplyFailure {
   RequestId Request;
@@ -94,8 +114,8 @@
 };
 
 using EntryAction =
-    std::variant<SendAttempt, SendCancel, SendMintKey, ReplyAnswer,
-                 ReplyFailure, ReplyKey, TableRequest>;
+    std::variant<SendOffer, SendAttempt, SendCancel, SendMintKey, KeepAnswer,
+                 ReplyAnswer, ReplyFailure, ReplyKey, TableRequest>;
 using EntryActions = std::vector<EntryAction>;
 
 struct EntrySettings {
@@ -145,6 +165,7 @@
   virtual EntryActions mintKey(std::uint64_t Token, const ServiceName &Service,
                                Time Now) = 0;
 
+  virtual EntryActions granted(const Grant &Granted, Time Now) = 0;
   virtual EntryActions answered(const AttemptAnswer &Answer, Time Now) = 0;
   virtual EntryActions failed(const AttemptFailed &Failure, Time Now) = 0;
   /// An attempt runs longer than usual; it may be hedged.
--- a/include/teaselhitch/Guard/Guard.h
+++ b/include/teaselhitch/Guard/Guard.h
@@ -59,8 +59,14 @@
   TooLarge,
   /// Another process listens at the address and told that it was not run.
   OtherServer,
+  /// Nothing was sent, because the entry did not send the request in time or
+  /// took it back.
+  Withdrawn,
 };
 
+/// Stable name for logs, e.g. "connection-lost".
+const char *runEndName(RunEnd End);
+
 struct RunResult {
   RunEnd End = RunEnd::Answered;
   /// HTTP status if answered.
--- a/include/teaselhitch/Model/Messages.h
+++ b/include/teaselhitch/Model/Messages.h
@@ -111,14 +111,22 @@
   bool Paid = false;
   /// Rank in the queue; 0 goes first.
   std::uint32_t Priority = 0;
+  /// Another request waits for it and holds a slot elsewhere; it goes before
+  /// all others.
+  bool IsSubRequest = false;
   /// Refuse unless a slot is free and the backend server looks sound; the
   /// entry has other candidates.
   bool Strict = false;
-  /// While it waits, it may be given back if the backend server looks bad.
-  bool MayReturn = false;
+  /// Refuse, also while it waits, if the backend server looks bad; most others
+  /// of the service do not.
+  bool AvoidsRisk = false;
+  /// Guards to which the request is offered at the same time.
+  std::uint32_t Offers = 1;
   /// Time within which the answer is worth its full value, counted from the
   /// arrival of the request at the entry.
   Duration Objective;
+  /// What is left of the objective; negative if it has passed.
+  Duration ObjectiveLeft;
   /// Time left until the caller's deadline, counted from receipt.
   Duration Remaining;
   /// A guard-bound key, or empty.
@@ -130,7 +138,24 @@
   auto operator<=>(const DispatchInfo &) const = default;
 };
 
-/// Entry to guard: run this attempt.
+/// Entry to guard: may this attempt run here? An entry may offer a request to
+/// several guards; nothing runs before it has sent the request to one of them.
+struct Offer {
+  DispatchInfo Info;
+
+  auto operator<=>(const Offer &) const = default;
+};
+
+/// Guard to entry: a slot is held for the attempt for a short time.
+struct Grant {
+  AttemptId Attempt;
+  ServerLoad Load;
+
+  auto operator<=>(const Grant &) const = default;
+};
+
+/// Entry to guard: run this attempt, which the guard has granted. A guard
+/// refuses one that it has not granted, or no longer holds a slot for.
 struct Dispatch {
   DispatchInfo Info;
   HttpRequest Request;
@@ -201,10 +226,10 @@
 };
 
 /// Messages from an entry to a guard.
-using GuardMessage = std::variant<Dispatch, Cancel, MintKey>;
+using GuardMessage = std::variant<Offer, Dispatch, Cancel, MintKey>;
 /// Messages from a guard to an entry.
-using EntryMessage =
-    std::variant<AttemptFailed, AttemptAnswer, AttemptOverdue, KeyMinted>;
+using EntryMessage = std::variant<Grant, AttemptFailed, AttemptAnswer,
+                                  AttemptOverdue, KeyMinted>;
 
 } // namespace teaselhitch
 
--- a/include/teaselhitch/Model/Outcome.h
+++ b/include/teaselhitch/Model/Outcome.h
@@ -54,10 +54,11 @@
   Busy,
   Suspected,
   AnswerTooLarge,
+  GrantExpired,
 };
 
 /// The last of the reasons, for decoders.
-inline constexpr Reason LastReason = Reason::AnswerTooLarge;
+inline constexpr Reason LastReason = Reason::GrantExpired;
 
 /// What the documentation promises of a reason.
 struct ReasonInfo {
--- a/include/teaselhitch/Net/EventLoop.h
+++ b/include/teaselhitch/Net/EventLoop.h
@@ -29,7 +29,7 @@
   /// Calls Function once after a delay.
   void after(Duration Delay, std::function<void()> Function);
 
-  /// Calls Function with the signal number on SIGINT and SIGTERM.
+  /// Calls Function with the signal number on SIGINT, SIGTERM and SIGHUP.
   void onSignal(std::function<void(int)> Function);
 
   /// Runs until stop() is called.
--- a/include/teaselhitch/Node/Node.h
+++ b/include/teaselhitch/Node/Node.h
@@ -8,14 +8,30 @@
 #include "teaselhitch/Support/Result.h"
 
 #include <memory>
+#include <optional>
 
 namespace teaselhitch {
 
+/// Where a running node finds its settings again.
+class SettingsSource {
+public:
+  virtual ~SettingsSource() = default;
+
+  /// The settings, if they differ from what this call returned last and from
+  /// what the node started with. InvalidInput names the first fault; the node
+  /// then keeps what it has.
+  virtual Result<std::optional<NodeSettings>> changed() = 0;
+};
+
 class Node {
 public:
   /// Binds all addresses. Unavailable names the one that cannot be bound;
   /// NotFound an unknown plug-in.
-  static Result<std::unique_ptr<Node>> create(const NodeSettings &Settings);
+  ///
+  /// \param Source asked about each second and at SIGHUP; may be null.
+  static Result<std::unique_ptr<Node>>
+  create(const NodeSettings &Settings,
+         std::unique_ptr<SettingsSource> Source = nullptr);
   virtual ~Node() = default;
 
   /// Runs until SIGTERM or SIGINT, then shuts down gracefully within the drain
--- a/include/teaselhitch/Settings/NodeSettings.h
+++ b/include/teaselhitch/Settings/NodeSettings.h
@@ -85,6 +85,8 @@
   LogLevel Level = LogLevel::Info;
   /// A file, "-" for standard error, or "stdout" for standard output.
   std::string LogPath = "-";
+
+  auto operator<=>(const NodeSettings &) const = default;
 };
 
 /// A fault in the settings. Line starts at 1; 0 means that a key is missing.
--- a/include/teaselhitch/Support/Log.h
+++ b/include/teaselhitch/Support/Log.h
@@ -38,9 +38,15 @@
 /// Records below Level are dropped.
 void configureLogging(LogLevel Level, const std::string &Path);
 
+/// Changes the level of a running log.
+void setLogLevel(LogLevel Level);
+
 /// Flushes and closes the log.
 void shutdownLogging();
 
+/// Lines that were dropped because too many were written at once.
+std::uint64_t droppedLogLines();
+
 /// Writes a record. Module and Event are stable lower-case identifiers.
 void logEvent(LogLevel Level, std::string_view Module, std::string_view Event,
               std::initializer_list<LogField> Fields = {});
--- a/include/teaselhitch/Wire/FrameCodec.h
+++ b/include/teaselhitch/Wire/FrameCodec.h
@@ -57,7 +57,7 @@
 using PeerMessage =
     std::variant<Hello, Heartbeat, Dispatch, Cancel, MintKey, AttemptFailed,
                  AttemptAnswer, KeyMinted, Digest, Delta, PieceRequest, Piece,
-                 AttemptOverdue>;
+                 AttemptOverdue, Offer, Grant>;
 
 /// Greatest length of a frame without its length field in bytes.
 inline constexpr std::uint32_t MaxFrameBytes = 2 * 1024 * 1024;
--- a/lib/Detection/FailureOdds.cpp
+++ b/lib/Detection/FailureOdds.cpp
@@ -18,6 +18,17 @@
 /// Evidence fades to about a third in this time; gray phases last seconds.
 constexpr Duration FadeTime = Duration::seconds(4);
 
+/// Share of requests that a sound backend server fails, as far as the peers
+/// tell.
+double usualFailures(const ServiceBaseline &Peers) {
+  constexpr double PriorRequests = 5;
+  constexpr double Greatest = 0.6;
+  double Share =
+      (Peers.ErrorRate * Peers.Weight + SoundFailures * PriorRequests) /
+      (Peers.Weight + PriorRequests);
+  return std::min(Share, Greatest);
+}
+
 } // namespace
 
 void FailureOdds::started(const AttemptId &Attempt, const RunTimeModel &Model,
@@ -25,14 +36,16 @@
   Attempts.insert_or_assign(Attempt, Running{Now, &Model});
 }
 
-void FailureOdds::succeeded(const AttemptId &Attempt, Time Now) {
+void FailureOdds::succeeded(const AttemptId &Attempt,
+                            const ServiceBaseline &Peers, Time Now) {
   if (Attempts.erase(Attempt) != 0)
-    add(std::log((1 - FailingFailures) / (1 - SoundFailures)), Now);
+    add(std::log((1 - FailingFailures) / (1 - usualFailures(Peers))), Now);
 }
 
-void FailureOdds::failed(const AttemptId &Attempt, Time Now) {
+void FailureOdds::failed(const AttemptId &Attempt, const ServiceBaseline &Peers,
+                         Time Now) {
   if (Attempts.erase(Attempt) != 0)
-    add(std::log(FailingFailures / SoundFailures), Now);
+    add(std::log(FailingFailures / usualFailures(Peers)), Now);
 }
 
 void FailureOdds::ended(const AttemptId &Attempt, Time) {
--- a/lib/Entry/Entry.cpp
+++ b/lib/Entry/Entry.cpp
@@ -70,6 +70,7 @@
   P.Target = Target;
   P.Organisation = Request.Organisation;
   P.CallerId = Request.CallerId;
+  P.IsSubRequest = Request.IsSubRequest;
   P.ArrivedAt = Now;
   P.Objective = R.Objective.ms() > 0 ? R.Objective : R.Deadline;
   P.Deadline =
@@ -165,7 +166,7 @@
 }
 
 void EntryCore::expire(PendingRequest &P, Time Now, EntryActions &Actions) {
-  if (!P.Running.empty())
+  if (P.isSent())
     baseline(P).record(false, Duration(), Now);
   cancelRunning(P, Actions);
   fail(P,
@@ -178,6 +179,8 @@
   for (const RequestId &Id : Requests.takeExpired(Now))
     if (PendingRequest *P = Requests.find(Id))
       expire(*P, Now, Actions);
+  endOverdueOffers(Now, Actions);
+  hedgeOverdue(Now, Actions);
   applyClaims(KeyClaims.tick(Now), Now, Actions);
   if (Now - PrunedAt > PruneInterval) {
     PrunedAt = Now;
--- a/lib/Entry/EntryAttempts.cpp
+++ b/lib/Entry/EntryAttempts.cpp
@@ -10,10 +10,19 @@
 
 /// `Retry-After` when nothing better is known.
 constexpr Duration DefaultRetryAfter = Duration::seconds(1);
-/// Guards that are asked to queue a request before it is refused. The first
-/// ones are the least loaded; more would refuse it as well.
-constexpr std::uint32_t MaxLenientDispatches = 3;
+/// Guards at which a request may wait at the same time. The first slot that
+/// gets free takes it; more guards gain little and cost messages.
+constexpr std::uint32_t ParallelOffers = 3;
+/// Guards that are asked to queue a request before it is refused.
+constexpr std::uint32_t MaxLenientOffers = 6;
+/// A guard answers an offer that it may not queue at once. Without an answer
+/// the path or the node is in trouble; nothing ran, so another guard is asked.
+constexpr Duration OfferTimeout = Duration(80);
+/// Share of attempts that run longer when the entry hedges without a notice of
+/// the guard, which may be cut off.
+constexpr double UnansweredShare = 0.01;
 constexpr unsigned FirstServerError = 500;
+constexpr unsigned GatewayTimeout = 504;
 
 /// A refusal by a guard costs no backend server any work: another one can run
 /// the request at once, without the retry budget.
@@ -30,25 +39,41 @@
 
 } // namespace
 
-/// First only backend servers that can run the request now; if there are none,
-/// the guards may queue it.
-Selection EntryCore::selectNext(PendingRequest &P, Time Now) {
-  Selection Next = Servers.choose(P, Now);
-  if (Next.Server || P.Lenient)
-    return Next;
-  P.Lenient = true;
-  P.Declined.clear();
-  return Servers.choose(P, Now);
+RunTimeModel &EntryCore::runTimes(const PendingRequest &P) {
+  constexpr double RunTimesPerObjective = 3;
+  return RunTimes
+      .try_emplace(P.Target.MatchedRule->Name,
+                   P.Objective * (1 / RunTimesPerObjective))
+      .first->second;
 }
 
+/// First asks guards that can run the request now, one after the other; if
+/// there are none, it waits at several.
 void EntryCore::startAttempt(PendingRequest &P, Time Now,
                              EntryActions &Actions) {
-  Selection Next = selectNext(P, Now);
-  bool Enough = P.Lenient && P.LenientDispatches >= MaxLenientDispatches;
-  if (!Next.Server || Enough)
-    return fail(P, P.LastFailure.value_or(Reason::NoBackendServer), Now,
-                Actions);
-  send(P, Next.Server->Id, Next.IsTrial, Now, Actions);
+  if (!P.Lenient) {
+    Selection Next = Servers.choose(P, Now);
+    if (Next.Server)
+      return offer(P, Next, false, Now, Actions);
+    P.Lenient = true;
+    P.Declined.clear();
+  }
+  offerLeniently(P, Now, Actions);
+}
+
+void EntryCore::offerLeniently(PendingRequest &P, Time Now,
+                               EntryActions &Actions) {
+  while (P.Running.size() < ParallelOffers &&
+         P.LenientOffers < MaxLenientOffers) {
+    Selection Next = Servers.choose(P, Now);
+    if (!Next.Server)
+      break;
+    ++P.LenientOffers;
+    P.Declined.push_back(Next.Server->Id);
+    offer(P, Next, false, Now, Actions);
+  }
+  if (P.Running.empty())
+    fail(P, P.LastFailure.value_or(Reason::NoBackendServer), Now, Actions);
 }
 
 void EntryCore::startGuardKeyAttempt(PendingRequest &P, Time Now,
@@ -65,40 +90,77 @@
   if (!IsOwn && !IsKnown)
     return fail(P, Reason::KeyOwnerGone, Now, Actions);
   P.Lenient = true;
-  send(P, BackendServerId{Owner->Node, BackendServerName()}, false, Now,
-       Actions);
+  BackendServerRecord Any;
+  Any.Id.Node = Owner->Node;
+  offer(P, {&Any, false}, false, Now, Actions);
 }
 
-void EntryCore::send(PendingRequest &P, const BackendServerId &Server,
-                     bool IsTrial, Time Now, EntryActions &Actions) {
+void EntryCore::offer(PendingRequest &P, const Selection &To, bool IsHedge,
+                      Time Now, EntryActions &Actions) {
   if (!P.ClaimRow.empty() && Now - P.ClaimedAt > Settings.ClaimLifetime)
     return fail(P, Reason::ClaimStoreUnavailable, Now, Actions);
-  const Rule &R = *P.Target.MatchedRule;
   RunningAttempt Attempt;
   Attempt.Id = AttemptId{P.Id, ++P.Dispatches};
-  Attempt.Server = Server;
-  Attempt.IsTrial = IsTrial;
-  Attempt.IsStrict = !P.Lenient && !IsTrial;
-  P.LenientDispatches += P.Lenient ? 1 : 0;
+  Attempt.Server = To.Server->Id;
+  Attempt.IsTrial = To.IsTrial;
+  Attempt.IsStrict = !P.Lenient && !To.IsTrial;
+  Attempt.IsHedge = IsHedge;
+  Attempt.Since = Now;
   P.Running.push_back(Attempt);
-  Servers.load().attemptStarted(Server);
+  Servers.load().attemptStarted(Attempt.Server);
+  Actions.push_back(SendOffer{Attempt.Server.Node, describe(P, Attempt, Now)});
+}
+
+DispatchInfo EntryCore::describe(PendingRequest &P,
+                                 const RunningAttempt &Attempt, Time Now) {
+  const Rule &R = *P.Target.MatchedRule;
   DispatchInfo Info;
   Info.Attempt = Attempt.Id;
   Info.Service = P.Target.To.TargetService->Name;
   Info.Rule = R.Name;
-  Info.Preferred = Server.Name;
+  Info.Preferred = Attempt.Server.Name;
   Info.Organisation = P.Organisation;
   Info.Idempotent = R.Idempotent;
   Info.Paid = R.Paid;
   Info.Priority = R.Priority;
+  Info.IsSubRequest = P.IsSubRequest;
   Info.Strict = Attempt.IsStrict;
-  Info.MayReturn = P.LenientDispatches == 1;
+  Info.AvoidsRisk = P.Lenient && !Servers.isMostlyRisky(P, Now);
+  Info.Offers = P.Lenient ? ParallelOffers : 1;
   Info.Objective = P.Objective;
+  Info.ObjectiveLeft = P.ArrivedAt + P.Objective - Now;
   Info.Remaining = P.Deadline - Now;
   Info.GuardKey = P.GuardKey;
   Info.Fingerprint = P.Fingerprint;
   Info.Baseline = baseline(P).baseline(Now);
-  Actions.push_back(SendAttempt{Server.Node, std::move(Info)});
+  return Info;
+}
+
+EntryActions EntryCore::granted(const Grant &Granted, Time Now) {
+  EntryActions Actions;
+  PendingRequest *P = Requests.find(Granted.Attempt.Request);
+  RunningAttempt *Attempt = P ? P->running(Granted.Attempt) : nullptr;
+  // What was taken back is released by the cancellation.
+  if (!Attempt || Attempt->IsSent)
+    return Actions;
+  Servers.load().recordLoad(Attempt->Server, Granted.Load, Now);
+  Attempt->IsSent = true;
+  Attempt->Since = Now;
+  DispatchInfo Info = describe(*P, *Attempt, Now);
+  Actions.push_back(SendAttempt{Attempt->Server.Node, std::move(Info)});
+  if (!Attempt->IsHedge)
+    cancelOffers(*P, Actions);
+  return Actions;
+}
+
+void EntryCore::cancelOffers(PendingRequest &P, EntryActions &Actions) {
+  std::erase_if(P.Running, [&](const RunningAttempt &R) {
+    if (R.IsSent || R.IsHedge)
+      return false;
+    Actions.push_back(SendCancel{R.Server.Node, R.Id});
+    Servers.load().attemptEnded(R.Server);
+    return true;
+  });
 }
 
 PendingRequest *EntryCore::endAttempt(const AttemptId &Attempt,
@@ -121,17 +183,46 @@
   PendingRequest *P = endAttempt(Answer.Attempt, Ended);
   if (!P)
     return Actions;
-  bool Success = Answer.Answer.Status < FirstServerError;
+  unsigned Status = Answer.Answer.Status;
+  bool Success = Status < FirstServerError;
   // The guard may have used another backend server than the preferred one.
   Servers.load().recordAnswer(BackendServerId{Ended.Server.Node, Answer.RanOn},
                               Success, Answer.RunTime, Answer.Load, Now);
   baseline(*P).record(Success, Answer.RunTime, Now);
+  if (Success)
+    runTimes(*P).record(Now - Ended.Since);
+  // After a timeout there is no time left for another try.
+  if (!Success && Status != GatewayTimeout &&
+      retryAnswer(*P, Ended, Now, Actions)) {
+    Actions.push_back(KeepAnswer{Answer.Attempt});
+    return Actions;
+  }
   cancelRunning(*P, Actions);
   Actions.push_back(ReplyAnswer{Answer.Attempt});
   finish(*P, Outcome::Completed, Now, Actions);
   return Actions;
 }
 
+bool EntryCore::retryAnswer(PendingRequest &P, const RunningAttempt &Ended,
+                            Time Now, EntryActions &Actions) {
+  if (!P.Target.MatchedRule->Idempotent || !P.GuardKey.empty())
+    return false;
+  P.MayHaveRun = true;
+  P.LastFailure = Reason::BackendServerFailed;
+  P.Tried.push_back(Ended.Server);
+  if (!P.Running.empty())
+    return true;
+  if (P.Tried.size() >= P.Target.MatchedRule->Attempts || P.Deadline <= Now)
+    return false;
+  P.Lenient = false;
+  P.Declined.clear();
+  Selection Next = Servers.choose(P, Now);
+  if (!Next.Server || !budget(P).tryRetry(Now))
+    return false;
+  offer(P, Next, false, Now, Actions);
+  return true;
+}
+
 EntryActions EntryCore::failed(const AttemptFailed &Failure, Time Now) {
   EntryActions Actions;
   RunningAttempt Ended;
@@ -158,6 +249,28 @@
          P.Tried.size() < P.Target.MatchedRule->Attempts;
 }
 
+/// A guard did not take the attempt; nothing ran.
+void EntryCore::declined(PendingRequest &P, const RunningAttempt &Ended,
+                         const AttemptFailed &Failure, Time Now,
+                         EntryActions &Actions) {
+  if (!P.hasDeclined(Ended.Server))
+    P.Declined.push_back(Ended.Server);
+  // It waited there, and the backend server turned bad: others may have a free
+  // slot by now.
+  bool HasWaited = !Ended.IsStrict && Now - Ended.Since > OfferTimeout;
+  if (HasWaited && Failure.Why == Reason::Suspected && P.Running.empty()) {
+    P.Lenient = false;
+    P.LenientOffers = 0;
+    P.Declined = {Ended.Server};
+  }
+  if (!P.isSent())
+    return startAttempt(P, Now, Actions);
+  // A hedge is worth a free slot, but not a place in a queue.
+  Selection Next = Ended.IsHedge ? Servers.choose(P, Now) : Selection();
+  if (Next.Server)
+    offer(P, Next, true, Now, Actions);
+}
+
 void EntryCore::retryOrFail(PendingRequest &P, const RunningAttempt &Ended,
                             const AttemptFailed &Failure, Time Now,
                             EntryActions &Actions) {
@@ -167,38 +280,26 @@
     P.LastFailure = Failure.Why;
   P.MayHaveRun = P.MayHaveRun || Ran;
   bool IsRefusal = isGuardRefusal(Failure);
-  (IsRefusal ? P.Declined : P.Tried).push_back(Ended.Server);
-  // It was given back from a queue: others may have a free slot by now.
-  bool IsReturned =
-      Failure.Why == Reason::Suspected && !Ended.IsStrict && P.Lenient;
-  if (IsReturned) {
-    P.Lenient = false;
-    P.Declined = {Ended.Server};
-  }
   if (!IsRefusal) {
+    P.Tried.push_back(Ended.Server);
     P.Lenient = false;
-    P.LenientDispatches = 0;
+    P.LenientOffers = 0;
     P.Declined.clear();
   }
-  auto End = [&](Reason Why) {
-    // A hedge still runs and may bring the answer.
-    if (P.Running.empty())
-      fail(P, Why, P.MayHaveRun ? Outcome::Unknown : Outcome::NotRun,
-           Failure.RetryAfter, Now, Actions);
-  };
-  if (!mayRepeat(P, Failure, Now))
-    return End(Failure.Why);
-  bool Free = Ended.IsTrial || IsRefusal;
-  if (!Free && !budget(P).tryRetry(Now))
-    return End(Ran ? Failure.Why : Reason::RetryBudgetSpent);
-  // A hedge is worth a free slot, but not a place in a queue.
-  if (!P.Running.empty()) {
-    Selection Next = Servers.choose(P, Now);
-    if (Next.Server)
-      send(P, Next.Server->Id, Next.IsTrial, Now, Actions);
+  bool MayGoOn = mayRepeat(P, Failure, Now);
+  if (MayGoOn && IsRefusal)
+    return declined(P, Ended, Failure, Now, Actions);
+  // A hedge still runs, or other guards may still grant it.
+  if (!P.Running.empty() && !isFinalRefusal(Failure.Why))
     return;
-  }
-  startAttempt(P, Now, Actions);
+  bool Free = Ended.IsTrial;
+  if (MayGoOn && (Free || budget(P).tryRetry(Now)))
+    return startAttempt(P, Now, Actions);
+  Reason Why =
+      MayGoOn && !Ran ? Reason::RetryBudgetSpent : P.LastFailure.value();
+  cancelRunning(P, Actions);
+  fail(P, Why, P.MayHaveRun ? Outcome::Unknown : Outcome::NotRun,
+       Failure.RetryAfter, Now, Actions);
 }
 
 EntryActions EntryCore::overdue(const AttemptOverdue &Notice, Time Now) {
@@ -207,26 +308,66 @@
   const RunningAttempt *Slow = P ? P->running(Notice.Attempt) : nullptr;
   if (!Slow)
     return Actions;
-  BackendServerId Server = Slow->Server;
-  Servers.load().recordLoad(Server, Notice.Load, Now);
-  if (!P->Target.MatchedRule->Idempotent || P->Running.size() > 1 ||
-      !P->GuardKey.empty() ||
-      P->Tried.size() + 1 >= P->Target.MatchedRule->Attempts)
-    return Actions;
-  P->Declined.push_back(Server);
-  P->Lenient = false;
-  Selection Next = Servers.choose(*P, Now);
-  if (!Next.Server || !budget(*P).tryRetry(Now))
-    return Actions;
-  send(*P, Next.Server->Id, Next.IsTrial, Now, Actions);
+  Servers.load().recordLoad(Slow->Server, Notice.Load, Now);
+  hedge(*P, Now, Actions);
   return Actions;
 }
 
+bool EntryCore::hedge(PendingRequest &P, Time Now, EntryActions &Actions) {
+  if (P.IsHedged || !P.Target.MatchedRule->Idempotent || !P.GuardKey.empty() ||
+      P.Running.size() != 1 || !P.isSent() ||
+      P.Tried.size() + 1 >= P.Target.MatchedRule->Attempts)
+    return false;
+  P.Lenient = false;
+  P.Declined = {P.Running.front().Server};
+  Selection Next = Servers.choose(P, Now);
+  if (!Next.Server || !budget(P).tryRetry(Now))
+    return false;
+  P.IsHedged = true;
+  offer(P, Next, true, Now, Actions);
+  return true;
+}
+
+/// Hedges attempts of which nothing was heard for long.
+void EntryCore::hedgeOverdue(Time Now, EntryActions &Actions) {
+  Requests.forEach([&](PendingRequest &P) {
+    if (P.IsHedged || P.Running.size() != 1 || !P.isSent() ||
+        !P.Target.MatchedRule->Idempotent)
+      return;
+    Duration Elapsed = Now - P.Running.front().Since;
+    if (runTimes(P).survival(Elapsed) < UnansweredShare)
+      hedge(P, Now, Actions);
+  });
+}
+
+/// Asks other guards where an offer got no answer.
+void EntryCore::endOverdueOffers(Time Now, EntryActions &Actions) {
+  std::vector<AttemptId> Overdue;
+  Requests.forEach([&](PendingRequest &P) {
+    for (const RunningAttempt &R : P.Running)
+      if (!R.IsSent && R.IsStrict && Now - R.Since > OfferTimeout)
+        Overdue.push_back(R.Id);
+  });
+  for (const AttemptId &Id : Overdue) {
+    RunningAttempt Ended;
+    PendingRequest *P = endAttempt(Id, Ended);
+    if (!P)
+      continue;
+    Actions.push_back(SendCancel{Ended.Server.Node, Id});
+    Servers.load().recordPathFailure(Ended.Server);
+    AttemptFailed Failure;
+    Failure.Attempt = Id;
+    Failure.Why = Reason::LinkLost;
+    Failure.Result = Outcome::NotRun;
+    retryOrFail(*P, Ended, Failure, Now, Actions);
+  }
+}
+
 void EntryCore::cancelRunning(PendingRequest &P, EntryActions &Actions) {
   for (const RunningAttempt &R : P.Running) {
     Actions.push_back(SendCancel{R.Server.Node, R.Id});
     Servers.load().attemptEnded(R.Server);
-    P.MayHaveRun = true;
+    P.MayHaveRun = P.MayHaveRun || R.IsSent;
   }
   P.Running.clear();
 }
--- a/lib/Entry/EntryCore.h
+++ b/lib/Entry/EntryCore.h
@@ -7,6 +7,7 @@
 #include "RequestTable.h"
 #include "ServerSelection.h"
 #include "teaselhitch/Detection/Baseline.h"
+#include "teaselhitch/Detection/RunTimeModel.h"
 #include "teaselhitch/Entry/Claims.h"
 #include "teaselhitch/Entry/Entry.h"
 #include "teaselhitch/Entry/RetryBudget.h"
@@ -29,6 +30,7 @@
                    EntryActions &Actions) override;
   EntryActions mintKey(std::uint64_t Token, const ServiceName &Service,
                        Time Now) override;
+  EntryActions granted(const Grant &Granted, Time Now) override;
   EntryActions answered(const AttemptAnswer &Answer, Time Now) override;
   EntryActions failed(const AttemptFailed &Failure, Time Now) override;
   EntryActions overdue(const AttemptOverdue &Notice, Time Now) override;
@@ -53,15 +55,30 @@
   // EntryAttempts.cpp: attempts and how they end.
   void startAttempt(PendingRequest &P, Time Now, EntryActions &Actions);
   void startGuardKeyAttempt(PendingRequest &P, Time Now, EntryActions &Actions);
-  Selection selectNext(PendingRequest &P, Time Now);
-  void send(PendingRequest &P, const BackendServerId &Server, bool IsTrial,
-            Time Now, EntryActions &Actions);
+  /// Offers the request to guards that may queue it.
+  void offerLeniently(PendingRequest &P, Time Now, EntryActions &Actions);
+  void offer(PendingRequest &P, const Selection &To, bool IsHedge, Time Now,
+             EntryActions &Actions);
+  DispatchInfo describe(PendingRequest &P, const RunningAttempt &Attempt,
+                        Time Now);
+  /// Runs the request on a second backend server; false if there is none.
+  bool hedge(PendingRequest &P, Time Now, EntryActions &Actions);
+  /// Takes back what is offered but not sent, hedges excepted.
+  void cancelOffers(PendingRequest &P, EntryActions &Actions);
+  void endOverdueOffers(Time Now, EntryActions &Actions);
+  void hedgeOverdue(Time Now, EntryActions &Actions);
+  RunTimeModel &runTimes(const PendingRequest &P);
   /// Takes an attempt that has ended out of its request; null if the request
   /// does not wait for it.
   PendingRequest *endAttempt(const AttemptId &Attempt, RunningAttempt &Ended);
   void retryOrFail(PendingRequest &P, const RunningAttempt &Ended,
                    const AttemptFailed &Failure, Time Now,
                    EntryActions &Actions);
+  void declined(PendingRequest &P, const RunningAttempt &Ended,
+                const AttemptFailed &Failure, Time Now, EntryActions &Actions);
+  /// Tries again after an error answer; false if that is not possible.
+  bool retryAnswer(PendingRequest &P, const RunningAttempt &Ended, Time Now,
+                   EntryActions &Actions);
   bool mayRepeat(const PendingRequest &P, const AttemptFailed &Failure,
                  Time Now) const;
   void cancelRunning(PendingRequest &P, EntryActions &Actions);
@@ -80,6 +97,8 @@
   std::shared_ptr<const RuleTable> Rules;
   std::unordered_map<ServiceName, BaselineTracker> Baselines;
   std::unordered_map<ServiceName, RetryBudget> Budgets;
+  /// Time from sending an attempt to its answer, by rule.
+  std::unordered_map<RuleName, RunTimeModel> RunTimes;
   RetryBudget::Allowance Allowance;
   RequestTable Requests;
   Claims KeyClaims;
--- a/lib/Entry/RequestTable.cpp
+++ b/lib/Entry/RequestTable.cpp
@@ -12,7 +12,12 @@
   return std::find(Declined.begin(), Declined.end(), Other) != Declined.end();
 }
 
-const RunningAttempt *PendingRequest::running(const AttemptId &Id) const {
+bool PendingRequest::isSent() const {
+  return std::any_of(Running.begin(), Running.end(),
+                     [](const RunningAttempt &R) { return R.IsSent; });
+}
+
+RunningAttempt *PendingRequest::running(const AttemptId &Id) {
   auto It = std::find_if(Running.begin(), Running.end(),
                          [&](const RunningAttempt &R) { return R.Id == Id; });
   return It == Running.end() ? nullptr : &*It;
--- a/lib/Entry/RequestTable.h
+++ b/lib/Entry/RequestTable.h
@@ -23,6 +23,12 @@
   bool IsTrial = false;
   /// The guard was asked to refuse it unless a slot is free.
   bool IsStrict = false;
+  /// It runs beside another attempt.
+  bool IsHedge = false;
+  /// The request was sent; until then nothing can have run.
+  bool IsSent = false;
+  /// When it was offered, then when it was sent.
+  Time Since;
 };
 
 /// A request whose outcome is open.
@@ -37,6 +43,7 @@
   /// Time within which the answer is worth its full value.
   Duration Objective;
   std::string CallerId;
+  bool IsSubRequest = false;
   std::uint64_t Fingerprint = 0;
   /// A guard-bound key, or empty.
   std::string GuardKey;
@@ -55,8 +62,10 @@
   std::vector<BackendServerId> Declined;
   /// Guards may queue it: no backend server that looks sound has a free slot.
   bool Lenient = false;
-  /// Dispatches in the lenient pass.
-  std::uint32_t LenientDispatches = 0;
+  /// Offers in the lenient pass.
+  std::uint32_t LenientOffers = 0;
+  /// The attempt was hedged, or could not be.
+  bool IsHedged = false;
   std::vector<RunningAttempt> Running;
   /// An attempt ended as unknown.
   bool MayHaveRun = false;
@@ -65,7 +74,9 @@
   bool hasTried(const BackendServerId &Server) const;
   bool hasDeclined(const BackendServerId &Server) const;
   /// Null if the attempt has ended.
-  const RunningAttempt *running(const AttemptId &Id) const;
+  RunningAttempt *running(const AttemptId &Id);
+  /// True if the request is at a guard and may run.
+  bool isSent() const;
   void removeRunning(const AttemptId &Id);
 };
 
@@ -80,6 +91,12 @@
   /// deadlines; they stay in the table.
   std::vector<RequestId> takeExpired(Time Now);
 
+  /// Calls Visit with each request; it must not add or remove any.
+  template <typename VisitorT> void forEach(VisitorT &&Visit) {
+    for (auto &[Sequence, Request] : BySequence)
+      Visit(Request);
+  }
+
   std::size_t size() const { return BySequence.size(); }
   bool isEmpty() const { return BySequence.empty(); }
 
--- a/lib/Entry/ServerSelection.cpp
+++ b/lib/Entry/ServerSelection.cpp
@@ -1,5 +1,7 @@
 #include "ServerSelection.h"
 
+#include <algorithm>
+
 namespace teaselhitch {
 
 namespace {
@@ -7,6 +9,31 @@
 /// Share of idempotent requests that are offered to an ejected backend server
 /// first; its guard runs only a rationed number of them.
 constexpr double TrialShare = 0.02;
+/// Share of idempotent requests that are offered to a suspected backend server
+/// first, to find out whether it is sound again. Its guard takes one at a time,
+/// and a trial that hangs is hedged.
+constexpr double SuspectedTrialShare = 0.15;
+/// The same when the others have no free slot: capacity is worth a trial.
+constexpr double CrowdedTrialShare = 0.6;
+/// Estimated risk from which a backend server is avoided.
+constexpr double SuspectedRisk = 0.5;
+
+/// As far as is known, no candidate has a free slot.
+bool isCrowded(const std::vector<Candidate> &Candidates) {
+  return std::all_of(
+      Candidates.begin(), Candidates.end(), [](const Candidate &C) {
+        return C.InProgress >= C.Server->Slots * C.Server->Weight / 100.0;
+      });
+}
+
+/// The candidate whose evidence is weakest or oldest.
+const BackendServerRecord *leastRisky(const std::vector<Candidate> &From) {
+  return std::min_element(From.begin(), From.end(),
+                          [](const Candidate &A, const Candidate &B) {
+                            return A.Risk < B.Risk;
+                          })
+      ->Server;
+}
 
 } // namespace
 
@@ -33,18 +60,42 @@
   if (It == View->Services.end())
     return {};
   std::vector<Candidate> InUse;
+  std::vector<Candidate> Suspected;
   std::vector<Candidate> Ejected;
   for (const BackendServerRecord &Server : *It->second) {
     if (Server.State != BackendServerState::Ready || P.hasTried(Server.Id) ||
         P.hasDeclined(Server.Id) || !selects(*P.Target.To.Target, Server))
       continue;
-    bool IsEjected = Server.Health == BackendServerHealth::Ejected;
-    (IsEjected ? Ejected : InUse).push_back(makeCandidate(Server, Now));
+    Candidate C = makeCandidate(Server, Now);
+    if (Server.Health == BackendServerHealth::Ejected)
+      Ejected.push_back(C);
+    else
+      (C.Risk > SuspectedRisk ? Suspected : InUse).push_back(C);
+  }
+  bool MayTry = P.Dispatches == 0 && P.Target.MatchedRule->Idempotent;
+  if (MayTry && !Ejected.empty() && Random.uniform() < TrialShare)
+    return {best(Ejected), true};
+  double Share = isCrowded(InUse) ? CrowdedTrialShare : SuspectedTrialShare;
+  if (MayTry && !Suspected.empty() && Random.uniform() < Share)
+    return {leastRisky(Suspected), false};
+  // Who is suspected is asked last, and only by those who may wait.
+  bool AllSuspected = InUse.empty() && P.Lenient;
+  return {best(AllSuspected ? Suspected : InUse), false};
+}
+
+bool ServerSelection::isMostlyRisky(const PendingRequest &P, Time Now) const {
+  auto It = View->Services.find(P.Target.To.TargetService->Name);
+  if (It == View->Services.end())
+    return false;
+  std::size_t Ready = 0;
+  std::size_t Risky = 0;
+  for (const BackendServerRecord &Server : *It->second) {
+    if (!Server.isCapacity() || !selects(*P.Target.To.Target, Server))
+      continue;
+    ++Ready;
+    Risky += makeCandidate(Server, Now).Risk > SuspectedRisk ? 1 : 0;
   }
-  bool Trial = !Ejected.empty() && P.Dispatches == 0 &&
-               P.Target.MatchedRule->Idempotent &&
-               Random.uniform() < TrialShare;
-  return {best(Trial ? Ejected : InUse), Trial};
+  return 2 * Risky > Ready;
 }
 
 const BackendServerRecord *
--- a/lib/Entry/ServerSelection.h
+++ b/lib/Entry/ServerSelection.h
@@ -36,6 +36,10 @@
   /// declined by; a null server if there is none.
   Selection choose(const PendingRequest &P, Time Now);
 
+  /// True if most backend servers that may be chosen look bad. Then the cause
+  /// is hardly the backend servers, and somebody has to take the work.
+  bool isMostlyRisky(const PendingRequest &P, Time Now) const;
+
   /// Any backend server of the service that takes work; null if there is none.
   const BackendServerRecord *chooseAny(const ServiceName &Service, Time Now);
 
--- a/lib/Guard/AdmissionQueue.cpp
+++ b/lib/Guard/AdmissionQueue.cpp
@@ -6,10 +6,14 @@
 namespace teaselhitch {
 
 bool QueuedAttempt::operator<(const QueuedAttempt &Other) const {
+  if (IsSubRequest != Other.IsSubRequest)
+    return IsSubRequest;
   if (Paid != Other.Paid)
     return Paid;
   if (Priority != Other.Priority)
     return Priority < Other.Priority;
+  if (Objective != Other.Objective)
+    return Objective < Other.Objective;
   if (Deadline != Other.Deadline)
     return Deadline < Other.Deadline;
   return Order < Other.Order;
--- a/lib/Guard/AdmissionQueue.h
+++ b/lib/Guard/AdmissionQueue.h
@@ -9,12 +9,16 @@
 
 namespace teaselhitch {
 
-/// An attempt that waits for a slot. Paid work goes first, then the least
-/// priority number, then the earliest deadline, then the earliest arrival.
+/// An attempt that waits for a slot. Sub-requests go first, then paid work,
+/// then the least priority number, then the earliest objective, then the
+/// earliest deadline, then the earliest arrival.
 struct QueuedAttempt {
   AttemptId Attempt;
+  bool IsSubRequest = false;
   bool Paid = false;
   std::uint32_t Priority = 0;
+  /// When the answer stops being worth its full value.
+  Time Objective;
   Time Deadline;
   /// Order of arrival.
   std::uint64_t Order = 0;
--- a/lib/Guard/Guard.cpp
+++ b/lib/Guard/Guard.cpp
@@ -48,4 +48,28 @@
       std::make_unique<GuardCore>(std::move(Settings)));
 }
 
+const char *runEndName(RunEnd End) {
+  switch (End) {
+  case RunEnd::Answered:
+    return "answered";
+  case RunEnd::Shed:
+    return "shed";
+  case RunEnd::ConnectFailed:
+    return "connect-failed";
+  case RunEnd::ConnectionLost:
+    return "connection-lost";
+  case RunEnd::Crashed:
+    return "crashed";
+  case RunEnd::Aborted:
+    return "aborted";
+  case RunEnd::TooLarge:
+    return "too-large";
+  case RunEnd::OtherServer:
+    return "other-server";
+  case RunEnd::Withdrawn:
+    return "withdrawn";
+  }
+  return "answered";
+}
+
 } // namespace teaselhitch
--- a/lib/Guard/GuardCore.cpp
+++ b/lib/Guard/GuardCore.cpp
@@ -4,6 +4,15 @@
 
 namespace teaselhitch {
 
+namespace {
+
+/// Risk from which the fleet is told that a server looks bad, and down to which
+/// it has to fall until the fleet is told that it recovered.
+constexpr double SuspectedRisk = 0.8;
+constexpr double RecoveredRisk = 0.25;
+
+} // namespace
+
 GuardCore::GuardCore(GuardSettings NewSettings)
     : Settings(std::move(NewSettings)), Servers(Settings), Keys(Settings),
       Crashes(Settings) {}
@@ -12,6 +21,11 @@
                                   Time Now) {
   Config = std::move(NewConfig);
   QueuePerSlot.clear();
+  JudgedByRisk.clear();
+  if (Config)
+    for (const Service &S : Config->Objects.Services)
+      if (!S.Ejections)
+        JudgedByRisk.insert(S.Name);
   if (Config)
     for (const Limit &L : Config->Objects.Limits)
       QueuePerSlot[L.Service] = L.QueuePerSlot;
@@ -124,6 +138,7 @@
   abortOverdue(Now, Out);
   reportOverdue(Now, Out);
   returnWaiting(Now, Out);
+  publishRisk(Now);
   dropExpired(Now, Out);
   settleAll(Now, Out);
   for (auto &[Service, Q] : Queues)
@@ -132,6 +147,23 @@
   return Out;
 }
 
+void GuardCore::publishRisk(Time Now) {
+  for (const auto &[Name, Constant] : Servers.servers()) {
+    if (JudgedByRisk.count(Constant.Record.Service) == 0)
+      continue;
+    GuardedServer &Server = *Servers.find(Name);
+    bool WasSuspected = Server.Record.Health == BackendServerHealth::Suspected;
+    double P = Risk.probability(Name, Now);
+    // Two thresholds, so that one request does not change it back.
+    bool IsSuspected = P > (WasSuspected ? RecoveredRisk : SuspectedRisk);
+    if (IsSuspected != WasSuspected)
+      Servers.setHealth(Server,
+                        IsSuspected ? BackendServerHealth::Suspected
+                                    : BackendServerHealth::Healthy,
+                        Server.HealthWeight, Now);
+  }
+}
+
 std::vector<GuardedServerStatus> GuardCore::status() const {
   std::vector<GuardedServerStatus> List;
   for (const auto &[Name, Server] : Servers.servers()) {
--- a/lib/Guard/GuardCore.h
+++ b/lib/Guard/GuardCore.h
@@ -12,6 +12,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -49,6 +50,9 @@
   struct Attempt {
     DispatchInfo Info;
     Time Deadline;
+    /// When the answer stops being worth its full value; the deadline if the
+    /// entry names no objective.
+    Time Objective;
     std::uint64_t Order = 0;
     /// Whose share and line it uses.
     OrganisationName Payer;
@@ -73,7 +77,8 @@
     Duration Charged;
 
     QueuedAttempt queued() const {
-      return {Info.Attempt, Info.Paid, Info.Priority, Deadline, Order};
+      return {Info.Attempt, Info.IsSubRequest, Info.Paid, Info.Priority,
+              Objective,    Deadline,          Order};
     }
   };
 
@@ -89,9 +94,15 @@
   /// Why an attempt that may not wait cannot start now.
   std::optional<Reason> declineStrict(const DispatchInfo &Info, Time Now);
   /// An attempt that waits now would most likely miss its deadline.
-  bool wouldExpire(const DispatchInfo &Info) const;
+  bool wouldExpire(const Attempt &A) const;
+  /// Makes room in a full queue for an attempt that goes before others.
+  void displaceLast(const Attempt &A, Time Now, GuardActions &Out);
+  /// All servers that could run the attempt look bad.
+  bool allRisky(const DispatchInfo &Info, Time Now) const;
   /// Gives waiting attempts back when all servers of a service look bad.
   void returnWaiting(Time Now, GuardActions &Out);
+  /// Tells the fleet of servers that look bad, and of those that recovered.
+  void publishRisk(Time Now);
   void reportOverdue(Time Now, GuardActions &Out);
   bool tryStart(Attempt &A, Time Now, GuardActions &Out);
   void start(Attempt &A, GuardedServer &Server, bool Direct, Time Now,
@@ -137,6 +148,8 @@
   GuardSettings Settings;
   std::shared_ptr<const ActiveConfig> Config;
   std::map<ServiceName, std::uint32_t> QueuePerSlot;
+  /// Services whose servers are never ejected.
+  std::set<ServiceName> JudgedByRisk;
   ServerTable Servers;
   ServerRisk Risk;
   std::map<ServiceName, ServiceQueue> Queues;
--- a/lib/Guard/GuardDispatch.cpp
+++ b/lib/Guard/GuardDispatch.cpp
@@ -76,6 +76,7 @@
   }
   A.Info = Info;
   A.Deadline = Now + std::min(Info.Remaining, MaxRemaining);
+  A.Objective = Info.Objective.ms() > 0 ? Now + Info.ObjectiveLeft : A.Deadline;
   A.Order = NextOrder++;
   A.Payer = isBlockedSuspect(A) ? SuspectLine : payer(Info.Organisation);
   admit(A, Now, Out);
@@ -84,16 +85,21 @@
 
 void GuardCore::admit(Attempt &A, Time Now, GuardActions &Out) {
   const ServiceName &Service = A.Info.Service;
+  if (!A.Info.Strict && Servers.isServed(Service) && allRisky(A.Info, Now)) {
+    refuse(A.Info, Reason::Suspected, {}, Now, Out);
+    return;
+  }
   if (!isBlockedSuspect(A) && tryStart(A, Now, Out))
     return;
   if (!Servers.isServed(Service)) {
     refuse(A.Info, reasonUnserved(Service), {}, Now, Out);
     return;
   }
-  if (wouldExpire(A.Info)) {
+  if (wouldExpire(A)) {
     refuse(A.Info, Reason::QueueFull, retryAfter(Service), Now, Out);
     return;
   }
+  displaceLast(A, Now, Out);
   ServiceQueue &Q = Queues[Service];
   Q.Shares.arrived(A.Payer, share(A.Payer), Q.Queue.size(A.Payer) != 0, Now);
   switch (Q.Shares.admit(A.Payer, Q.Queue, queueLimit(Service), Now)) {
@@ -119,20 +125,47 @@
   bool OthersWait = Queue != Queues.end() && Queue->second.Queue.size() != 0;
   if (Server == nullptr || OthersWait)
     return Reason::Busy;
-  if (Risk.isTooRisky(Server->Record.Id.Name, Info, Now))
+  const BackendServerName &Name = Server->Record.Id.Name;
+  bool IsTrial = Server->InProgress == 0 && Risk.mayTry(Name, Info, Now);
+  if (Risk.isTooRisky(Name, Info, Now) && !IsTrial)
     return Reason::Suspected;
   return std::nullopt;
 }
 
-bool GuardCore::wouldExpire(const DispatchInfo &Info) const {
+void GuardCore::displaceLast(const Attempt &A, Time Now, GuardActions &Out) {
+  const ServiceName &Service = A.Info.Service;
+  const AdmissionQueue &Queue = Queues[Service].Queue;
+  if (Queue.size() < queueLimit(Service))
+    return;
+  auto Line = Queue.lines().find(A.Payer);
+  if (Line == Queue.lines().end() || Line->second.empty())
+    return;
+  const QueuedAttempt &Last = *Line->second.rbegin();
+  // Only rank displaces; otherwise who came first keeps the place.
+  bool GoesBefore = A.Info.IsSubRequest > Last.IsSubRequest ||
+                    (A.Info.IsSubRequest == Last.IsSubRequest &&
+                     A.Info.Priority < Last.Priority);
+  if (GoesBefore)
+    refuseWaiting(AttemptId(Last.Attempt), Reason::QueueFull, Now, Out,
+                  retryAfter(Service));
+}
+
+bool GuardCore::wouldExpire(const Attempt &A) const {
+  const DispatchInfo &Info = A.Info;
   auto Queue = Queues.find(Info.Service);
   std::uint32_t Slots = Servers.slots(Info.Service);
   if (Queue == Queues.end() || Slots == 0)
     return false;
-  // On average a running request still needs half of its time.
-  double Ahead = static_cast<double>(Queue->second.Queue.size()) / Slots + 0.5;
+  // On average a running request still needs half of its time, and a request
+  // that is offered to several guards waits here for a part of its turn.
+  auto Line = Queue->second.Queue.lines().find(A.Payer);
+  std::ptrdiff_t Ahead = 0;
+  if (Line != Queue->second.Queue.lines().end())
+    Ahead = std::distance(Line->second.begin(),
+                          Line->second.lower_bound(A.queued()));
+  double Turns = static_cast<double>(Ahead) / Slots / std::max(1U, Info.Offers);
   Duration Mean = Risk.meanRunTime(Info);
-  return Mean * (Ahead + 1) > Info.Remaining;
+  return Mean * (Turns + 1.5) > Info.Remaining;
 }
 
 GuardCore::Attempt &GuardCore::store(Attempt A) {
@@ -217,6 +250,10 @@
                   Crashes.refusedFor(Fingerprint, Now));
     return;
   }
+  if (allRisky(A.Info, Now)) {
+    refuseWaiting(Id, Reason::Suspected, Now, Out);
+    return;
+  }
   Q.Queue.erase(Line, A.queued());
   if (isBlockedSuspect(A)) {
     A.Payer = SuspectLine;
@@ -252,23 +289,22 @@
       refuseWaiting(Id, Reason::DeadlineExpired, Now, Out);
 }
 
+bool GuardCore::allRisky(const DispatchInfo &Info, Time Now) const {
+  const auto &All = Servers.servers();
+  return std::all_of(All.begin(), All.end(), [&](const auto &Item) {
+    const GuardedServer &Server = Item.second;
+    return Server.Record.Service != Info.Service || !Server.isUsable() ||
+           Risk.isTooRisky(Item.first, Info, Now);
+  });
+}
+
 void GuardCore::returnWaiting(Time Now, GuardActions &Out) {
-  for (const auto &[Service, Q] : Queues) {
-    if (Q.Queue.size() == 0)
-      continue;
+  for (const auto &[Service, Q] : Queues)
     for (const AttemptId &Id : Q.Queue.all()) {
       const DispatchInfo &Info = Attempts.at(Id).Info;
-      if (!Info.MayReturn)
-        continue;
-      bool AllRisky = true;
-      for (const auto &[Name, Server] : Servers.servers())
-        if (Server.Record.Service == Service && Server.isUsable() &&
-            !Risk.isTooRisky(Name, Info, Now))
-          AllRisky = false;
-      if (AllRisky)
+      if (allRisky(Info, Now))
         refuseWaiting(Id, Reason::Suspected, Now, Out);
     }
-  }
 }
 
 Reason GuardCore::reasonUnserved(const ServiceName &Service) const {
--- a/lib/Guard/GuardEnds.cpp
+++ b/lib/Guard/GuardEnds.cpp
@@ -173,6 +173,9 @@
   case RunEnd::ConnectionLost:
     report(A, failure(Reason::BackendServerFailed), Out);
     return;
+  case RunEnd::Withdrawn:
+    report(A, failure(Reason::GrantExpired), Out);
+    return;
   case RunEnd::TooLarge:
     report(A, failure(Reason::AnswerTooLarge), Out);
     return;
--- a/lib/Guard/ServerRisk.cpp
+++ b/lib/Guard/ServerRisk.cpp
@@ -7,8 +7,15 @@
 /// Objectives leave room for about three times the usual run time.
 constexpr double RunTimesPerObjective = 3;
 /// Greatest risk for requests that may run again, and for those that must not.
-constexpr double IdempotentRisk = 0.6;
-constexpr double OnceRisk = 0.25;
+constexpr double IdempotentRisk = 0.7;
+constexpr double OnceRisk = 0.35;
+/// The latter when the alternative is to refuse the request.
+constexpr double WaitingOnceRisk = 0.8;
+/// Greatest risk for any request when most backend servers look bad.
+constexpr double PanicRisk = 0.95;
+/// A backend server that looks bad and is idle gets an idempotent request now
+/// and then, with which it can show that it is sound again.
+constexpr double TrialRisk = 0.9;
 /// Share of requests that may run longer before one counts as overdue; more if
 /// the backend server looks bad anyway.
 constexpr double OverdueShare = 0.03;
@@ -45,20 +52,21 @@
     if (Result.Status == GatewayTimeout)
       return O.abandoned(Info.Attempt, Now);
     if (Result.Status >= FirstServerError)
-      return O.failed(Info.Attempt, Now);
-    O.succeeded(Info.Attempt, Now);
+      return O.failed(Info.Attempt, Info.Baseline, Now);
+    O.succeeded(Info.Attempt, Info.Baseline, Now);
     model(Info);
     Models[Info.Rule]->record(Result.RunTime);
     return;
   case RunEnd::ConnectFailed:
   case RunEnd::ConnectionLost:
-    return O.failed(Info.Attempt, Now);
+    return O.failed(Info.Attempt, Info.Baseline, Now);
   case RunEnd::Aborted:
     return O.abandoned(Info.Attempt, Now);
   case RunEnd::Shed:
   case RunEnd::OtherServer:
   case RunEnd::Crashed:
   case RunEnd::TooLarge:
+  case RunEnd::Withdrawn:
     return O.ended(Info.Attempt, Now);
   }
 }
@@ -78,10 +86,19 @@
 
 bool ServerRisk::isTooRisky(const BackendServerName &Server,
                             const DispatchInfo &Info, Time Now) const {
-  double Limit = Info.Idempotent ? IdempotentRisk : OnceRisk;
+  double Limit = Info.Idempotent ? IdempotentRisk
+                 : Info.Strict   ? OnceRisk
+                                 : WaitingOnceRisk;
+  if (!Info.Strict && !Info.AvoidsRisk)
+    Limit = PanicRisk;
   return probability(Server, Now) > Limit;
 }
 
+bool ServerRisk::mayTry(const BackendServerName &Server,
+                        const DispatchInfo &Info, Time Now) const {
+  return Info.Idempotent && probability(Server, Now) <= TrialRisk;
+}
+
 bool ServerRisk::isOverdue(const BackendServerName &Server,
                            const DispatchInfo &Info, Duration Elapsed,
                            Time Now) const {
--- a/lib/Guard/ServerRisk.h
+++ b/lib/Guard/ServerRisk.h
@@ -31,6 +31,11 @@
   bool isTooRisky(const BackendServerName &Server, const DispatchInfo &Info,
                   Time Now) const;
 
+  /// True if the attempt may find out whether a backend server that looks bad
+  /// and is idle is sound again.
+  bool mayTry(const BackendServerName &Server, const DispatchInfo &Info,
+              Time Now) const;
+
   /// True if the attempt runs so long that it is worth running it elsewhere.
   bool isOverdue(const BackendServerName &Server, const DispatchInfo &Info,
                  Duration Elapsed, Time Now) const;
--- a/lib/Membership/Membership.cpp
+++ b/lib/Membership/Membership.cpp
@@ -77,6 +77,7 @@
         std::find(Settings.Seeds.begin(), Settings.Seeds.end(), Address) ==
             Settings.Seeds.end())
       Settings.Seeds.push_back(std::move(Address));
+  NextOutsider = Time();
 }
 
 void MembershipCore::publish(const BackendServerRecord &Record, Time Now) {
--- a/lib/Membership/MembershipCore.cpp
+++ b/lib/Membership/MembershipCore.cpp
@@ -12,6 +12,10 @@
 /// How often nodes outside the own view may be contacted: a seed while there
 /// are no peers, and one unreachable node, which finds the end of a partition.
 constexpr Duration OutsiderInterval = Duration::seconds(1);
+/// The same while the node knows nobody: it cannot serve until it does.
+constexpr Duration LonelyInterval = Duration(100);
+/// Seeds that are contacted at once while the node knows nobody.
+constexpr std::size_t LonelyContacts = 3;
 /// Part of the intervals in which outsiders are contacted although the fleet
 /// looks whole; keeps the traffic small while single nodes stay dead for hours.
 constexpr double IdleContactShare = 0.1;
@@ -241,11 +245,29 @@
   return Chosen;
 }
 
+/// Mostly peers of the own failure domain: bytes between domains cost more, and
+/// a few crossings suffice to carry a change over.
+std::vector<const NodeEntry *> MembershipCore::gossipTargets() {
+  std::vector<const NodeEntry *> Chosen = randomPeers(Settings.GossipTargets);
+  std::vector<const NodeEntry *> Near;
+  for (const NodeEntry *Entry : Records.livePeers())
+    if (Entry->Record.Domain == Self->Record.Domain)
+      Near.push_back(Entry);
+  for (std::size_t I = 1; I < Chosen.size() && !Near.empty(); ++I) {
+    std::size_t Pick = Random.below(Near.size());
+    if (std::find(Chosen.begin(), Chosen.end(), Near[Pick]) == Chosen.end())
+      Chosen[I] = Near[Pick];
+    std::swap(Near[Pick], Near.back());
+    Near.pop_back();
+  }
+  return Chosen;
+}
+
 void MembershipCore::gossip(Time Now, MembershipActions &Out) {
   if (Now < NextGossip || Queue.empty() || Records.livePeers().empty())
     return;
   NextGossip = Now + Settings.GossipInterval;
-  std::vector<const NodeEntry *> Targets = randomPeers(Settings.GossipTargets);
+  std::vector<const NodeEntry *> Targets = gossipTargets();
   Datagram Message = compose(DatagramKind::Gossip, {},
                              static_cast<std::uint32_t>(Targets.size()), Now);
   if (Message.Changes == Delta())
@@ -273,8 +295,10 @@
 void MembershipCore::contactOutsiders(Time Now, MembershipActions &Out) {
   if (Now < NextOutsider)
     return;
-  NextOutsider = Now + OutsiderInterval * (0.9 + 0.2 * Random.uniform());
   const std::vector<NodeEntry *> &Live = Records.livePeers();
+  bool IsLonely = Live.empty() && isJoining(Now);
+  NextOutsider = Now + (IsLonely ? LonelyInterval : OutsiderInterval) *
+                           (0.9 + 0.2 * Random.uniform());
   std::vector<const NodeEntry *> Lost = Records.unreachable();
   double LostShare =
       static_cast<double>(Lost.size()) / static_cast<double>(Live.size() + 1);
@@ -293,7 +317,9 @@
     if (std::none_of(Live.begin(), Live.end(), IsSeed))
       Unknown.push_back(Seed);
   }
-  if (!Unknown.empty())
+  std::size_t Contacts =
+      std::min(IsLonely ? LonelyContacts : 1, Unknown.size());
+  for (std::size_t I = 0; I != Contacts; ++I)
     contact(Unknown[Random.below(Unknown.size())], {}, Now, Out);
 }
 
--- a/lib/Membership/MembershipCore.h
+++ b/lib/Membership/MembershipCore.h
@@ -97,6 +97,7 @@
   std::vector<const NodeEntry *> chooseHelpers(const NodeEntry &Target);
   void contact(const Endpoint &To, std::vector<NodeRecord> First, Time Now,
                MembershipActions &Out);
+  std::vector<const NodeEntry *> gossipTargets();
   std::vector<const NodeEntry *> randomPeers(std::size_t Count);
 
   // Messages.
--- a/lib/Model/Outcome.cpp
+++ b/lib/Model/Outcome.cpp
@@ -66,6 +66,8 @@
        "the backend server may be failing"},
       {AnswerTooLarge, "answer-too-large", 502, Unknown,
        "the answer is larger than the limit of the node"},
+      {GrantExpired, "grant-expired", 503, NotRun,
+       "the guard no longer held a slot when the request came"},
   };
   return Reasons;
 }
--- a/lib/Net/EventLoop.cpp
+++ b/lib/Net/EventLoop.cpp
@@ -82,7 +82,7 @@
 }
 
 void EventLoop::onSignal(std::function<void(int)> Function) {
-  State->Signals.emplace(State->Context, SIGINT, SIGTERM);
+  State->Signals.emplace(State->Context, SIGINT, SIGTERM, SIGHUP);
   waitForSignal(*State->Signals, std::move(Function));
 }
 
--- a/lib/Net/PeerLinks.cpp
+++ b/lib/Net/PeerLinks.cpp
@@ -19,12 +19,18 @@
 
 /// True for messages to which the other side replies.
 bool expectsReply(const PeerMessage &Message) {
-  return std::holds_alternative<Dispatch>(Message) ||
+  return std::holds_alternative<Offer>(Message) ||
+         std::holds_alternative<Dispatch>(Message) ||
          std::holds_alternative<MintKey>(Message) ||
          std::holds_alternative<PieceRequest>(Message) ||
          std::holds_alternative<Digest>(Message);
 }
 
+/// True for messages that answer one that expects a reply.
+bool isReply(const PeerMessage &Message) {
+  return !std::holds_alternative<AttemptOverdue>(Message);
+}
+
 class Link;
 
 /// Receives the events of a link.
@@ -135,6 +141,9 @@
     if (Outstanding++ == 0)
       LastByte = LastUse;
   }
+  // What is taken back gets no reply.
+  if (std::holds_alternative<Cancel>(Message) && Outstanding > 0)
+    --Outstanding;
   if (IsOpen)
     flush();
   return true;
@@ -209,7 +218,7 @@
     return;
   }
   LastUse = LastByte;
-  if (IsOutgoing && Outstanding > 0)
+  if (IsOutgoing && Outstanding > 0 && isReply(Message))
     --Outstanding;
   if (Owner)
     Owner->received(*this, std::move(Message));
--- a/lib/Node/BackendsDuty.cpp
+++ b/lib/Node/BackendsDuty.cpp
@@ -1,6 +1,7 @@
 #include "BackendsDuty.h"
 
-#include "teaselhitch/Integration/Problem.h"
+#include "OutstandingAttempts.h"
+#include "teaselhitch/Support/Log.h"
 
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
@@ -12,6 +13,9 @@
 namespace {
 
 constexpr Duration TickInterval = Duration(20);
+/// How long a slot is held for a request that was granted. It covers the way
+/// between failure domains and back and a node that is short of processor time.
+constexpr Duration GrantTime = Duration(250);
 constexpr Duration StatusInterval = Duration(200);
 constexpr Duration IdleInterval = Duration::seconds(1);
 
@@ -70,6 +74,7 @@
   Self->Loop.every(TickInterval, [Self] {
     Self->refresh();
     Self->run(Self->Core->tick(Self->now()));
+    Self->expireGrants();
     Self->run(Self->Control->tick(Self->now()));
     Self->Idle = Self->Core->isIdle();
   });
@@ -143,28 +148,74 @@
 
 void BackendsDuty::receive(std::optional<LinkId> Origin, GuardMessage Message) {
   std::visit(
-      Overloaded{[&](Dispatch &M) {
-                   AttemptId Attempt = M.Info.Attempt;
-                   Running R;
-                   R.Origin = Origin;
-                   R.Request = std::move(M.Request);
-                   R.Service = M.Info.Service;
-                   R.Idempotent = M.Info.Idempotent;
-                   R.Organisation = M.Info.Organisation;
-                   // A repeated attempt id is a fault of the sender; the first
-                   // stays.
-                   if (!Attempts.emplace(Attempt, std::move(R)).second)
-                     return;
-                   if (isMonitored(M.Info.Service))
-                     Control->dispatched(M.Info.Service, Attempt.Request.Entry,
-                                         M.Info.Baseline, now());
-                   run(Core->dispatch(M.Info, now()));
-                 },
-                 [&](Cancel &M) { run(Core->cancel(M.Attempt, now())); },
+      Overloaded{[&](Offer &M) { receive(Origin, M); },
+                 [&](Dispatch &M) { receive(Origin, M); },
+                 [&](Cancel &M) { receive(M); },
                  [&](MintKey &M) { reply(Origin, Core->mintKey(M, now())); }},
       Message);
 }
 
+void BackendsDuty::receive(std::optional<LinkId> Origin, Offer &Message) {
+  const DispatchInfo &Info = Message.Info;
+  Running R;
+  R.Origin = Origin;
+  R.Service = Info.Service;
+  R.Idempotent = Info.Idempotent;
+  R.Organisation = Info.Organisation;
+  // A repeated attempt id is a fault of the sender; the first stays.
+  if (!Attempts.emplace(Info.Attempt, std::move(R)).second)
+    return;
+  if (isMonitored(Info.Service))
+    Control->dispatched(Info.Service, Info.Attempt.Request.Entry, Info.Baseline,
+                        now());
+  run(Core->dispatch(Info, now()));
+}
+
+void BackendsDuty::receive(std::optional<LinkId> Origin, Dispatch &Message) {
+  const DispatchInfo &Info = Message.Info;
+  auto It = Attempts.find(Info.Attempt);
+  bool IsGranted = It != Attempts.end() && !It->second.Server.empty() &&
+                   !It->second.IsSent && !It->second.IsSettled;
+  if (!IsGranted) {
+    // Nothing runs without a slot, also if the message comes again or late.
+    if (It == Attempts.end() || !It->second.IsSent)
+      reply(Origin, notSent(Info.Attempt, Reason::GrantExpired));
+    return;
+  }
+  Running &R = It->second;
+  R.IsSent = true;
+  HttpRequest Request = std::move(Message.Request);
+  Protocol->prepare(Request,
+                    RunContext{R.Server, Info.Attempt.Request, Info.Remaining});
+  logEvent(LogLevel::Info, "guard", "attempt-started",
+           {{"attempt", toString(Info.Attempt)},
+            {"server", R.Server.str()},
+            {"remaining_ms", Info.Remaining.ms()}});
+  Client->start(Info.Attempt, R.Address, std::move(Request), R.Idempotent);
+}
+
+void BackendsDuty::receive(const Cancel &Message) {
+  auto It = Attempts.find(Message.Attempt);
+  if (It != Attempts.end())
+    It->second.IsSettled = true;
+  run(Core->cancel(Message.Attempt, now()));
+}
+
+void BackendsDuty::expireGrants() {
+  std::vector<AttemptId> Expired;
+  for (const auto &[Attempt, R] : Attempts)
+    if (!R.Server.empty() && !R.IsSent && now() - R.GrantedAt > GrantTime)
+      Expired.push_back(Attempt);
+  for (const AttemptId &Attempt : Expired)
+    withdraw(Attempt);
+}
+
+void BackendsDuty::withdraw(const AttemptId &Attempt) {
+  RunResult Result;
+  Result.End = RunEnd::Withdrawn;
+  onDone(Attempt, Result, HttpAnswer());
+}
+
 void BackendsDuty::receive(PeersToBackends Message) {
   std::visit(
       Overloaded{[&](FromEntry &M) { receive(M.Link, std::move(M.Message)); },
@@ -198,15 +249,26 @@
     return;
   Running &R = It->second;
   R.Server = Action.Server;
-  HttpRequest Request = std::move(R.Request);
-  Protocol->prepare(Request, RunContext{Action.Server, Action.Attempt.Request,
-                                        Action.Remaining});
-  Client->start(Action.Attempt, Action.Address, std::move(Request),
-                R.Idempotent);
+  R.Address = Action.Address;
+  R.GrantedAt = now();
+  Grant Message{Action.Attempt, Core->load(Action.Server, now())};
+  logEvent(LogLevel::Info, "guard", "attempt-granted",
+           {{"attempt", toString(Action.Attempt)},
+            {"server", Action.Server.str()},
+            {"in_progress", Message.Load.InProgress},
+            {"waiting", Message.Load.Waiting},
+            {"risk_percent", Message.Load.RiskPercent}});
+  reply(R.Origin, Message);
 }
 
 void BackendsDuty::perform(const AbortAttempt &Action) {
-  Client->abort(Action.Attempt);
+  auto It = Attempts.find(Action.Attempt);
+  if (It == Attempts.end())
+    return;
+  if (It->second.IsSent)
+    return Client->abort(Action.Attempt);
+  // Not from within the core, which is still at the action before.
+  Loop.post([this, Attempt = Action.Attempt] { withdraw(Attempt); });
 }
 
 void BackendsDuty::perform(const AttemptFailed &Action) {
@@ -217,15 +279,19 @@
     reply(It->second.Origin, Action);
   It->second.IsSettled = true;
   It->second.IsOverdue = Action.Why == Reason::DeadlineExpiredRunning;
-  // An attempt that was not started has no end to wait for.
+  // An attempt without a slot has no end to wait for.
   if (It->second.Server.empty())
     Attempts.erase(It);
 }
 
 void BackendsDuty::perform(const AttemptOverdue &Action) {
   auto It = Attempts.find(Action.Attempt);
-  if (It != Attempts.end() && !It->second.IsSettled)
-    reply(It->second.Origin, Action);
+  if (It == Attempts.end() || It->second.IsSettled)
+    return;
+  logEvent(LogLevel::Info, "guard", "attempt-overdue",
+           {{"attempt", toString(Action.Attempt)},
+            {"risk_percent", Action.Load.RiskPercent}});
+  reply(It->second.Origin, Action);
 }
 
 void BackendsDuty::perform(const PublishRecord &Action) {
@@ -294,6 +360,7 @@
   case RunEnd::Shed:
   case RunEnd::OtherServer:
   case RunEnd::TooLarge:
+  case RunEnd::Withdrawn:
     S.End = SampleEnd::Shed;
     break;
   case RunEnd::ConnectFailed:
@@ -324,6 +391,12 @@
   if (It == Attempts.end())
     return;
   BackendServerName Server = It->second.Server;
+  logEvent(LogLevel::Info, "guard", "attempt-ended",
+           {{"attempt", toString(Attempt)},
+            {"server", Server.str()},
+            {"end", runEndName(Result.End)},
+            {"status", Result.Status},
+            {"run_ms", Result.RunTime.ms()}});
   sample(Attempt, It->second, Result);
   run(Core->finished(Attempt, Result, now()));
   It = Attempts.find(Attempt);
--- a/lib/Node/BackendsDuty.h
+++ b/lib/Node/BackendsDuty.h
@@ -39,12 +39,15 @@
   struct Running {
     /// Link of the entry; nothing if the entry is of this node.
     std::optional<LinkId> Origin;
-    HttpRequest Request;
     ServiceName Service;
     bool Idempotent = false;
     OrganisationName Organisation;
-    /// Empty until the attempt starts.
+    /// Empty until a slot is granted.
     BackendServerName Server;
+    Endpoint Address;
+    Time GrantedAt;
+    /// The request came and was sent to the backend server.
+    bool IsSent = false;
     /// The entry has its answer or is gone.
     bool IsSettled = false;
     /// Aborted because its deadline passed.
@@ -53,7 +56,13 @@
 
   void handleAnnouncement(const std::shared_ptr<HttpExchange> &Exchange);
   void receive(std::optional<LinkId> Origin, GuardMessage Message);
+  void receive(std::optional<LinkId> Origin, Offer &Message);
+  void receive(std::optional<LinkId> Origin, Dispatch &Message);
+  void receive(const Cancel &Message);
   void receive(PeersToBackends Message);
+  /// Releases slots whose requests did not come in time.
+  void expireGrants();
+  void withdraw(const AttemptId &Attempt);
   void entryLost(LinkId Link);
   void run(const GuardActions &Actions);
   void perform(const StartAttempt &Action);
--- a/lib/Node/CallersDuty.cpp
+++ b/lib/Node/CallersDuty.cpp
@@ -1,5 +1,6 @@
 #include "CallersDuty.h"
 
+#include "OutstandingAttempts.h"
 #include "teaselhitch/Integration/Problem.h"
 #include "teaselhitch/Platform/Url.h"
 #include "teaselhitch/Support/Hash.h"
@@ -111,7 +112,9 @@
   std::uint64_t NewConfig = Rings.Config.generation();
   if (NewConfig != ConfigGeneration) {
     ConfigGeneration = NewConfig;
-    Core->configure(Rings.Config.current());
+    std::shared_ptr<const ActiveConfig> Config = Rings.Config.current();
+    ConfigVersion = Config ? Config->Version : 0;
+    Core->configure(std::move(Config));
   }
   std::uint64_t NewView = Rings.View.generation();
   if (NewView != ViewGeneration) {
@@ -152,8 +155,8 @@
     return Exchange->reply(refuse(Reason::BadRequest));
   EntryActions Actions;
   RequestId Id = Core->accept(*Described, now(), Actions);
-  Requests.emplace(Id.Sequence,
-                   Waiting{Exchange, Request, Described->CallerId, now()});
+  Requests.emplace(Id.Sequence, Waiting{Exchange, Request, Described->CallerId,
+                                        std::nullopt, now()});
   Exchange->onGone([this, Id] {
     Requests.erase(Id.Sequence);
     run(Core->callerGone(Id, now()));
@@ -179,18 +182,34 @@
 
 void CallersDuty::receive(EntryMessage Message) {
   std::visit(
-      Overloaded{[&](AttemptFailed &M) { run(Core->failed(M, now())); },
+      Overloaded{[&](AttemptFailed &M) {
+                   logFailure(M);
+                   run(Core->failed(M, now()));
+                 },
                  [&](AttemptAnswer &M) { answer(std::move(M)); },
                  [&](AttemptOverdue &M) { run(Core->overdue(M, now())); },
+                 [&](Grant &M) { run(Core->granted(M, now())); },
                  [&](KeyMinted &M) { run(Core->keyMinted(M, now())); }},
       Message);
 }
 
+void CallersDuty::logFailure(const AttemptFailed &M) const {
+  logEvent(LogLevel::Info, "entry", "attempt-failed",
+           {{"attempt", toString(M.Attempt)},
+            {"reason", reasonInfo(M.Why).Name},
+            {"outcome", outcomeName(M.Result)},
+            {"in_progress", M.Load.InProgress},
+            {"waiting", M.Load.Waiting},
+            {"risk_percent", M.Load.RiskPercent}});
+}
+
 void CallersDuty::run(EntryActions Actions) {
   for (EntryAction &Action : Actions)
-    std::visit(Overloaded{[&](SendAttempt &A) { perform(std::move(A)); },
+    std::visit(Overloaded{[&](SendOffer &A) { perform(std::move(A)); },
+                          [&](SendAttempt &A) { perform(std::move(A)); },
                           [&](TableRequest &A) { perform(std::move(A)); },
-                          [](ReplyAnswer &) {}, [&](auto &A) { perform(A); }},
+                          [](ReplyAnswer &) {}, [](KeepAnswer &) {},
+                          [&](auto &A) { perform(A); }},
                Action);
 }
 
@@ -200,20 +219,39 @@
   return Rings.CallersToPeers.trySend(ToGuard{Guard, std::move(Message)});
 }
 
+void CallersDuty::perform(SendOffer Action) {
+  auto It = Requests.find(Action.Info.Attempt.Request.Sequence);
+  if (It == Requests.end())
+    return;
+  logEvent(LogLevel::Info, "entry", "offer",
+           {{"attempt", toString(Action.Info.Attempt)},
+            {"caller_id", It->second.CallerId},
+            {"rule", Action.Info.Rule.str()},
+            {"service", Action.Info.Service.str()},
+            {"node", Action.Guard.str()},
+            {"server", Action.Info.Preferred.str()},
+            {"strict", Action.Info.Strict},
+            {"avoids_risk", Action.Info.AvoidsRisk},
+            {"remaining_ms", Action.Info.Remaining.ms()},
+            {"config", ConfigVersion}});
+  AttemptId Attempt = Action.Info.Attempt;
+  if (!sendTo(Action.Guard, Offer{std::move(Action.Info)}))
+    run(Core->failed(notSent(Attempt, Reason::Overloaded), now()));
+}
+
 void CallersDuty::perform(SendAttempt Action) {
   auto It = Requests.find(Action.Info.Attempt.Request.Sequence);
   if (It == Requests.end())
     return;
   AttemptId Attempt = Action.Info.Attempt;
+  logEvent(LogLevel::Info, "entry", "dispatch",
+           {{"attempt", toString(Attempt)},
+            {"node", Action.Guard.str()},
+            {"remaining_ms", Action.Info.Remaining.ms()}});
   // The request is kept, because another attempt may follow.
-  if (sendTo(Action.Guard,
-             Dispatch{std::move(Action.Info), It->second.Request}))
-    return;
-  AttemptFailed Refused;
-  Refused.Attempt = Attempt;
-  Refused.Why = Reason::Overloaded;
-  Refused.Result = Outcome::NotRun;
-  run(Core->failed(Refused, now()));
+  if (!sendTo(Action.Guard,
+              Dispatch{std::move(Action.Info), It->second.Request}))
+    run(Core->failed(notSent(Attempt, Reason::Overloaded), now()));
 }
 
 void CallersDuty::perform(const SendCancel &Action) {
@@ -241,6 +279,11 @@
 
 void CallersDuty::perform(const ReplyFailure &Action) {
   auto It = Requests.find(Action.Request.Sequence);
+  if (It != Requests.end() && It->second.Kept) {
+    HttpAnswer Kept = std::move(*It->second.Kept);
+    Protocol->finish(Kept, toString(Action.Request));
+    return finish(Action.Request, std::move(Kept), Outcome::Completed, "none");
+  }
   Refusal What{Action.Why, Action.Result, Action.RetryAfter,
                toString(Action.Request),
                It == Requests.end() ? "" : It->second.CallerId};
@@ -266,16 +309,27 @@
 void CallersDuty::answer(AttemptAnswer Answer) {
   EntryActions Actions = Core->answered(Answer, now());
   for (const EntryAction &Action : Actions) {
+    if (std::holds_alternative<KeepAnswer>(Action))
+      keep(Answer);
     if (!std::holds_alternative<ReplyAnswer>(Action))
       continue;
-    HttpAnswer &Reply = Answer.Answer;
-    Protocol->finish(Reply, toString(Answer.Attempt.Request));
-    finish(Answer.Attempt.Request, std::move(Reply), Outcome::Completed,
+    Protocol->finish(Answer.Answer, toString(Answer.Attempt.Request));
+    finish(Answer.Attempt.Request, std::move(Answer.Answer), Outcome::Completed,
            "none");
   }
   run(std::move(Actions));
 }
 
+void CallersDuty::keep(const AttemptAnswer &Answer) {
+  auto It = Requests.find(Answer.Attempt.Request.Sequence);
+  if (It == Requests.end())
+    return;
+  logEvent(LogLevel::Info, "entry", "answer-kept",
+           {{"attempt", toString(Answer.Attempt)},
+            {"status", Answer.Answer.Status}});
+  It->second.Kept = Answer.Answer;
+}
+
 void CallersDuty::finish(const RequestId &Id, HttpAnswer Answer, Outcome Result,
                          const char *ReasonName) {
   countRequest(Rings.Metrics, Result, ReasonName);
@@ -285,7 +339,7 @@
   Waiting Done = std::move(It->second);
   Requests.erase(It);
   Latency.record(now() - Done.Since);
-  logEvent(LogLevel::Debug, "callers", "request",
+  logEvent(LogLevel::Info, "entry", "request-ended",
            {{"request_id", toString(Id)},
             {"caller_id", Done.CallerId},
             {"outcome", outcomeName(Result)},
--- a/lib/Node/CallersDuty.h
+++ b/lib/Node/CallersDuty.h
@@ -12,6 +12,7 @@
 #include "teaselhitch/Settings/NodeSettings.h"
 
 #include <memory>
+#include <optional>
 #include <unordered_map>
 
 namespace teaselhitch {
@@ -36,6 +37,8 @@
     HttpRequest Request;
     /// Id that the caller gave, or empty.
     std::string CallerId;
+    /// An error answer, for the case that no other attempt brings a better one.
+    std::optional<HttpAnswer> Kept;
     Time Since;
   };
 
@@ -45,7 +48,9 @@
   void handleRequest(const std::shared_ptr<HttpExchange> &Exchange);
   void handleMint(std::shared_ptr<HttpExchange> Exchange);
   void receive(EntryMessage Message);
+  void logFailure(const AttemptFailed &M) const;
   void run(EntryActions Actions);
+  void perform(SendOffer Action);
   void perform(SendAttempt Action);
   void perform(const SendCancel &Action);
   void perform(const SendMintKey &Action);
@@ -53,6 +58,7 @@
   void perform(const ReplyKey &Action);
   void perform(TableRequest Action);
   void answer(AttemptAnswer Answer);
+  void keep(const AttemptAnswer &Answer);
   void finish(const RequestId &Id, HttpAnswer Answer, Outcome Result,
               const char *ReasonName);
   bool sendTo(const NodeName &Guard, GuardMessage Message);
@@ -70,6 +76,7 @@
   std::unordered_map<std::uint64_t, std::shared_ptr<HttpExchange>> Mints;
   std::uint64_t NextMint = 1;
   std::uint64_t ConfigGeneration = 0;
+  std::uint64_t ConfigVersion = 0;
   std::uint64_t ViewGeneration = 0;
   std::atomic<bool> Idle{true};
   bool IsStopping = false;
--- a/lib/Node/ConfigWatchDuty.cpp
+++ b/lib/Node/ConfigWatchDuty.cpp
@@ -8,9 +8,10 @@
 
 namespace {
 
-/// Longest wait in one call. A connection that went silent is noticed after
-/// it; configurations then still arrive from other nodes.
-constexpr Duration LongestWait = Duration::seconds(10);
+/// Longest wait in one call. A connection that went silent, and a store that is
+/// back, are noticed after it; configurations have to be in force within two
+/// seconds.
+constexpr Duration LongestWait = Duration::seconds(3);
 /// Pause after a call that failed: a store that is back is used soon, and a
 /// fleet of a thousand nodes makes at most some thousand calls a second.
 constexpr Duration RetryPause = Duration(400);
--- a/lib/Node/Node.cpp
+++ b/lib/Node/Node.cpp
@@ -8,15 +8,28 @@
 #include "PlatformDuty.h"
 #include "teaselhitch/Support/Log.h"
 
+#include <csignal>
+
 namespace teaselhitch {
 
 namespace {
 
 constexpr Duration DrainCheckInterval = Duration(50);
+/// How often the settings file is looked at; it may change without a signal.
+constexpr Duration SettingsCheckInterval = Duration::seconds(1);
+
+/// Copies what a running node can change. True if nothing else differs.
+bool applyLive(const NodeSettings &New, NodeSettings &Current) {
+  Current.DrainTimeout = New.DrainTimeout;
+  Current.DrainGrace = New.DrainGrace;
+  Current.Level = New.Level;
+  return New == Current;
+}
 
 class NodeImpl final : public Node {
 public:
-  explicit NodeImpl(const NodeSettings &Settings) : Settings(Settings) {}
+  NodeImpl(const NodeSettings &Settings, std::unique_ptr<SettingsSource> Source)
+      : Settings(Settings), Source(std::move(Source)) {}
 
   ~NodeImpl() override { stopAll(); }
 
@@ -43,7 +56,14 @@
   }
 
   bool run() override {
-    Main.onSignal([this](int) { drain(); });
+    Main.onSignal([this](int Number) {
+      if (Number == SIGHUP)
+        reload("signal");
+      else
+        drain();
+    });
+    if (Source)
+      Main.every(SettingsCheckInterval, [this] { reload("file"); });
     for (Duty *D : duties())
       D->start();
     if (Watch)
@@ -71,6 +91,32 @@
         D->stop();
   }
 
+  void reload(const char *Cause) {
+    if (!Source)
+      return;
+    handleError(
+        [&]() -> Result<bool> {
+          BOOST_LEAF_AUTO(Changed, Source->changed());
+          if (Changed)
+            apply(*Changed, Cause);
+          return true;
+        },
+        [&](const Error &E) {
+          logEvent(LogLevel::Error, "node", "settings-refused",
+                   {{"cause", Cause}, {"error", E.Message}});
+          return false;
+        });
+  }
+
+  void apply(const NodeSettings &New, const char *Cause) {
+    bool IsComplete = applyLive(New, Settings);
+    setLogLevel(Settings.Level);
+    logEvent(LogLevel::Info, "node", "settings-reloaded",
+             {{"cause", Cause}, {"needs_restart", !IsComplete}});
+    Rings.Audit.record("settings-reloaded", Settings.Node.str(),
+                       IsComplete ? "in force" : "the rest at the next start");
+  }
+
   void drain() {
     if (DrainStarted > Time())
       return;
@@ -103,6 +149,7 @@
   }
 
   NodeSettings Settings;
+  std::unique_ptr<SettingsSource> Source;
   std::unique_ptr<PlatformAdapter> Adapter;
   Channels Rings;
   EventLoop Main;
@@ -119,8 +166,10 @@
 
 } // namespace
 
-Result<std::unique_ptr<Node>> Node::create(const NodeSettings &Settings) {
-  auto Created = std::make_unique<NodeImpl>(Settings);
+Result<std::unique_ptr<Node>>
+Node::create(const NodeSettings &Settings,
+             std::unique_ptr<SettingsSource> Source) {
+  auto Created = std::make_unique<NodeImpl>(Settings, std::move(Source));
   BOOST_LEAF_CHECK(Created->open());
   return std::unique_ptr<Node>(std::move(Created));
 }
--- a/lib/Node/OutstandingAttempts.cpp
+++ b/lib/Node/OutstandingAttempts.cpp
@@ -6,9 +6,17 @@
 
 void OutstandingAttempts::sent(const NodeName &Guard,
                                const GuardMessage &Message) {
-  if (const auto *D = std::get_if<Dispatch>(&Message))
+  if (const auto *O = std::get_if<Offer>(&Message))
+    ByGuard[Guard].Offers.insert(O->Info.Attempt);
+  if (const auto *D = std::get_if<Dispatch>(&Message)) {
+    ByGuard[Guard].Offers.erase(D->Info.Attempt);
     ByGuard[Guard].Attempts.insert(D->Info.Attempt);
-  else if (const auto *M = std::get_if<MintKey>(&Message))
+  }
+  if (const auto *C = std::get_if<Cancel>(&Message)) {
+    ByGuard[Guard].Offers.erase(C->Attempt);
+    ByGuard[Guard].Attempts.erase(C->Attempt);
+  }
+  if (const auto *M = std::get_if<MintKey>(&Message))
     ByGuard[Guard].Mints.insert(M->Token);
 }
 
@@ -19,8 +27,11 @@
     return;
   std::visit(
       Overloaded{[&](const KeyMinted &M) { It->second.Mints.erase(M.Token); },
-                 [](const AttemptOverdue &) {},
-                 [&](const auto &M) { It->second.Attempts.erase(M.Attempt); }},
+                 [](const AttemptOverdue &) {}, [](const Grant &) {},
+                 [&](const auto &M) {
+                   It->second.Attempts.erase(M.Attempt);
+                   It->second.Offers.erase(M.Attempt);
+                 }},
       Message);
 }
 
@@ -35,6 +46,8 @@
     Failure.Result = WasOpen ? Outcome::Unknown : Outcome::NotRun;
     Messages.push_back(std::move(Failure));
   }
+  for (const AttemptId &Attempt : It->second.Offers)
+    Messages.push_back(notSent(Attempt, Reason::LinkLost));
   for (std::uint64_t Token : It->second.Mints)
     Messages.push_back(KeyMinted{Token, "", Duration()});
   ByGuard.erase(It);
--- a/lib/Node/OutstandingAttempts.h
+++ b/lib/Node/OutstandingAttempts.h
@@ -24,6 +24,8 @@
 
 private:
   struct Sent {
+    /// Nothing runs before they are granted and the request is sent.
+    std::set<AttemptId> Offers;
     std::set<AttemptId> Attempts;
     std::set<std::uint64_t> Mints;
   };
--- a/lib/Node/PeersDuty.cpp
+++ b/lib/Node/PeersDuty.cpp
@@ -165,6 +165,7 @@
 
 void PeersDuty::receive(ToGuard Message) {
   const auto *Sent = std::get_if<Dispatch>(&Message.Message);
+  const auto *Offered = std::get_if<Offer>(&Message.Message);
   std::shared_ptr<const FleetView> View = Members->view();
   auto It = View->Nodes->find(Message.Node);
   PeerMessage Frame =
@@ -176,6 +177,8 @@
   }
   if (Sent)
     toCallers(notSent(Sent->Info.Attempt, Reason::LinkLost));
+  else if (Offered)
+    toCallers(notSent(Offered->Info.Attempt, Reason::LinkLost));
   else if (const auto *Mint = std::get_if<MintKey>(&Message.Message))
     toCallers(KeyMinted{Mint->Token, "", Duration()});
 }
@@ -298,6 +301,7 @@
 void PeersDuty::fromGuard(const NodeName &Node, PeerMessage Message) {
   std::visit(Overloaded{[&](Delta &M) { run(Members->apply(M, now())); },
                         [&](Piece &M) { fetch(takePiece(std::move(M))); },
+                        [&](Grant &M) { toCallers(M); },
                         [&](AttemptFailed &M) {
                           Outstanding.answered(Node, M);
                           toCallers(std::move(M));
@@ -330,12 +334,8 @@
 void PeersDuty::fromEntry(LinkId Link, const NodeName &Node,
                           PeerMessage Message) {
   std::visit(
-      Overloaded{[&](Dispatch &M) {
-                   AttemptId Attempt = M.Info.Attempt;
-                   if (!Rings.PeersToBackendsRing.trySend(
-                           FromEntry{Link, std::move(M)}))
-                     Links->answer(Link, notSent(Attempt, Reason::Overloaded));
-                 },
+      Overloaded{[&](Offer &M) { forward(Link, std::move(M)); },
+                 [&](Dispatch &M) { forward(Link, std::move(M)); },
                  [&](Cancel &M) {
                    toBackends(FromEntry{Link, M});
                  },
@@ -355,6 +355,13 @@
       Message);
 }
 
+template <typename MessageT>
+void PeersDuty::forward(LinkId Link, MessageT Message) {
+  AttemptId Attempt = Message.Info.Attempt;
+  if (!Rings.PeersToBackendsRing.trySend(FromEntry{Link, std::move(Message)}))
+    Links->answer(Link, notSent(Attempt, Reason::Overloaded));
+}
+
 void PeersDuty::answerDigest(LinkId Link, const Digest &Other) {
   std::vector<Delta> Parts = Members->deltasFor(Other, SyncRecords);
   // The other side waits for at least one reply.
--- a/lib/Node/PeersDuty.h
+++ b/lib/Node/PeersDuty.h
@@ -51,6 +51,8 @@
   void answerDigest(LinkId Link, const Digest &Other);
   void toCallers(EntryMessage Message);
   void toBackends(PeersToBackends Message);
+  /// Passes a message of an entry to the guard, or refuses its attempt.
+  template <typename MessageT> void forward(LinkId Link, MessageT Message);
   /// What to fetch after a source sent a piece, or an empty one if it has none.
   std::vector<PieceFetch> takePiece(Piece Received);
   void fetch(const std::vector<PieceFetch> &Fetches);
--- a/lib/Routing/LeastRiskBalancer.cpp
+++ b/lib/Routing/LeastRiskBalancer.cpp
@@ -13,19 +13,21 @@
 
 namespace {
 
-/// All costs are in units of one request that has to wait for a run time.
-/// A request that a failing backend server loses.
-constexpr double LossCost = 12;
-/// All slots are taken: the request waits or is refused.
-constexpr double FullCost = 1;
+// All costs are shares of the value of a request.
+
+/// A request on a backend server that is failing for certain; some of its
+/// requests succeed all the same.
+constexpr double LossCost = 0.6;
+/// A turn in a queue: objectives leave room for about three run times.
+constexpr double TurnCost = 0.3;
 /// Crossing to another failure domain and back, in bytes and time.
-constexpr double CrossingCost = 0.25;
+constexpr double CrossingCost = 0.07;
 /// Sharing a backend server: it slows down, and fails all at once.
-constexpr double SharingCost = 0.5;
+constexpr double SharingCost = 0.05;
 /// The path to the guard fails.
-constexpr double PathCost = 12;
+constexpr double PathCost = 0.6;
 /// Random part, so that entries do not all choose the same one.
-constexpr double Jitter = 0.1;
+constexpr double Jitter = 0.01;
 
 double cost(const Candidate &C, RandomSource &Random) {
   double Slots = std::max(1U, C.Server->Slots) * C.Server->Weight / 100.0;
@@ -33,7 +35,7 @@
   double Cost = LossCost * C.Risk + SharingCost * std::min(Used, 1.0) +
                 PathCost * C.PathFailures + Jitter * Random.uniform();
   if (C.InProgress + 1 > Slots)
-    Cost += FullCost * (1 + C.Waiting / std::max(Slots, 0.1));
+    Cost += TurnCost * (1 + C.Waiting / std::max(Slots, 0.1));
   if (C.Away == Distance::OtherDomain)
     Cost += CrossingCost;
   return Cost;
--- a/lib/Routing/LoadTracker.cpp
+++ b/lib/Routing/LoadTracker.cpp
@@ -17,9 +17,23 @@
 constexpr double RiskFadeMs = 4000;
 /// Risk of a backend server of which nothing is known.
 constexpr double UsualRisk = 0.1;
+/// Time in which a change of health reaches all nodes.
+constexpr double GossipMs = 700;
+/// Least risk of a backend server that is published as suspected, greatest of
+/// one that is not.
+constexpr double SuspectedRisk = 0.7;
+constexpr double HealthyRisk = 0.4;
 constexpr double MinRunTimeMs = 0.01;
 constexpr double Percent = 100;
 
+/// Bounds the risk by the published health.
+void applyHealth(Candidate &C) {
+  if (C.Server->Health == BackendServerHealth::Suspected)
+    C.Risk = std::max(C.Risk, SuspectedRisk);
+  else
+    C.Risk = std::min(C.Risk, HealthyRisk);
+}
+
 } // namespace
 
 void LoadTracker::attemptStarted(const BackendServerId &Server) {
@@ -60,9 +74,11 @@
 
 void LoadTracker::describe(Candidate &C, Time Now) const {
   C.Risk = UsualRisk;
+  applyHealth(C);
   auto It = Servers.find(C.Server->Id);
   if (It == Servers.end())
     return;
+  C.Risk = UsualRisk;
   const Known &K = It->second;
   double AgeMs = (Now - K.ReportedAt).ms();
   bool Fresh = AgeMs < ReportLifetimeMs;
@@ -73,6 +89,9 @@
   if (K.Reported.Slots != 0)
     C.Risk += (K.Reported.RiskPercent / Percent - UsualRisk) *
               std::exp(-AgeMs / RiskFadeMs);
+  // What the guard tells the fleet is newer than what it replied a while ago.
+  if (AgeMs > GossipMs)
+    applyHealth(C);
 }
 
 void LoadTracker::prune(const FleetView &View) {
--- a/lib/Settings/NodeSettings.cpp
+++ b/lib/Settings/NodeSettings.cpp
@@ -17,7 +17,7 @@
 /// noticed: a check each second, of which two must fail.
 constexpr Duration NoticeTime = Duration(2500);
 /// Part of the stop time in which the process ends in order.
-constexpr Duration ExitMargin = Duration(500);
+constexpr Duration ExitMargin = Duration(1000);
 
 bool isIpAddress(const std::string &Text) {
   std::array<unsigned char, sizeof(in6_addr)> Bytes{};
--- a/lib/Support/Log.cpp
+++ b/lib/Support/Log.cpp
@@ -14,9 +14,11 @@
 #include <log4cplus/logger.h>
 #include <log4cplus/spi/loggingevent.h>
 
+#include <algorithm>
 #include <atomic>
 #include <cmath>
 #include <memory>
+#include <mutex>
 
 namespace teaselhitch {
 
@@ -24,8 +26,57 @@
 
 /// Records that may wait for the log thread.
 constexpr unsigned LogQueueLength = 4096;
+/// Room in the library's queue beyond that, so that it never blocks a writer.
+constexpr unsigned LogQueueReserve = 64;
+
+/// Lines that one process writes in a second at most, after a burst of as many.
+/// A request takes about ten lines; a node of the target size has some 90
+/// requests a second, of which a part is its own.
+constexpr double MaxLinesPerSecond = 2000;
 
 std::atomic<bool> Configured{false};
+/// Lines given to the log thread that are not written yet.
+std::atomic<unsigned> Waiting{0};
+std::atomic<std::uint64_t> Dropped{0};
+
+/// Bounds the lines of a process. Warnings and errors always pass.
+class LineBudget {
+public:
+  bool take() {
+    std::lock_guard<std::mutex> Lock(Mutex);
+    Time Now = Wall.now();
+    constexpr double MsPerSecond = 1000;
+    Left =
+        std::min(MaxLinesPerSecond, Left + (Now - RefilledAt).ms() /
+                                               MsPerSecond * MaxLinesPerSecond);
+    RefilledAt = Now;
+    if (Left < 1)
+      return false;
+    Left -= 1;
+    return true;
+  }
+
+private:
+  std::mutex Mutex;
+  SteadyClock Wall;
+  double Left = MaxLinesPerSecond;
+  Time RefilledAt;
+};
+
+LineBudget &lineBudget() {
+  static LineBudget Budget;
+  return Budget;
+}
+
+/// False if the line has to be dropped, so that its writer never waits.
+bool mayWrite(LogLevel Level) {
+  bool HasRoom = Waiting.load() < LogQueueLength;
+  bool IsUrgent = Level == LogLevel::Warning || Level == LogLevel::Error;
+  if (HasRoom && (IsUrgent || lineBudget().take()))
+    return true;
+  ++Dropped;
+  return false;
+}
 
 /// The message is a finished JSON object; the layout ends the line.
 class LineLayout final : public log4cplus::Layout {
@@ -33,6 +84,7 @@
   void formatAndAppend(log4cplus::tostream &Out,
                        const log4cplus::spi::InternalLoggingEvent &E) override {
     Out << E.getMessage() << '\n';
+    --Waiting;
   }
 };
 
@@ -92,11 +144,18 @@
   log4cplus::Logger Root = log4cplus::Logger::getRoot();
   Root.removeAllAppenders();
   Root.addAppender(log4cplus::SharedAppenderPtr(
-      new log4cplus::AsyncAppender(Sink, LogQueueLength)));
+      new log4cplus::AsyncAppender(Sink, LogQueueLength + LogQueueReserve)));
   Root.setLogLevel(toLibraryLevel(Level));
   Configured = true;
 }
 
+void setLogLevel(LogLevel Level) {
+  if (Configured)
+    log4cplus::Logger::getRoot().setLogLevel(toLibraryLevel(Level));
+}
+
+std::uint64_t droppedLogLines() { return Dropped.load(); }
+
 void shutdownLogging() {
   if (Configured.exchange(false))
     log4cplus::Logger::shutdown();
@@ -107,7 +166,7 @@
   if (!Configured)
     return;
   log4cplus::Logger Root = log4cplus::Logger::getRoot();
-  if (!Root.isEnabledFor(toLibraryLevel(Level)))
+  if (!Root.isEnabledFor(toLibraryLevel(Level)) || !mayWrite(Level))
     return;
   boost::json::object Record;
   Record["time_ms"] = static_cast<std::int64_t>(std::floor(wallClockMs()));
@@ -116,6 +175,7 @@
   Record["event"] = Event;
   for (const LogField &Field : Fields)
     Record[Field.Name] = toJson(Field);
+  ++Waiting;
   Root.forcedLog(toLibraryLevel(Level), boost::json::serialize(Record));
 }
 
--- a/lib/Wire/MessageSerialize.h
+++ b/lib/Wire/MessageSerialize.h
@@ -134,22 +134,38 @@
   codeFlag(Ar, M.IsReply);
 }
 
+template <typename ArchiveT> void codeInfo(ArchiveT &Ar, DispatchInfo &I) {
+  codeAttempt(Ar, I.Attempt);
+  codeName(Ar, I.Service);
+  codeName(Ar, I.Rule);
+  codeName(Ar, I.Preferred);
+  codeName(Ar, I.Organisation);
+  codeFlag(Ar, I.Idempotent);
+  codeFlag(Ar, I.Paid);
+  Ar(I.Priority);
+  codeFlag(Ar, I.IsSubRequest);
+  codeFlag(Ar, I.Strict);
+  codeFlag(Ar, I.AvoidsRisk);
+  Ar(I.Offers);
+  codeDuration(Ar, I.Objective);
+  codeDuration(Ar, I.ObjectiveLeft);
+  codeDuration(Ar, I.Remaining);
+  codeText(Ar, I.GuardKey);
+  Ar(I.Fingerprint);
+  codeBaseline(Ar, I.Baseline);
+}
+
+template <typename ArchiveT> void codeFields(ArchiveT &Ar, Offer &M) {
+  codeInfo(Ar, M.Info);
+}
+
+template <typename ArchiveT> void codeFields(ArchiveT &Ar, Grant &M) {
+  codeAttempt(Ar, M.Attempt);
+  codeLoad(Ar, M.Load);
+}
+
 template <typename ArchiveT> void codeFields(ArchiveT &Ar, Dispatch &M) {
-  codeAttempt(Ar, M.Info.Attempt);
-  codeName(Ar, M.Info.Service);
-  codeName(Ar, M.Info.Rule);
-  codeName(Ar, M.Info.Preferred);
-  codeName(Ar, M.Info.Organisation);
-  codeFlag(Ar, M.Info.Idempotent);
-  codeFlag(Ar, M.Info.Paid);
-  Ar(M.Info.Priority);
-  codeFlag(Ar, M.Info.Strict);
-  codeFlag(Ar, M.Info.MayReturn);
-  codeDuration(Ar, M.Info.Objective);
-  codeDuration(Ar, M.Info.Remaining);
-  codeText(Ar, M.Info.GuardKey);
-  Ar(M.Info.Fingerprint);
-  codeBaseline(Ar, M.Info.Baseline);
+  codeInfo(Ar, M.Info);
   codeText(Ar, M.Request.Method);
   codeText(Ar, M.Request.Target);
   codeHeaders(Ar, M.Request.Headers);
--- a/tools/teaselhitch/NodeCommand.cpp
+++ b/tools/teaselhitch/NodeCommand.cpp
@@ -28,19 +28,50 @@
   return Text.str();
 }
 
-/// The settings, or nothing after the faults were printed.
-std::optional<NodeSettings> loadSettings(const std::string &Path) {
-  std::optional<std::string> Text = readFile(Path);
-  if (!Text) {
-    std::cerr << Path << ": cannot be read\n";
-    return std::nullopt;
-  }
-  CheckedSettings Checked = readNodeSettings(*Text);
+CheckedSettings checkSettings(const std::string &Text) {
+  CheckedSettings Checked = readNodeSettings(Text);
   if (Checked.Faults.empty() &&
       !BalancerRegistry::has(Checked.Settings.Balancer))
     Checked.Faults.push_back(
         SettingsFault{0, "policy.balancer",
                       "unknown balancer '" + Checked.Settings.Balancer + "'"});
+  return Checked;
+}
+
+/// The settings file of a running node.
+class SettingsFile final : public SettingsSource {
+public:
+  SettingsFile(std::string Path, std::string Text)
+      : Path(std::move(Path)), LastText(std::move(Text)) {}
+
+  Result<std::optional<NodeSettings>> changed() override {
+    std::optional<std::string> Text = readFile(Path);
+    if (!Text)
+      return makeError(ErrorCode::Unavailable, Path + ": cannot be read");
+    if (*Text == LastText)
+      return std::optional<NodeSettings>();
+    LastText = *Text;
+    CheckedSettings Checked = checkSettings(*Text);
+    if (!Checked.Faults.empty())
+      return makeError(ErrorCode::InvalidInput,
+                       describeFault(Path, Checked.Faults.front()));
+    return std::optional<NodeSettings>(std::move(Checked.Settings));
+  }
+
+private:
+  std::string Path;
+  std::string LastText;
+};
+
+/// The settings, or nothing after the faults were printed.
+std::optional<NodeSettings> loadSettings(const std::string &Path,
+                                         std::optional<std::string> &Text) {
+  Text = readFile(Path);
+  if (!Text) {
+    std::cerr << Path << ": cannot be read\n";
+    return std::nullopt;
+  }
+  CheckedSettings Checked = checkSettings(*Text);
   for (const SettingsFault &Fault : Checked.Faults)
     std::cerr << describeFault(Path, Fault) << '\n';
   if (!Checked.Faults.empty())
@@ -48,11 +79,12 @@
   return Checked.Settings;
 }
 
-int runNode(const NodeSettings &Settings) {
+int runNode(const NodeSettings &Settings,
+            std::unique_ptr<SettingsSource> Source) {
   configureLogging(Settings.Level, Settings.LogPath);
   int Code = handleError(
       [&]() -> Result<int> {
-        BOOST_LEAF_AUTO(Created, Node::create(Settings));
+        BOOST_LEAF_AUTO(Created, Node::create(Settings, std::move(Source)));
         return Created->run() ? ExitDone : ExitRefused;
       },
       [](const Error &E) {
@@ -95,10 +127,13 @@
     std::cerr << "teaselhitch node: " << Fault << '\n';
     return ExitBadInput;
   }
-  std::optional<NodeSettings> Settings = loadSettings(Path);
+  std::optional<std::string> Text;
+  std::optional<NodeSettings> Settings = loadSettings(Path, Text);
   if (!Settings)
     return ExitBadInput;
-  return CheckOnly ? static_cast<int>(ExitDone) : runNode(*Settings);
+  if (CheckOnly)
+    return ExitDone;
+  return runNode(*Settings, std::make_unique<SettingsFile>(Path, *Text));
 }
 
 } // namespace teaselhitch
--- a/unittests/Entry/EntryTest.cpp
+++ b/unittests/Entry/EntryTest.cpp
@@ -129,7 +129,32 @@
     Request.Key = Key;
     EntryActions Actions;
     LastId = Core->accept(Request, Now, Actions);
-    return Actions;
+    return grant(std::move(Actions));
+  }
+
+  EntryActions failed(const AttemptFailed &Failure, Time At) {
+    return grant(Core->failed(Failure, At));
+  }
+  EntryActions tableReplied(const TableReply &Reply, Time At) {
+    return grant(Core->tableReply(Reply, At));
+  }
+
+  /// Grants the offers, as guards with a free slot do, and takes the requests
+  /// that are then sent.
+  EntryActions grant(EntryActions Actions) {
+    EntryActions All;
+    for (EntryAction &Action : Actions) {
+      const auto *Offered = std::get_if<SendOffer>(&Action);
+      if (!Offered) {
+        All.push_back(std::move(Action));
+        continue;
+      }
+      Grant Granted;
+      Granted.Attempt = Offered->Info.Attempt;
+      for (EntryAction &Next : Core->granted(Granted, Now))
+        All.push_back(std::move(Next));
+    }
+    return All;
   }
 
   std::string claimedByLast() const {
@@ -185,8 +210,8 @@
       EntryActions First = accept(C.Method, C.Path);
       const auto *Sent = find<SendAttempt>(First);
       CPPUNIT_ASSERT(Sent);
-      EntryActions Next = Core->failed(
-          failure(Sent->Info.Attempt, C.Why, C.Result, C.Crashed), Now);
+      EntryActions Next =
+          failed(failure(Sent->Info.Attempt, C.Why, C.Result, C.Crashed), Now);
       const auto *Again = find<SendAttempt>(Next);
       CPPUNIT_ASSERT_EQUAL(C.ExpectRetry, Again != nullptr);
       if (Again) {
@@ -203,14 +228,12 @@
   /// Guards against "not run" for a request whose first attempt may have run.
   void neverReportsNotRunAfterUnknown() {
     EntryActions First = accept("GET", "/read");
-    EntryActions Second =
-        Core->failed(failure(find<SendAttempt>(First)->Info.Attempt,
-                             Reason::LinkLost, Outcome::Unknown),
-                     Now);
-    EntryActions Third =
-        Core->failed(failure(find<SendAttempt>(Second)->Info.Attempt,
-                             Reason::Quarantined, Outcome::NotRun),
-                     Now);
+    EntryActions Second = failed(failure(find<SendAttempt>(First)->Info.Attempt,
+                                         Reason::LinkLost, Outcome::Unknown),
+                                 Now);
+    EntryActions Third = failed(failure(find<SendAttempt>(Second)->Info.Attempt,
+                                        Reason::Quarantined, Outcome::NotRun),
+                                Now);
     CPPUNIT_ASSERT(find<ReplyFailure>(Third)->Result == Outcome::Unknown);
   }
 
@@ -256,7 +279,7 @@
       EntryActions Actions = accept("GET", "/read");
       while (const auto *Sent = find<SendAttempt>(Actions)) {
         Retries += Sent->Info.Attempt.Number > 1 ? 1 : 0;
-        Actions = Core->failed(
+        Actions = failed(
             failure(Sent->Info.Attempt, Reason::Shed, Outcome::NotRun), Now);
       }
     }
@@ -292,8 +315,7 @@
     const auto *Insert = find<TableRequest>(First);
     CPPUNIT_ASSERT(Insert && Insert->Operation == TableOperation::Insert);
     CPPUNIT_ASSERT(!find<SendAttempt>(First));
-    EntryActions Next =
-        Core->tableReply(tableReply(*Insert, TableStatus::Ok), Now);
+    EntryActions Next = tableReplied(tableReply(*Insert, TableStatus::Ok), Now);
     CPPUNIT_ASSERT(find<SendAttempt>(Next));
   }
 
@@ -318,11 +340,11 @@
     for (const Case &C : Cases) {
       setUp();
       EntryActions First = accept("POST", "/pay", "key-1");
-      EntryActions Next = Core->tableReply(
-          tableReply(*find<TableRequest>(First), C.Insert), Now);
+      EntryActions Next =
+          tableReplied(tableReply(*find<TableRequest>(First), C.Insert), Now);
       const auto *Read = find<TableRequest>(Next);
       if (Read && !find<ReplyFailure>(Next))
-        Next = Core->tableReply(tableReply(*Read, C.Read, C.Row), Now);
+        Next = tableReplied(tableReply(*Read, C.Read, C.Row), Now);
       CPPUNIT_ASSERT(!find<SendAttempt>(Next));
       const auto *Reply = find<ReplyFailure>(Next);
       CPPUNIT_ASSERT(Reply && Reply->Why == C.Expected);
@@ -333,28 +355,28 @@
   /// answer of the table was lost.
   void lostClaimAnswerIsReadBack() {
     EntryActions First = accept("POST", "/pay", "key-1");
-    EntryActions Next = Core->tableReply(
+    EntryActions Next = tableReplied(
         tableReply(*find<TableRequest>(First), TableStatus::Unknown), Now);
     const auto *Read = find<TableRequest>(Next);
     CPPUNIT_ASSERT(Read && Read->Operation == TableOperation::Read);
-    EntryActions Last = Core->tableReply(
-        tableReply(*Read, TableStatus::Ok, claimedByLast()), Now);
+    EntryActions Last =
+        tableReplied(tableReply(*Read, TableStatus::Ok, claimedByLast()), Now);
     CPPUNIT_ASSERT(find<SendAttempt>(Last));
   }
 
   /// Guards against a key that stays used although nothing ran.
   void refusedClaimIsReleased() {
     EntryActions Actions = accept("POST", "/pay", "key-1");
-    Actions = Core->tableReply(
+    Actions = tableReplied(
         tableReply(*find<TableRequest>(Actions), TableStatus::Ok), Now);
     while (const auto *Sent = find<SendAttempt>(Actions))
-      Actions = Core->failed(
+      Actions = failed(
           failure(Sent->Info.Attempt, Reason::Draining, Outcome::NotRun), Now);
     CPPUNIT_ASSERT(find<ReplyFailure>(Actions)->Result == Outcome::NotRun);
     const auto *Read = find<TableRequest>(Actions);
     CPPUNIT_ASSERT(Read && Read->Operation == TableOperation::Read);
-    Actions = Core->tableReply(
-        tableReply(*Read, TableStatus::Ok, claimedByLast()), Now);
+    Actions =
+        tableReplied(tableReply(*Read, TableStatus::Ok, claimedByLast()), Now);
     const auto *Release = find<TableRequest>(Actions);
     CPPUNIT_ASSERT(Release && Release->Operation == TableOperation::Replace);
     CPPUNIT_ASSERT(Release->Value.find("released") != std::string::npos);
@@ -387,7 +409,7 @@
       }
       CPPUNIT_ASSERT(Sent->Guard == NodeName("n2"));
       CPPUNIT_ASSERT(Sent->Info.GuardKey == C.Key);
-      EntryActions Next = Core->failed(
+      EntryActions Next = failed(
           failure(Sent->Info.Attempt, Reason::QueueFull, Outcome::NotRun), Now);
       CPPUNIT_ASSERT(!find<SendAttempt>(Next));
     }
--- a/unittests/Guard/GuardFixture.h
+++ b/unittests/Guard/GuardFixture.h
@@ -80,7 +80,7 @@
 
   GuardActions dispatch(const DispatchInfo &I) { return G->dispatch(I, Now); }
   GuardActions finish(std::uint64_t Sequence, RunEnd End = RunEnd::Answered) {
-    return G->finished(id(Sequence), {End, 200, Duration(1)}, Now);
+    return G->finished(id(Sequence), {End, 200, Duration(100)}, Now);
   }
   GuardActions tickAt(double Ms) {
     Now = Time(Ms);
--- a/unittests/Wire/FrameCodecTest.cpp
+++ b/unittests/Wire/FrameCodecTest.cpp
@@ -52,7 +52,9 @@
           Changes,
           PieceRequest{"hash"},
           Piece{"hash", "bytes"},
-          AttemptOverdue{Failed.Attempt, {1, 0, 3, 80}}};
+          AttemptOverdue{Failed.Attempt, {1, 0, 3, 80}},
+          Offer{makeDispatch().Info},
+          Grant{Failed.Attempt, {2, 0, 3, 5}}};
 }
 
 std::string encode(const PeerMessage &Message) {
