Test the adapter on a stand-in of the store

The stand-in of the platform speaks the store's protocol: conditions, watches, forgotten history, 503, 429, reset, silence, and answers that are lost after the write. Fault tables for store, directory and configuration source; forged announcements; judging of answers; statuses that promise 'not run' only for what was proved.

No change of behaviour.

--- /dev/null
+++ b/tools/teaselhitch-standin/RowStoreServer.cpp
@@ -0,0 +1,256 @@
+#include "RowStoreServer.h"
+
+#include "../../platform/WireNames.h"
+#include "Timer.h"
+#include "teaselhitch/Platform/Url.h"
+
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <openssl/evp.h>
+
+#include <stdexcept>
+
+namespace teaselhitch::standin {
+
+namespace {
+
+namespace json = boost::json;
+
+constexpr unsigned Ok = 200;
+constexpr unsigned BadRequest = 400;
+constexpr unsigned Forbidden = 403;
+constexpr unsigned NotFound = 404;
+constexpr unsigned Gone = 410;
+constexpr unsigned ConditionFailed = 412;
+constexpr unsigned TooMany = 429;
+constexpr unsigned Unavailable = 503;
+constexpr std::size_t MaxRows = 500;
+
+HttpResponse jsonResponse(unsigned Status, const json::object &Body) {
+  return makeResponse(Status, json::serialize(Body));
+}
+
+std::string textOf(const json::value &Item, const char *Name) {
+  return std::string(Item.at(Name).as_string());
+}
+
+std::string encodeBase64(const std::string &Bytes) {
+  std::string Text((Bytes.size() + 2) / 3 * 4 + 1, '\0');
+  int Length =
+      EVP_EncodeBlock(reinterpret_cast<unsigned char *>(Text.data()),
+                      reinterpret_cast<const unsigned char *>(Bytes.data()),
+                      static_cast<int>(Bytes.size()));
+  Text.resize(static_cast<std::size_t>(Length));
+  return Text;
+}
+
+const json::array &listOf(const json::value &Body, const char *Name) {
+  return Body.at(Name).as_array();
+}
+
+} // namespace
+
+RowStoreServer::RowStoreServer(boost::asio::io_context &Context)
+    : Context(Context),
+      Server(Context, [this](const ExchangePtr &E) { handle(E); }) {}
+
+Result<Endpoint> RowStoreServer::listen(const Endpoint &Address) {
+  return Server.listen(Address);
+}
+
+void RowStoreServer::put(const std::string &Table, const std::string &Key,
+                         const std::string &Bytes) {
+  Rows[{Table, Key}] = {encodeBase64(Bytes), ++Version, false};
+  wakeWatches();
+}
+
+void RowStoreServer::forgetHistory() {
+  Forgotten = Version;
+  for (const Watch &W : Watches)
+    W.Caller->answer(makeResponse(Gone));
+  Watches.clear();
+}
+
+void RowStoreServer::handle(const ExchangePtr &Current) {
+  const HttpRequest &Request = Current->request();
+  switch (Fault) {
+  case RowStoreFault::Busy:
+    return Current->answer(makeResponse(Unavailable));
+  case RowStoreFault::Many:
+    return Current->answer(makeResponse(TooMany));
+  case RowStoreFault::Reset:
+    return Current->drop();
+  case RowStoreFault::Silent:
+    Unanswered.push_back(Current);
+    return;
+  case RowStoreFault::LostAnswer:
+    execute(Request);
+    return Current->drop();
+  case RowStoreFault::None:
+    break;
+  }
+  if (std::string(Request.target()).rfind(wire::WatchPath, 0) == 0)
+    return answerWatch(Current);
+  Current->answer(execute(Request));
+}
+
+bool RowStoreServer::hasChanged(const Watch &W) const {
+  for (const auto &[Name, R] : Rows)
+    if (Name.first == W.Table && R.Version > W.After)
+      return true;
+  return false;
+}
+
+HttpResponse RowStoreServer::changesFor(const Watch &W) const {
+  json::array Changed;
+  std::map<std::uint64_t, json::object> ByVersion;
+  for (const auto &[Name, R] : Rows) {
+    if (Name.first != W.Table || R.Version <= W.After)
+      continue;
+    json::object Item{{wire::Table, Name.first},
+                      {wire::Partition, ""},
+                      {wire::Key, Name.second},
+                      {wire::RowVersion, R.Version}};
+    if (R.IsRemoved)
+      Item[wire::Removed] = true;
+    else
+      Item[wire::Value] = R.Value;
+    ByVersion.emplace(R.Version, std::move(Item));
+  }
+  for (auto &[Number, Item] : ByVersion)
+    Changed.push_back(std::move(Item));
+  return jsonResponse(Ok, {{wire::Rows, std::move(Changed)},
+                           {wire::RowVersion, Version},
+                           {"NowMs", 0}});
+}
+
+void RowStoreServer::answerWatch(const ExchangePtr &Current) {
+  handleError(
+      [&]() -> Result<bool> {
+        BOOST_LEAF_AUTO(Target,
+                        parseTarget(std::string(Current->request().target())));
+        auto &Query = Target.Parameters;
+        Watch W{Current, Query[wire::Table],
+                std::stoull(Query[wire::AfterVersion])};
+        if (W.After < Forgotten) {
+          Current->answer(makeResponse(Gone));
+          return true;
+        }
+        if (hasChanged(W)) {
+          Current->answer(changesFor(W));
+          return true;
+        }
+        Watches.push_back(W);
+        Duration Wait(std::stod(Query[wire::WaitMs]));
+        runAfter(Context, Wait, [this, W] { W.Caller->answer(changesFor(W)); });
+        return true;
+      },
+      [&](const Error &) {
+        Current->answer(makeResponse(BadRequest));
+        return false;
+      });
+}
+
+void RowStoreServer::wakeWatches() {
+  for (auto It = Watches.begin(); It != Watches.end();) {
+    if (!hasChanged(*It)) {
+      ++It;
+      continue;
+    }
+    It->Caller->answer(changesFor(*It));
+    It = Watches.erase(It);
+  }
+}
+
+HttpResponse RowStoreServer::execute(const HttpRequest &Request) {
+  std::string Text(Request.target());
+  return handleError(
+      [&]() -> Result<HttpResponse> {
+        BOOST_LEAF_AUTO(Target, parseTarget(Text));
+        std::string Path = "/" + Target.Segments.at(0);
+        if (Path == wire::TransactPath)
+          return transact(Request.body());
+        if (Path == wire::ReadPath)
+          return readRange(Target.Parameters);
+        if (Path + "/" == wire::ObjectWritePath)
+          return putObject(Target.Segments.at(1), Request);
+        if (Path + "/" == wire::ObjectReadPath) {
+          auto It = Objects.find(Target.Segments.at(1));
+          if (It == Objects.end())
+            return makeResponse(NotFound);
+          return makeResponse(Ok, It->second);
+        }
+        return makeResponse(NotFound);
+      },
+      [](const Error &) { return makeResponse(BadRequest); });
+}
+
+HttpResponse RowStoreServer::putObject(const std::string &Name,
+                                       const HttpRequest &Request) {
+  bool IsNew = Objects.emplace(Name, Request.body()).second;
+  return makeResponse(IsNew ? Ok : ConditionFailed);
+}
+
+HttpResponse RowStoreServer::transact(const std::string &Body) {
+  json::value Parsed = json::parse(Body);
+  for (const json::value &Item : listOf(Parsed, wire::Conditions)) {
+    auto It = Rows.find({textOf(Item, wire::Table), textOf(Item, wire::Key)});
+    bool Exists = It != Rows.end() && !It->second.IsRemoved;
+    std::uint64_t Is = Exists ? It->second.Version : 0;
+    if (Is != Item.at(wire::RowVersion).to_number<std::uint64_t>())
+      return jsonResponse(ConditionFailed, {{wire::Rows, json::array()},
+                                            {wire::RowVersion, Version},
+                                            {"NowMs", 0}});
+  }
+  for (const char *Kind : {wire::Writes, wire::Removals})
+    for (const json::value &Item : listOf(Parsed, Kind))
+      if (textOf(Item, wire::Table) == wire::ConfigTable)
+        return makeResponse(Forbidden);
+  ++Version;
+  for (const json::value &Item : listOf(Parsed, wire::Writes))
+    Rows[{textOf(Item, wire::Table), textOf(Item, wire::Key)}] = {
+        textOf(Item, wire::Value), Version, false};
+  for (const json::value &Item : listOf(Parsed, wire::Removals))
+    Rows[{textOf(Item, wire::Table), textOf(Item, wire::Key)}] = {"", Version,
+                                                                  true};
+  wakeWatches();
+  return jsonResponse(Ok, {{wire::RowVersion, Version}, {"NowMs", 0}});
+}
+
+HttpResponse
+RowStoreServer::readRange(const std::map<std::string, std::string> &Query) {
+  auto Find = [&](const char *Name) {
+    auto It = Query.find(Name);
+    return It == Query.end() ? std::string() : It->second;
+  };
+  std::string Table = Find(wire::Table);
+  std::string First = Find(wire::FirstKey);
+  std::string End = Find(wire::EndKey);
+  std::string LimitText = Find(wire::Limit);
+  std::size_t Limit = LimitText.empty() ? MaxRows : std::stoul(LimitText);
+  json::array Found;
+  bool HasMore = false;
+  for (const auto &[Name, R] : Rows) {
+    const auto &[RowTable, Key] = Name;
+    bool IsInRange = RowTable == Table && Key >= First &&
+                     (End.empty() || Key < End) && !R.IsRemoved;
+    if (!IsInRange)
+      continue;
+    HasMore = Found.size() >= Limit;
+    if (HasMore)
+      break;
+    Found.push_back(json::object{{wire::Table, Table},
+                                 {wire::Partition, ""},
+                                 {wire::Key, Key},
+                                 {wire::Value, R.Value},
+                                 {wire::RowVersion, R.Version}});
+  }
+  return jsonResponse(Ok, {{wire::Rows, std::move(Found)},
+                           {"HasMore", HasMore},
+                           {wire::RowVersion, Version},
+                           {"NowMs", 0}});
+}
+
+} // namespace teaselhitch::standin
--- /dev/null
+++ b/unittests/RowStorePlatform/ConfigReaderTest.cpp
@@ -0,0 +1,134 @@
+#include "../../platform/ConfigReader.h"
+
+#include "teaselhitch/Routing/RuleTable.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace teaselhitch;
+
+namespace {
+
+const std::string Whole = R"({"Version":"r12","Limits":{"MaxHeaderBytes":16384,
+"MaxBodyBytes":67108864,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000},
+"Listeners":[{"Host":"A.example","Rules":[
+{"Name":"r1","Kind":"safe","SloMs":1000,"Priority":2,"Match":{"Prefix":"/a/"},
+"Action":{"Split":[{"Service":"s1","Weight":90},{"Service":"s2","Weight":10}],
+"TimeoutMs":2000,"Attempts":2}},
+{"Name":"r2","Kind":"unsafe","SloMs":500,"Priority":0,"Match":{"Prefix":"/a/b/"},
+"Action":{"Service":"s2","TimeoutMs":1200,"Attempts":3}}]}],
+"Clusters":[{"Name":"s2","HealthPath":"/health"},{"Name":"s1"}]})";
+
+SourcedConfig read(const std::string &Text) {
+  return handleError([&] { return readStoredConfig(Text, ConfigDefaults()); },
+                     [](const Error &E) {
+                       CPPUNIT_FAIL(E.Message);
+                       return SourcedConfig();
+                     });
+}
+
+/// The whole configuration in which From is replaced by To.
+std::string changed(const std::string &From, const std::string &To) {
+  std::string Text = Whole;
+  std::size_t Place = Text.find(From);
+  CPPUNIT_ASSERT(Place != std::string::npos);
+  return Text.replace(Place, From.size(), To);
+}
+
+class ConfigReaderTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ConfigReaderTest);
+  CPPUNIT_TEST(translatesAllFields);
+  CPPUNIT_TEST(routesByHostAndLongestPrefix);
+  CPPUNIT_TEST(splitsByWeight);
+  CPPUNIT_TEST(refusesWhatItCannotRead);
+  CPPUNIT_TEST_SUITE_END();
+
+  /// Guards against fields that are dropped or swapped in the translation.
+  void translatesAllFields() {
+    SourcedConfig Read = read(Whole);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(12), Read.Version);
+    const ObjectSet &Objects = Read.Objects;
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), Objects.Services.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("/health"),
+                         Objects.Services.at(1).HealthPath);
+    CPPUNIT_ASSERT(!Objects.Services.at(0).Ejections);
+    const Rule &Split = Objects.Rules.at(0);
+    CPPUNIT_ASSERT(Split.Idempotent && Split.Host == "a.example");
+    CPPUNIT_ASSERT(Split.Objective == Duration(1000));
+    CPPUNIT_ASSERT(Split.Deadline == Duration(2000));
+    const Rule &Once = Objects.Rules.at(1);
+    CPPUNIT_ASSERT(!Once.Idempotent && Once.Attempts == 3 &&
+                   Once.Priority == 0 && Once.Group.str() == "s2");
+    const Listener &L = Objects.Listeners.at(0);
+    CPPUNIT_ASSERT(L.MaxBodyBytes == 67108864 &&
+                   L.IdleTimeout == Duration(15000));
+  }
+
+  /// Guards against requests that run at the service of another rule.
+  void routesByHostAndLongestPrefix() {
+    auto Active = std::make_shared<ActiveConfig>();
+    Active->Objects = read(Whole).Objects;
+    RuleTable Table(Active);
+    struct Case {
+      const char *Host;
+      const char *Path;
+      const char *Expected;
+    };
+    for (const Case &C :
+         {Case{"a.example", "/a/x", "r1"}, Case{"a.example", "/a/b/x", "r2"},
+          Case{"a.example", "/a/b", "r1"}, Case{"a.example", "/a/", "r1"},
+          Case{"a.example", "/a", ""}, Case{"b.example", "/a/x", ""},
+          Case{"", "/a/x", ""}, Case{"a.example", "/ab/", ""}}) {
+      const MatchedRule *Found = Table.match("GET", C.Host, C.Path);
+      CPPUNIT_ASSERT_EQUAL(std::string(C.Expected),
+                           Found ? Found->Object->Name.str() : "");
+    }
+  }
+
+  /// Guards against shares that are off their weights.
+  void splitsByWeight() {
+    auto Active = std::make_shared<ActiveConfig>();
+    Active->Objects = read(Whole).Objects;
+    RuleTable Table(Active);
+    const MatchedRule *Found = Table.match("GET", "a.example", "/a/x");
+    constexpr int Draws = 1000;
+    int Second = 0;
+    for (int I = 0; I != Draws; ++I)
+      Second += Found->choose(static_cast<double>(I) / Draws)
+                            .To.TargetService->Name.str() == "s2"
+                    ? 1
+                    : 0;
+    CPPUNIT_ASSERT_EQUAL(Draws / 10, Second);
+  }
+
+  /// Guards against half-read configurations, and against errors that do not
+  /// name the field.
+  void refusesWhatItCannotRead() {
+    struct Case {
+      std::string Text;
+      const char *Named;
+    };
+    const Case Cases[] = {
+        {"{", "JSON"},
+        {Whole.substr(0, Whole.size() / 2), "JSON"},
+        {changed("\"r12\"", "12"), "Version"},
+        {changed("\"r12\"", "\"12\""), "version"},
+        {changed("\"TimeoutMs\":2000,", ""), "TimeoutMs"},
+        {changed("\"safe\"", "7"), "Kind"},
+        {changed("\"Weight\":90", "\"Weight\":-1"), "Weight"},
+        {changed("{\"Prefix\":\"/a/\"}", "{}"), "Prefix"},
+    };
+    for (const Case &C : Cases) {
+      std::string Fault;
+      handleError([&] { return readStoredConfig(C.Text, ConfigDefaults()); },
+                  [&](const Error &E) {
+                    Fault = E.Message;
+                    return SourcedConfig();
+                  });
+      CPPUNIT_ASSERT(Fault.find(C.Named) != std::string::npos);
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ConfigReaderTest);
+
+} // namespace
--- /dev/null
+++ b/unittests/RowStorePlatform/RowStoreTest.cpp
@@ -0,0 +1,242 @@
+#include "../../platform/ConfigReader.h"
+#include "../../platform/NodeTable.h"
+#include "../../platform/RowStoreClient.h"
+#include "../../platform/StoreAdapters.h"
+#include "../../tools/teaselhitch-standin/RowStoreServer.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <future>
+#include <thread>
+
+using namespace teaselhitch;
+using standin::RowStoreFault;
+
+namespace {
+
+constexpr Duration Timeout = Duration(200);
+constexpr const char *Small = R"({"Version":"r%","Listeners":[],)"
+                              R"("Clusters":[{"Name":"s"}]})";
+
+std::string config(const std::string &Version) {
+  std::string Text = Small;
+  return Text.replace(Text.find('%'), 1, Version);
+}
+
+/// The stand-in on its own thread and a free loopback port.
+class StoreFixture {
+public:
+  StoreFixture() : Server(Context) {
+    Address = Server.listen({"127.0.0.1", 0}).value();
+    Thread = std::thread([this] { Context.run(); });
+  }
+  ~StoreFixture() {
+    Context.stop();
+    Thread.join();
+  }
+  StoreFixture(const StoreFixture &) = delete;
+  StoreFixture &operator=(const StoreFixture &) = delete;
+
+  template <typename FunctionT> void onServer(FunctionT Function) {
+    std::promise<void> Done;
+    boost::asio::post(Context, [&] {
+      Function(Server);
+      Done.set_value();
+    });
+    Done.get_future().wait();
+  }
+  void setFault(RowStoreFault Fault) {
+    onServer([&](standin::RowStoreServer &S) { S.setFault(Fault); });
+  }
+  void publish(const std::string &Version) {
+    onServer([&](standin::RowStoreServer &S) {
+      S.put("op", "config", config(Version));
+    });
+  }
+
+  RowStoreClient client() const {
+    return RowStoreClient::create(Address, Timeout).value();
+  }
+
+private:
+  boost::asio::io_context Context{1};
+  boost::asio::executor_work_guard<boost::asio::io_context::executor_type> Work{
+      Context.get_executor()};
+  standin::RowStoreServer Server;
+  Endpoint Address;
+  std::thread Thread;
+};
+
+/// Name of the error of a call, or "ok".
+template <typename FunctionT> std::string outcomeOf(FunctionT Call) {
+  return handleError(
+      [&]() -> Result<std::string> {
+        BOOST_LEAF_CHECK(Call());
+        return std::string("ok");
+      },
+      [](const Error &E) { return std::string(errorCodeName(E.Code)); });
+}
+
+std::uint64_t nextVersion(ConfigSource &Source, Duration Wait = Duration(50)) {
+  return handleError(
+      [&]() -> Result<std::uint64_t> {
+        BOOST_LEAF_AUTO(Next, Source.next(Wait));
+        return Next ? Next->Version : 0;
+      },
+      [](const Error &) { return std::uint64_t(0); });
+}
+
+class RowStoreTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(RowStoreTest);
+  CPPUNIT_TEST(conditionsDecideWrites);
+  CPPUNIT_TEST(faultsTellWhetherAWriteMayBeDone);
+  CPPUNIT_TEST(valuesSurviveTheEncoding);
+  CPPUNIT_TEST(objectsAreWrittenOnce);
+  CPPUNIT_TEST(directoryListsAndRemovesNodes);
+  CPPUNIT_TEST(sourceFollowsTheConfiguration);
+  CPPUNIT_TEST(sourceReadsAgainWhenTheHistoryIsGone);
+  CPPUNIT_TEST(sourceRecoversFromEachFault);
+  CPPUNIT_TEST_SUITE_END();
+
+  /// Guards against two writers that both believe to have won.
+  void conditionsDecideWrites() {
+    StoreFixture F;
+    auto Table = createRowTableStore(F.client());
+    std::uint64_t First = Table->insert("t", "k", "1").value();
+    CPPUNIT_ASSERT_EQUAL(std::string("conflict"), outcomeOf([&] {
+                           return Table->insert("t", "k", "2");
+                         }));
+    CPPUNIT_ASSERT_EQUAL(std::string("conflict"), outcomeOf([&] {
+                           return Table->replace("t", "k", "2", First + 1);
+                         }));
+    std::uint64_t Second = Table->replace("t", "k", "2", First).value();
+    CPPUNIT_ASSERT(Second > First);
+    CPPUNIT_ASSERT_EQUAL(std::string("2"),
+                         Table->read("t", "k").value()->Value);
+    CPPUNIT_ASSERT(!Table->read("t", "j").value());
+    CPPUNIT_ASSERT_EQUAL(std::string("ok"), outcomeOf([&] {
+                           return Table->erase("t", "k", Second);
+                         }));
+    CPPUNIT_ASSERT(!Table->read("t", "k").value());
+  }
+
+  /// Guards against a write that is taken for undone although it took effect.
+  void faultsTellWhetherAWriteMayBeDone() {
+    struct Case {
+      RowStoreFault Fault;
+      const char *Write;
+      const char *Read;
+      bool IsDone;
+    };
+    const Case Cases[] = {
+        {RowStoreFault::Busy, "unavailable", "unavailable", false},
+        {RowStoreFault::Many, "unavailable", "unavailable", false},
+        {RowStoreFault::Reset, "timeout", "unavailable", false},
+        {RowStoreFault::Silent, "timeout", "unavailable", false},
+        {RowStoreFault::LostAnswer, "timeout", "unavailable", true},
+    };
+    for (const Case &C : Cases) {
+      StoreFixture F;
+      RowStoreClient Client = F.client();
+      F.setFault(C.Fault);
+      CPPUNIT_ASSERT_EQUAL(std::string(C.Write), outcomeOf([&] {
+                             return Client.write({"t", "k", "v", 0});
+                           }));
+      CPPUNIT_ASSERT_EQUAL(std::string(C.Read), outcomeOf([&] {
+                             return Client.read("t", KeyRange());
+                           }));
+      F.setFault(RowStoreFault::None);
+      CPPUNIT_ASSERT_EQUAL(C.IsDone,
+                           !Client.read("t", KeyRange()).value().Rows.empty());
+    }
+  }
+
+  /// Guards against values that change on the way.
+  void valuesSurviveTheEncoding() {
+    StoreFixture F;
+    RowStoreClient Client = F.client();
+    for (std::size_t Size = 0; Size != 7; ++Size) {
+      std::string Value("\0\xff\x80=ab", Size);
+      Client.write({"t", "a/b c", Value, std::nullopt}).value();
+      CPPUNIT_ASSERT(Client.read("t", KeyRange()).value().Rows.at(0).Value ==
+                     Value);
+    }
+  }
+
+  /// Guards against an object that changes after it was written.
+  void objectsAreWrittenOnce() {
+    StoreFixture F;
+    auto Objects = createBlobObjectStore(F.client());
+    CPPUNIT_ASSERT(!Objects->read("o").value());
+    CPPUNIT_ASSERT(Objects->write("o", "bytes"));
+    CPPUNIT_ASSERT_EQUAL(std::string("conflict"), outcomeOf([&] {
+                           return Objects->write("o", "others");
+                         }));
+    CPPUNIT_ASSERT_EQUAL(std::string("bytes"), *Objects->read("o").value());
+  }
+
+  /// Guards against a node that removes the entry of the next process of its
+  /// instance.
+  void directoryListsAndRemovesNodes() {
+    StoreFixture F;
+    auto First = createNodeTable(F.client());
+    auto Next = createNodeTable(F.client());
+    NodeRecord Self;
+    Self.Name = NodeName("n1");
+    Self.Address = {"10.0.0.1", 7001};
+    CPPUNIT_ASSERT(First->enter(Self));
+    CPPUNIT_ASSERT(Next->enter(Self));
+    CPPUNIT_ASSERT_EQUAL(std::string("conflict"),
+                         outcomeOf([&] { return First->remove(Self); }));
+    CPPUNIT_ASSERT(Next->read().value() == std::vector<Endpoint>{Self.Address});
+    CPPUNIT_ASSERT(Next->remove(Self));
+    CPPUNIT_ASSERT(Next->read().value().empty());
+  }
+
+  /// Guards against changes that are missed or returned twice.
+  void sourceFollowsTheConfiguration() {
+    StoreFixture F;
+    auto Source = createStoredConfigSource(F.client(), ConfigDefaults());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), nextVersion(*Source));
+    F.publish("3");
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(3), nextVersion(*Source));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), nextVersion(*Source));
+    F.publish("4");
+    F.publish("9");
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(9), nextVersion(*Source));
+  }
+
+  /// Guards against a change that is lost with the history.
+  void sourceReadsAgainWhenTheHistoryIsGone() {
+    StoreFixture F;
+    F.publish("3");
+    auto Source = createStoredConfigSource(F.client(), ConfigDefaults());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(3), nextVersion(*Source));
+    F.publish("5");
+    F.onServer([](standin::RowStoreServer &S) { S.forgetHistory(); });
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(5), nextVersion(*Source));
+  }
+
+  /// Guards against a source that stays lost when the store is back.
+  void sourceRecoversFromEachFault() {
+    for (RowStoreFault Fault :
+         {RowStoreFault::Busy, RowStoreFault::Many, RowStoreFault::Reset,
+          RowStoreFault::Silent, RowStoreFault::LostAnswer}) {
+      StoreFixture F;
+      F.publish("3");
+      auto Source = createStoredConfigSource(F.client(), ConfigDefaults());
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t(3), nextVersion(*Source));
+      F.setFault(Fault);
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), nextVersion(*Source));
+      F.publish("4");
+      F.setFault(RowStoreFault::None);
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t(4), nextVersion(*Source));
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RowStoreTest);
+
+} // namespace
--- /dev/null
+++ b/unittests/RowStorePlatform/SidecarProtocolsTest.cpp
@@ -0,0 +1,147 @@
+#include "../../platform/SidecarProtocols.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace teaselhitch;
+
+namespace {
+
+const std::string Body =
+    R"({"Address":"10.0.0.9:8080","born":1700,"Info":{"Service":"s","Version":)"
+    R"("v1","Zone":"z","Slots":4},"Status":{"State":"ready","Seq":4,)"
+    R"("ColdLeftMs":250}})";
+
+std::string changed(const std::string &From, const std::string &To) {
+  std::string Text = Body;
+  std::size_t Place = Text.find(From);
+  CPPUNIT_ASSERT(Place != std::string::npos);
+  return Text.replace(Place, From.size(), To);
+}
+
+/// The error of a message to the announcement listener, or an empty text.
+std::string faultOf(const std::string &Target, const std::string &Text) {
+  std::string Fault;
+  handleError(
+      [&] {
+        return createSidecarBackends()->read({"POST", Target, {}, Text});
+      },
+      [&](const Error &E) {
+        Fault = E.Message;
+        return BackendMessage();
+      });
+  return Fault;
+}
+
+AnswerKind judge(unsigned Status, HeaderList Headers) {
+  return createSidecarBackends()->judge({{"Request-Id", "id1"}},
+                                        {Status, std::move(Headers), ""});
+}
+
+class SidecarProtocolsTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(SidecarProtocolsTest);
+  CPPUNIT_TEST(announcementsAreTranslated);
+  CPPUNIT_TEST(forgedAnnouncementsNameNoServer);
+  CPPUNIT_TEST(answersAreJudged);
+  CPPUNIT_TEST(callersCannotSetOwnHeaders);
+  CPPUNIT_TEST(onlyProvedRefusalsPromise);
+  CPPUNIT_TEST_SUITE_END();
+
+  /// Guards against fields that are swapped, and a start that is not told from
+  /// the one before.
+  void announcementsAreTranslated() {
+    auto Message = createSidecarBackends()
+                       ->read({"POST", "/Instances.Heartbeat/i-1", {}, Body})
+                       .value();
+    const auto &A = std::get<Announcement>(Message);
+    CPPUNIT_ASSERT(A.Name.str() == "i-1" && A.Service.str() == "s");
+    CPPUNIT_ASSERT(A.Address == (Endpoint{"10.0.0.9", 8080}));
+    CPPUNIT_ASSERT(A.Incarnation == 1700 && A.Sequence == 5 && A.Slots == 4);
+    CPPUNIT_ASSERT(A.State == BackendServerState::Ready);
+    CPPUNIT_ASSERT(A.ColdLeft == Duration(250));
+    auto Left = createSidecarBackends()
+                    ->read({"POST", "/Instances.Leave/i-1", {}, ""})
+                    .value();
+    CPPUNIT_ASSERT(std::get<Departure>(Left).Name.str() == "i-1");
+  }
+
+  /// Guards against work for a server that another writer has made up.
+  void forgedAnnouncementsNameNoServer() {
+    const std::string Target = "/Instances.Heartbeat/i-1";
+    struct Case {
+      std::string Target;
+      std::string Text;
+      const char *Named;
+    };
+    const Case Cases[] = {
+        {Target, "not json", "JSON"},
+        {Target, "[]", "JSON"},
+        {Target, changed("\"born\":1700,", ""), "born"},
+        {Target, changed("1700", "1700.5"), "born"},
+        {Target, changed("\"Slots\":4", "\"Slots\":\"4\""), "Slots"},
+        {Target, changed("\"Slots\":4", "\"Slots\":0"), "Slots"},
+        {Target, changed("\"ready\"", "\"gone\""), "State"},
+        {Target, changed("\"Seq\":4", "\"Seq\":-4"), "Seq"},
+        {Target, changed("10.0.0.9:8080", "server:8080"), "Address"},
+        {Target, changed("\"Service\":\"s\"", "\"Service\":7"), "Service"},
+        {"/Instances.Heartbeat/a b", Body, "id"},
+        {"/Instances.Other/i-1", Body, "unknown call"},
+    };
+    for (const Case &C : Cases)
+      CPPUNIT_ASSERT(faultOf(C.Target, C.Text).find(C.Named) !=
+                     std::string::npos);
+  }
+
+  /// Guards against an answer of another request, an answer that proves
+  /// nothing, and a refusal that is not one.
+  void answersAreJudged() {
+    Header Own{"Request-Id", "id1"};
+    Header Proof{"Server-Seal", "x"};
+    Header Refused{"Not-Executed", "1"};
+    CPPUNIT_ASSERT(judge(200, {Own, Proof}) == AnswerKind::Valid);
+    CPPUNIT_ASSERT(judge(500, {Own, Proof}) == AnswerKind::Valid);
+    CPPUNIT_ASSERT(judge(200, {Own}) == AnswerKind::Unproven);
+    CPPUNIT_ASSERT(judge(200, {{"Request-Id", "id2"}, Proof}) ==
+                   AnswerKind::Foreign);
+    CPPUNIT_ASSERT(judge(421, {Own}) == AnswerKind::OtherServer);
+    CPPUNIT_ASSERT(judge(503, {Refused}) == AnswerKind::NotRun);
+    CPPUNIT_ASSERT(judge(503, {Own, Proof}) == AnswerKind::Unproven);
+  }
+
+  /// Guards against callers that claim to be another service.
+  void callersCannotSetOwnHeaders() {
+    HttpRequest Request{"GET",
+                        "/a/b?c=1",
+                        {{"Host", "A.example:80"},
+                         {"Caller-Service", "other"},
+                         {"expect-instance", "i-9"},
+                         {"Deadline-Ms", "250"},
+                         {"Request-Id", "parent.child"}},
+                        ""};
+    CallerRequest Read = createSidecarCallers("own")->describe(Request).value();
+    CPPUNIT_ASSERT(Read.Host == "a.example" && Read.Path == "/a/b");
+    CPPUNIT_ASSERT(Read.Deadline == Duration(250) && Read.IsSubRequest);
+    CPPUNIT_ASSERT_EQUAL(std::string("own"),
+                         headerValue(Request.Headers, "Caller-Service"));
+    CPPUNIT_ASSERT(headerValue(Request.Headers, "Expect-Instance").empty());
+    CPPUNIT_ASSERT(headerValue(Request.Headers, "Deadline-Ms").empty());
+  }
+
+  /// Guards against a status that promises "not run" for what may have run.
+  void onlyProvedRefusalsPromise() {
+    auto Protocol = createSidecarCallers("own");
+    for (const ReasonInfo &Info : allReasons()) {
+      Refusal What;
+      What.Why = Info.Code;
+      What.Result = Outcome::Unknown;
+      unsigned Unknown = Protocol->refuse(What).Status;
+      CPPUNIT_ASSERT(Unknown == 502 || Unknown == 504);
+      What.Result = Outcome::NotRun;
+      unsigned NotRun = Protocol->refuse(What).Status;
+      CPPUNIT_ASSERT(NotRun == 503 || NotRun < 500);
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(SidecarProtocolsTest);
+
+} // namespace
