Test offers, risk and framing; strict framing of requests; listener limits from the configuration

Cause: a queue that was full refused urgent work although less urgent work waited, because the shares of the organisations decide before the rank does (found by the new test); any Transfer-Encoding that ends in 'chunked' and a request without Host were accepted; bodies over 1 MiB could not pass.

Change: admission is decided first, then rank displaces the last one. Anything but one 'chunked' and exactly one Host is answered 400 and closes. 204 and 304 carry no length. Limits of the listener object are in force for the next request; frames hold up to 72 MiB.

Tests: risk of a backend server under hangs, instant failures, recovery; offers to one guard after the other and to several; hedges; kept error answers; second answers on a connection, at once and late; framing cases that were answered 200 before.

--- a/include/teaselhitch/Net/HttpServer.h
+++ b/include/teaselhitch/Net/HttpServer.h
@@ -27,14 +27,20 @@
   virtual void onGone(std::function<void()> Function) = 0;
 };
 
-struct HttpServerSettings {
-  Endpoint Listen;
+struct HttpLimits {
   std::uint32_t MaxHeaderBytes = 16 * 1024;
   std::uint64_t MaxBodyBytes = 1024ULL * 1024;
-  std::uint32_t MaxConnections = 1024;
   /// An idle connection is closed after this time.
   Duration IdleTimeout = Duration::seconds(60);
-  /// Time to receive a whole request once its first byte is there.
+
+  auto operator<=>(const HttpLimits &) const = default;
+};
+
+struct HttpServerSettings {
+  Endpoint Listen;
+  HttpLimits Limits;
+  std::uint32_t MaxConnections = 1024;
+  /// Time to receive a whole request once its header is there.
   Duration RequestTimeout = Duration::seconds(30);
 };
 
@@ -63,6 +69,9 @@
   /// Stops listening and closes all connections.
   virtual void close() = 0;
 
+  /// Changes the limits of sizes and times for requests that begin from now on.
+  virtual void setLimits(const HttpLimits &Limits) = 0;
+
   virtual std::size_t connectionCount() const = 0;
   /// The bound port.
   virtual std::uint16_t port() const = 0;
--- a/include/teaselhitch/Wire/FrameCodec.h
+++ b/include/teaselhitch/Wire/FrameCodec.h
@@ -60,7 +60,7 @@
                  AttemptOverdue, Offer, Grant>;
 
 /// Greatest length of a frame without its length field in bytes.
-inline constexpr std::uint32_t MaxFrameBytes = 2 * 1024 * 1024;
+inline constexpr std::uint32_t MaxFrameBytes = 72 * 1024 * 1024;
 
 /// The frame of a message; Exhausted if it would be too long.
 Result<std::string> encodeFrame(const PeerMessage &Message);
--- a/lib/Config/Check.cpp
+++ b/lib/Config/Check.cpp
@@ -16,9 +16,8 @@
 constexpr std::int64_t MaxBackendServers = 100'000;
 constexpr std::int64_t MaxShare = 10'000;
 constexpr std::int64_t MaxQueuePerSlot = 1'000;
-/// A body travels between nodes in one frame of at most 2 MiB; 128 KiB of it
-/// are left for the headers.
-constexpr std::int64_t MaxBodyBytes = 2 * 1024 * 1024 - 128 * 1024;
+/// A body travels between nodes in one frame of at most 72 MiB.
+constexpr std::int64_t MaxBodyBytes = 64 * 1024 * 1024;
 /// A node that stops waits 30 s for its requests, so a longer request could be
 /// interrupted by a planned stop.
 constexpr std::int64_t MaxDeadlineMs = 30'000;
--- a/lib/Guard/GuardCore.h
+++ b/lib/Guard/GuardCore.h
@@ -95,8 +95,9 @@
   std::optional<Reason> declineStrict(const DispatchInfo &Info, Time Now);
   /// An attempt that waits now would most likely miss its deadline.
   bool wouldExpire(const Attempt &A) const;
-  /// Makes room in a full queue for an attempt that goes before others.
-  void displaceLast(const Attempt &A, Time Now, GuardActions &Out);
+  /// Makes room in a full queue for an attempt that goes before others; false
+  /// if there is none.
+  bool displaceLast(const Attempt &A, Time Now, GuardActions &Out);
   /// All servers that could run the attempt look bad.
   bool allRisky(const DispatchInfo &Info, Time Now) const;
   /// Gives waiting attempts back when all servers of a service look bad.
--- a/lib/Guard/GuardDispatch.cpp
+++ b/lib/Guard/GuardDispatch.cpp
@@ -99,10 +99,13 @@
     refuse(A.Info, Reason::QueueFull, retryAfter(Service), Now, Out);
     return;
   }
-  displaceLast(A, Now, Out);
   ServiceQueue &Q = Queues[Service];
   Q.Shares.arrived(A.Payer, share(A.Payer), Q.Queue.size(A.Payer) != 0, Now);
-  switch (Q.Shares.admit(A.Payer, Q.Queue, queueLimit(Service), Now)) {
+  Admission Decision =
+      Q.Shares.admit(A.Payer, Q.Queue, queueLimit(Service), Now);
+  if (Decision == Admission::QueueFull && displaceLast(A, Now, Out))
+    Decision = Q.Shares.admit(A.Payer, Q.Queue, queueLimit(Service), Now);
+  switch (Decision) {
   case Admission::Admit:
     Q.Queue.insert(A.Payer, A.queued());
     store(A);
@@ -132,14 +135,11 @@
   return std::nullopt;
 }
 
-void GuardCore::displaceLast(const Attempt &A, Time Now, GuardActions &Out) {
-  const ServiceName &Service = A.Info.Service;
-  const AdmissionQueue &Queue = Queues[Service].Queue;
-  if (Queue.size() < queueLimit(Service))
-    return;
+bool GuardCore::displaceLast(const Attempt &A, Time Now, GuardActions &Out) {
+  const AdmissionQueue &Queue = Queues[A.Info.Service].Queue;
   auto Line = Queue.lines().find(A.Payer);
   if (Line == Queue.lines().end() || Line->second.empty())
-    return;
+    return false;
   const QueuedAttempt &Last = *Line->second.rbegin();
   // Only rank displaces; otherwise who came first keeps the place.
   bool GoesBefore = A.Info.IsSubRequest > Last.IsSubRequest ||
@@ -147,7 +147,8 @@
                      A.Info.Priority < Last.Priority);
   if (GoesBefore)
     refuseWaiting(AttemptId(Last.Attempt), Reason::QueueFull, Now, Out,
-                  retryAfter(Service));
+                  retryAfter(A.Info.Service));
+  return GoesBefore;
 }
 
 bool GuardCore::wouldExpire(const Attempt &A) const {
--- a/lib/Net/Http.cpp
+++ b/lib/Net/Http.cpp
@@ -60,7 +60,9 @@
   for (const Header &H : Request.Headers)
     if (!isHopByHop(H.Name) && !iequals(H.Name, "Host"))
       Message.insert(H.Name, H.Value);
-  Message.set(http::field::host, Authority);
+  // The authority that the caller named selects the resource.
+  std::string Host = headerValue(Request.Headers, "Host");
+  Message.set(http::field::host, Host.empty() ? Authority : Host);
   Message.body() = std::move(Request.Body);
   Message.prepare_payload();
   return Message;
@@ -76,7 +78,13 @@
       Message.insert(H.Name, H.Value);
   Message.body() = std::move(Answer.Body);
   Message.keep_alive(KeepAlive);
-  Message.prepare_payload();
+  constexpr unsigned NoContent = 204;
+  constexpr unsigned NotModified = 304;
+  // These have no body, and a length would say that one follows.
+  if (Message.result_int() == NoContent || Message.result_int() == NotModified)
+    Message.body().clear();
+  else
+    Message.prepare_payload();
   return Message;
 }
 
--- a/lib/Net/HttpServer.cpp
+++ b/lib/Net/HttpServer.cpp
@@ -53,6 +53,19 @@
          Fault != http::error::partial_message;
 }
 
+/// False for a request whose end cannot be told for certain, so that what
+/// follows could be taken for a request of its own, and for one without the
+/// `Host` that HTTP/1.1 demands.
+bool isWellFramed(const http::request<http::string_body> &Request) {
+  constexpr unsigned Http11 = 11;
+  if (Request.version() >= Http11 && Request.count(http::field::host) != 1)
+    return false;
+  if (Request.count(http::field::transfer_encoding) == 0)
+    return true;
+  return Request.count(http::field::transfer_encoding) == 1 &&
+         beast::iequals(Request[http::field::transfer_encoding], "chunked");
+}
+
 /// One connection. Requests are answered one after the other.
 class Session : public std::enable_shared_from_this<Session> {
 public:
@@ -134,9 +147,9 @@
   IsIdle = true;
   IdleSince = Wall.now();
   Parser.emplace();
-  Parser->header_limit(Server->Settings.MaxHeaderBytes);
-  Parser->body_limit(Server->Settings.MaxBodyBytes);
-  Stream.expires_after(toChrono(Server->Settings.IdleTimeout));
+  Parser->header_limit(Server->Settings.Limits.MaxHeaderBytes);
+  Parser->body_limit(Server->Settings.Limits.MaxBodyBytes);
+  Stream.expires_after(toChrono(Server->Settings.Limits.IdleTimeout));
   http::async_read_header(
       Stream, Buffer, *Parser,
       [Self = shared_from_this()](ErrorCodeT Fault, std::size_t) {
@@ -148,6 +161,8 @@
   if (Fault)
     return refuse(Fault);
   IsIdle = false;
+  if (!isWellFramed(Parser->get()))
+    return refuse(http::error::bad_transfer_encoding);
   Stream.expires_after(toChrono(Server->Settings.RequestTimeout));
   if (beast::iequals(Parser->get()[http::field::expect], "100-continue")) {
     // Sent without waiting for the result; a failure shows at the next read.
@@ -263,6 +278,10 @@
       S->close();
   }
 
+  void setLimits(const HttpLimits &Limits) override {
+    State->Settings.Limits = Limits;
+  }
+
   std::size_t connectionCount() const override {
     return State->Sessions.size();
   }
--- a/lib/Node/CallersDuty.cpp
+++ b/lib/Node/CallersDuty.cpp
@@ -21,9 +21,22 @@
 /// While draining, requests are refused with a reason for this time before the
 /// listener closes.
 constexpr Duration RefusalTime = Duration(200);
+/// A whole message has to fit into one frame between nodes, with its headers.
+constexpr std::uint64_t MaxForwardedBytes = MaxFrameBytes - 1024 * 1024;
+/// Callers reuse connections until shortly before the idle timeout; one that
+/// closes at the same moment would cost a request.
+constexpr double IdleMargin = 1.25;
 constexpr const char *KeysPath = "/.teaselhitch/keys";
 constexpr const char *OwnPathPrefix = "/.teaselhitch/";
 
+HttpLimits limitsOf(const Listener &L) {
+  HttpLimits Limits;
+  Limits.MaxHeaderBytes = L.MaxHeaderBytes;
+  Limits.MaxBodyBytes = std::min(L.MaxBodyBytes, MaxForwardedBytes);
+  Limits.IdleTimeout = L.IdleTimeout * IdleMargin;
+  return Limits;
+}
+
 void countRequest(MetricRegistry &Metrics, Outcome Result,
                   const char *ReasonName) {
   Metrics
@@ -61,8 +74,8 @@
 
   HttpServerSettings Http;
   Http.Listen = Settings.Callers;
-  Http.MaxHeaderBytes = Settings.MaxHeaderBytes;
-  Http.MaxBodyBytes = Settings.MaxBodyBytes;
+  Http.Limits.MaxHeaderBytes = Settings.MaxHeaderBytes;
+  Http.Limits.MaxBodyBytes = Settings.MaxBodyBytes;
   Http.MaxConnections = Settings.MaxCallerConnections;
   CallersDuty *Self = Made.get();
   BOOST_LEAF_ASSIGN(Made->Server,
@@ -114,6 +127,8 @@
     ConfigGeneration = NewConfig;
     std::shared_ptr<const ActiveConfig> Config = Rings.Config.current();
     ConfigVersion = Config ? Config->Version : 0;
+    if (Config && !Config->Objects.Listeners.empty())
+      Server->setLimits(limitsOf(Config->Objects.Listeners.front()));
     Core->configure(std::move(Config));
   }
   std::uint64_t NewView = Rings.View.generation();
--- a/lib/Settings/NodeSettings.cpp
+++ b/lib/Settings/NodeSettings.cpp
@@ -61,16 +61,17 @@
 
 void readLimits(SettingsReader &Reader, NodeSettings &S) {
   constexpr std::int64_t MaxBytes = 1024LL * 1024;
+  constexpr std::int64_t MaxMessageBytes = 64LL * 1024 * 1024;
   Reader.section("limits");
   S.MaxHeaderBytes = static_cast<std::uint32_t>(
       Reader.integer("max_header_bytes", S.MaxHeaderBytes, 1024, MaxBytes));
   // A whole message has to fit into one frame between nodes.
-  S.MaxBodyBytes = static_cast<std::uint64_t>(
-      Reader.integer("max_body_bytes",
-                     static_cast<std::int64_t>(S.MaxBodyBytes), 0, MaxBytes));
+  S.MaxBodyBytes = static_cast<std::uint64_t>(Reader.integer(
+      "max_body_bytes", static_cast<std::int64_t>(S.MaxBodyBytes), 0,
+      MaxMessageBytes));
   S.MaxAnswerBytes = static_cast<std::uint64_t>(Reader.integer(
       "max_answer_bytes", static_cast<std::int64_t>(S.MaxAnswerBytes), 1024,
-      MaxBytes));
+      MaxMessageBytes));
   S.MaxCallerConnections = static_cast<std::uint32_t>(Reader.integer(
       "max_caller_connections", S.MaxCallerConnections, 1, 65536));
   S.MaxRequests = static_cast<std::uint32_t>(
--- /dev/null
+++ b/unittests/Detection/FailureOddsTest.cpp
@@ -0,0 +1,113 @@
+#include "teaselhitch/Detection/FailureOdds.h"
+
+#include "teaselhitch/Support/Random.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <cmath>
+
+using namespace teaselhitch;
+
+namespace {
+
+constexpr std::uint64_t Seed = 5;
+const ServiceBaseline Calm{0.01, 100, 50};
+
+AttemptId id(std::uint64_t Sequence) {
+  return {{NodeName("n"), 1, Sequence}, 1};
+}
+
+/// A model that has learned run times around 100 ms.
+RunTimeModel learnedModel() {
+  RunTimeModel Model(Duration(300));
+  for (int I = 0; I != 200; ++I)
+    Model.record(Duration(80 + I % 5 * 10));
+  return Model;
+}
+
+class FailureOddsTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(FailureOddsTest);
+  CPPUNIT_TEST(modelLearnsRunTimes);
+  CPPUNIT_TEST(overdueRequestRaisesTheProbability);
+  CPPUNIT_TEST(failuresOfAllPeersSayLittle);
+  CPPUNIT_TEST(evidenceFades);
+  CPPUNIT_TEST(soundServerIsRarelySuspected);
+  CPPUNIT_TEST_SUITE_END();
+
+  /// Guards against a model that keeps its first guess.
+  void modelLearnsRunTimes() {
+    RunTimeModel Model = learnedModel();
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(100, Model.mean().ms(), 15);
+    CPPUNIT_ASSERT(Model.survival(Duration(50)) > 0.95);
+    CPPUNIT_ASSERT(Model.survival(Duration(300)) < 0.01);
+    CPPUNIT_ASSERT(Model.quantile(0.5) < Model.quantile(0.9));
+  }
+
+  /// Guards against a backend server that hangs and keeps drawing work until
+  /// the deadline of the first request.
+  void overdueRequestRaisesTheProbability() {
+    RunTimeModel Model = learnedModel();
+    FailureOdds Odds;
+    Time Now;
+    Odds.started(id(1), Model, Now);
+    CPPUNIT_ASSERT(Odds.probability(Now + Duration(60)) < 0.2);
+    CPPUNIT_ASSERT(Odds.probability(Now + Duration(400)) > 0.7);
+    Odds.started(id(2), Model, Now);
+    CPPUNIT_ASSERT(Odds.probability(Now + Duration(400)) > 0.95);
+  }
+
+  /// Guards against an outage behind the service that makes all its backend
+  /// servers look bad.
+  void failuresOfAllPeersSayLittle() {
+    RunTimeModel Model = learnedModel();
+    const ServiceBaseline Outage{0.6, 100, 50};
+    FailureOdds One;
+    FailureOdds Many;
+    for (std::uint64_t I = 0; I != 3; ++I) {
+      One.started(id(I), Model, Time());
+      One.failed(id(I), Calm, Time());
+      Many.started(id(I), Model, Time());
+      Many.failed(id(I), Outage, Time());
+    }
+    CPPUNIT_ASSERT(One.probability(Time()) > 0.95);
+    CPPUNIT_ASSERT(Many.probability(Time()) < 0.3);
+  }
+
+  /// Guards against a backend server that is avoided for good.
+  void evidenceFades() {
+    RunTimeModel Model = learnedModel();
+    FailureOdds Odds;
+    for (std::uint64_t I = 0; I != 5; ++I) {
+      Odds.started(id(I), Model, Time());
+      Odds.failed(id(I), Calm, Time());
+    }
+    CPPUNIT_ASSERT(Odds.probability(Time() + Duration::seconds(1)) > 0.9);
+    CPPUNIT_ASSERT(Odds.probability(Time() + Duration::seconds(12)) < 0.3);
+  }
+
+  /// Guards against false suspicions at 1% errors: of the moments at which a
+  /// sound backend server starts a request, one in fifty may look bad.
+  void soundServerIsRarelySuspected() {
+    SeededRandom Random(Seed);
+    RunTimeModel Model = learnedModel();
+    FailureOdds Odds;
+    Time Now;
+    int Suspected = 0;
+    constexpr int Requests = 5000;
+    for (std::uint64_t I = 0; I != Requests; ++I) {
+      Suspected += Odds.probability(Now) > 0.35 ? 1 : 0;
+      Odds.started(id(I), Model, Now);
+      Now = Now + Duration(80 + 40 * Random.uniform());
+      if (Random.uniform() < 0.01)
+        Odds.failed(id(I), Calm, Now);
+      else
+        Odds.succeeded(id(I), Calm, Now);
+      Now = Now + Duration(200 * Random.uniform());
+    }
+    CPPUNIT_ASSERT(Suspected <= Requests / 50);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(FailureOddsTest);
+
+} // namespace
--- /dev/null
+++ b/unittests/Entry/OfferTest.cpp
@@ -0,0 +1,247 @@
+#include "teaselhitch/Entry/Entry.h"
+#include "teaselhitch/Support/Random.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <set>
+
+using namespace teaselhitch;
+
+namespace {
+
+constexpr std::uint64_t Seed = 23;
+constexpr int Servers = 5;
+
+/// One service with a backend server on each of five nodes; /read is
+/// idempotent, /pay is not.
+std::shared_ptr<const ActiveConfig> makeConfig() {
+  auto Config = std::make_shared<ActiveConfig>();
+  Config->Version = 1;
+  Service Seats;
+  Seats.Name = ServiceName("seats");
+  Group All;
+  All.Name = GroupName("all");
+  All.Service = Seats.Name;
+  Rule Pay;
+  Pay.Name = RuleName("pay");
+  Pay.PathPrefix = "/pay";
+  Pay.Group = All.Name;
+  Pay.Objective = Duration(300);
+  Rule Read = Pay;
+  Read.Name = RuleName("read");
+  Read.PathPrefix = "/read";
+  Read.Idempotent = true;
+  Read.Attempts = 2;
+  Config->Objects = ObjectSet{{Seats}, {All}, {Pay, Read}, {}, {}};
+  return Config;
+}
+
+std::shared_ptr<const FleetView> makeView() {
+  auto View = std::make_shared<FleetView>();
+  auto Nodes = std::make_shared<std::map<NodeName, NodeRecord>>();
+  auto List = std::make_shared<ServiceView>();
+  for (int I = 1; I <= Servers; ++I) {
+    NodeRecord Node;
+    Node.Name = NodeName("n" + std::to_string(I));
+    Nodes->emplace(Node.Name, Node);
+    BackendServerRecord Server;
+    Server.Id = BackendServerId{Node.Name, BackendServerName("b")};
+    Server.Service = ServiceName("seats");
+    Server.Slots = 3;
+    Server.State = BackendServerState::Ready;
+    List->push_back(Server);
+  }
+  View->Nodes = Nodes;
+  View->Services[ServiceName("seats")] = List;
+  return View;
+}
+
+template <typename T> std::vector<T> only(const EntryActions &Actions) {
+  std::vector<T> Found;
+  for (const EntryAction &Action : Actions)
+    if (const T *Match = std::get_if<T>(&Action))
+      Found.push_back(*Match);
+  return Found;
+}
+
+class OfferTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(OfferTest);
+  CPPUNIT_TEST(asksOneGuardAfterTheOther);
+  CPPUNIT_TEST(firstSlotTakesTheRequest);
+  CPPUNIT_TEST(unansweredOfferGoesElsewhere);
+  CPPUNIT_TEST(nothingRunsAfterALateGrant);
+  CPPUNIT_TEST(overdueIdempotentRequestIsHedged);
+  CPPUNIT_TEST(overduePaidRequestIsNotHedged);
+  CPPUNIT_TEST(errorAnswerIsRepeatedAndKept);
+  CPPUNIT_TEST(errorAnswerOfPaidWorkIsDelivered);
+  CPPUNIT_TEST(suspectedServersAreAskedLast);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void setUp() override {
+    Random = std::make_unique<SeededRandom>(Seed);
+    EntrySettings Settings;
+    Settings.Node = NodeName("n0");
+    Settings.Incarnation = 5;
+    Settings.Balancer = "least-risk";
+    Core = Entry::create(Settings, *Random).value();
+    Core->configure(makeConfig());
+    Core->updateView(makeView());
+  }
+
+private:
+  EntryActions accept(const char *Path) {
+    CallerRequest Request;
+    Request.Method = "GET";
+    Request.Path = Path;
+    Request.Organisation = OrganisationName("org");
+    EntryActions Actions;
+    Core->accept(Request, Now, Actions);
+    return Actions;
+  }
+
+  EntryActions decline(const SendOffer &Offer, Reason Why) {
+    AttemptFailed Failure;
+    Failure.Attempt = Offer.Info.Attempt;
+    Failure.Why = Why;
+    Failure.Result = Outcome::NotRun;
+    Failure.Load = {3, 0, 3, 5};
+    return Core->failed(Failure, Now);
+  }
+
+  EntryActions grant(const AttemptId &Attempt) {
+    return Core->granted({Attempt, {1, 0, 3, 5}}, Now);
+  }
+
+  AttemptAnswer answer(const AttemptId &Attempt, unsigned Status) const {
+    AttemptAnswer Answer;
+    Answer.Attempt = Attempt;
+    Answer.RanOn = BackendServerName("b");
+    Answer.Answer.Status = Status;
+    return Answer;
+  }
+
+  /// Declines strict offers until the request is offered to several guards.
+  std::vector<SendOffer> offerWidely(const char *Path) {
+    std::vector<SendOffer> Offers = only<SendOffer>(accept(Path));
+    while (Offers.size() == 1 && Offers.front().Info.Strict)
+      Offers = only<SendOffer>(decline(Offers.front(), Reason::Busy));
+    return Offers;
+  }
+
+  std::unique_ptr<RandomSource> Random;
+  std::unique_ptr<Entry> Core;
+  Time Now{1000};
+
+  /// Guards against a body that travels to guards that cannot take it.
+  void asksOneGuardAfterTheOther() {
+    EntryActions Actions = accept("/pay");
+    std::set<NodeName> Asked;
+    for (int I = 0; I != Servers; ++I) {
+      auto Offers = only<SendOffer>(Actions);
+      CPPUNIT_ASSERT_EQUAL(std::size_t(1), Offers.size());
+      CPPUNIT_ASSERT(Offers.front().Info.Strict);
+      CPPUNIT_ASSERT(only<SendAttempt>(Actions).empty());
+      CPPUNIT_ASSERT(Asked.insert(Offers.front().Guard).second);
+      Actions = decline(Offers.front(), Reason::Busy);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t(3), only<SendOffer>(Actions).size());
+  }
+
+  /// Load: all slots are taken. The request waits at several guards and runs
+  /// at one.
+  void firstSlotTakesTheRequest() {
+    std::vector<SendOffer> Offers = offerWidely("/pay");
+    EntryActions Actions = grant(Offers.at(1).Info.Attempt);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), only<SendAttempt>(Actions).size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), only<SendCancel>(Actions).size());
+    CPPUNIT_ASSERT(only<SendAttempt>(grant(Offers.at(0).Info.Attempt)).empty());
+  }
+
+  /// Load: a path or a node is cut off without a sign.
+  void unansweredOfferGoesElsewhere() {
+    auto First = only<SendOffer>(accept("/pay")).at(0);
+    Now = Now + Duration(200);
+    EntryActions Actions = Core->tick(Now);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), only<SendCancel>(Actions).size());
+    auto Next = only<SendOffer>(Actions);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Next.size());
+    CPPUNIT_ASSERT(Next.front().Guard != First.Guard);
+    CPPUNIT_ASSERT(only<SendAttempt>(grant(First.Info.Attempt)).empty());
+  }
+
+  /// Guards against paid work that runs although its caller was refused.
+  void nothingRunsAfterALateGrant() {
+    std::vector<SendOffer> Offers = offerWidely("/pay");
+    Now = Now + Duration::seconds(11);
+    auto Replies = only<ReplyFailure>(Core->tick(Now));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Replies.size());
+    CPPUNIT_ASSERT(Replies.front().Result == Outcome::NotRun);
+    for (const SendOffer &Offer : Offers)
+      CPPUNIT_ASSERT(grant(Offer.Info.Attempt).empty());
+  }
+
+  /// Load: three in ten backend servers hang most of what they get.
+  void overdueIdempotentRequestIsHedged() {
+    AttemptId First = only<SendOffer>(accept("/read")).at(0).Info.Attempt;
+    grant(First);
+    EntryActions Actions = Core->overdue({First, {1, 0, 3, 90}}, Now);
+    AttemptId Second = only<SendOffer>(Actions).at(0).Info.Attempt;
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1),
+                         only<SendAttempt>(grant(Second)).size());
+    Actions = Core->answered(answer(Second, 200), Now);
+    CPPUNIT_ASSERT(only<SendCancel>(Actions).at(0).Attempt == First);
+    CPPUNIT_ASSERT(only<ReplyAnswer>(Actions).at(0).Attempt == Second);
+    CPPUNIT_ASSERT(Core->isIdle());
+  }
+
+  /// Guards against a second run of paid work.
+  void overduePaidRequestIsNotHedged() {
+    AttemptId First = only<SendOffer>(accept("/pay")).at(0).Info.Attempt;
+    grant(First);
+    CPPUNIT_ASSERT(Core->overdue({First, {1, 0, 3, 90}}, Now).empty());
+    CPPUNIT_ASSERT(only<SendOffer>(Core->tick(Now + Duration(5000))).empty());
+  }
+
+  /// Guards against an error answer that a repeat would have avoided, and
+  /// against one that is lost when the repeat does not help.
+  void errorAnswerIsRepeatedAndKept() {
+    AttemptId First = only<SendOffer>(accept("/read")).at(0).Info.Attempt;
+    grant(First);
+    EntryActions Actions = Core->answered(answer(First, 500), Now);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), only<KeepAnswer>(Actions).size());
+    CPPUNIT_ASSERT(only<ReplyAnswer>(Actions).empty());
+    AttemptId Second = only<SendOffer>(Actions).at(0).Info.Attempt;
+    grant(Second);
+    Actions = Core->answered(answer(Second, 500), Now);
+    CPPUNIT_ASSERT(only<ReplyAnswer>(Actions).at(0).Attempt == Second);
+  }
+
+  /// Guards against paid work that is repeated after an error answer.
+  void errorAnswerOfPaidWorkIsDelivered() {
+    AttemptId First = only<SendOffer>(accept("/pay")).at(0).Info.Attempt;
+    grant(First);
+    EntryActions Actions = Core->answered(answer(First, 500), Now);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), only<ReplyAnswer>(Actions).size());
+    CPPUNIT_ASSERT(only<SendOffer>(Actions).empty());
+  }
+
+  /// Guards against paid work for a backend server that the fleet knows to be
+  /// bad while others are free.
+  void suspectedServersAreAskedLast() {
+    auto View = std::make_shared<FleetView>(*makeView());
+    auto List =
+        std::make_shared<ServiceView>(*View->Services.at(ServiceName("seats")));
+    List->at(1).Health = BackendServerHealth::Suspected;
+    View->Services[ServiceName("seats")] = List;
+    Core->updateView(View);
+    for (int I = 0; I != 50; ++I) {
+      auto Offers = only<SendOffer>(accept("/pay"));
+      CPPUNIT_ASSERT(Offers.at(0).Guard != NodeName("n2"));
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(OfferTest);
+
+} // namespace
--- /dev/null
+++ b/unittests/Guard/RiskTest.cpp
@@ -0,0 +1,184 @@
+#include "GuardFixture.h"
+
+using namespace teaselhitch;
+
+namespace {
+
+using S = std::string;
+
+DispatchInfo strict(std::uint64_t Sequence, bool Idempotent) {
+  DispatchInfo I = GuardFixture::info(Sequence);
+  I.Rule = RuleName("r");
+  I.Strict = true;
+  I.Idempotent = Idempotent;
+  I.Objective = Duration(300);
+  I.ObjectiveLeft = Duration(300);
+  I.Remaining = Duration::seconds(5);
+  return I;
+}
+
+DispatchInfo lenient(std::uint64_t Sequence, std::uint32_t Priority) {
+  DispatchInfo I = strict(Sequence, true);
+  I.Strict = false;
+  I.Priority = Priority;
+  return I;
+}
+
+class RiskTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(RiskTest);
+  CPPUNIT_TEST(hangingServerIsDeclined);
+  CPPUNIT_TEST(serverThatFailsAtOnceDrawsLittleWork);
+  CPPUNIT_TEST(idleServerIsTriedAgain);
+  CPPUNIT_TEST(strictOffersDoNotWait);
+  CPPUNIT_TEST(overdueIdempotentAttemptsAreReportedOnce);
+  CPPUNIT_TEST(subRequestsAndRankGoFirst);
+  CPPUNIT_TEST(hopelessWorkIsRefusedAtOnce);
+  CPPUNIT_TEST(addressBelongsToTheLatestStart);
+  CPPUNIT_TEST(lateAnnouncementsChangeNothing);
+  CPPUNIT_TEST_SUITE_END();
+
+  /// Load: a backend server stops answering while its health is good.
+  void hangingServerIsDeclined() {
+    GuardFixture F;
+    F.announce(F.announcement("w1", 3));
+    CPPUNIT_ASSERT_EQUAL(S("start 1 w1"), text(F.dispatch(strict(1, false))));
+    F.tickAt(1000);
+    CPPUNIT_ASSERT_EQUAL(S("fail 2 suspected not-run"),
+                         text(F.dispatch(strict(2, false))));
+  }
+
+  /// Load: a backend server fails each request within a millisecond, so that
+  /// its slots are always free.
+  void serverThatFailsAtOnceDrawsLittleWork() {
+    GuardFixture F;
+    F.announce(F.announcement("w1", 3));
+    unsigned Taken = 0;
+    constexpr std::uint64_t PerSecond = 100;
+    for (std::uint64_t I = 1; I <= 10 * PerSecond; ++I) {
+      F.Now = F.Now + Duration(1000.0 / PerSecond);
+      DispatchInfo Info = lenient(I, 0);
+      Info.Idempotent = false;
+      if (only<StartAttempt>(F.dispatch(Info)).empty())
+        continue;
+      ++Taken;
+      F.G->finished(F.id(I), {RunEnd::Answered, 500, Duration(1)}, F.Now);
+    }
+    // About one a second and the first ones.
+    CPPUNIT_ASSERT(Taken <= 20);
+    CPPUNIT_ASSERT(Taken >= 5);
+  }
+
+  /// Guards against a recovered backend server that stays without work.
+  void idleServerIsTriedAgain() {
+    GuardFixture F;
+    F.announce(F.announcement("w1", 3));
+    for (std::uint64_t I = 1; I <= 3; ++I)
+      F.dispatch(strict(I, false));
+    for (std::uint64_t I = 1; I <= 3; ++I)
+      F.G->finished(F.id(I), {RunEnd::Answered, 500, Duration(100)}, F.Now);
+    F.tickAt(2500);
+    CPPUNIT_ASSERT_EQUAL(S("fail 8 suspected not-run"),
+                         text(F.dispatch(strict(8, false))));
+    CPPUNIT_ASSERT_EQUAL(S("start 9 w1"), text(F.dispatch(strict(9, true))));
+    // One trial at a time.
+    CPPUNIT_ASSERT_EQUAL(S("fail 10 suspected not-run"),
+                         text(F.dispatch(strict(10, true))));
+  }
+
+  /// Guards against a request that waits although others have a free slot.
+  void strictOffersDoNotWait() {
+    GuardFixture F;
+    F.announce(F.announcement("w1", 1));
+    F.dispatch(strict(1, true));
+    GuardActions Busy = F.dispatch(strict(2, true));
+    CPPUNIT_ASSERT_EQUAL(S("fail 2 busy not-run"), text(Busy));
+    CPPUNIT_ASSERT_EQUAL(1U, only<AttemptFailed>(Busy).at(0).Load.InProgress);
+  }
+
+  /// Guards against hedges of requests that must not run twice.
+  void overdueIdempotentAttemptsAreReportedOnce() {
+    GuardFixture F;
+    F.announce(F.announcement("w1", 3));
+    F.dispatch(strict(1, true));
+    F.dispatch(strict(2, false));
+    auto Notices = only<AttemptOverdue>(F.tickAt(1500));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Notices.size());
+    CPPUNIT_ASSERT(Notices.at(0).Attempt == F.id(1));
+    CPPUNIT_ASSERT(only<AttemptOverdue>(F.tickAt(1600)).empty());
+  }
+
+  /// Load: more work than slots, of which some holds slots elsewhere.
+  void subRequestsAndRankGoFirst() {
+    GuardFixture F;
+    F.announce(F.announcement("w1", 1));
+    F.dispatch(lenient(1, 0));
+    F.dispatch(lenient(2, 2));
+    F.dispatch(lenient(3, 1));
+    DispatchInfo Sub = lenient(4, 2);
+    Sub.IsSubRequest = true;
+    F.dispatch(Sub);
+    // The queue is full; rank displaces the last one.
+    CPPUNIT_ASSERT_EQUAL(S("fail 5 queue-full not-run"),
+                         text(F.dispatch(lenient(5, 2))));
+    CPPUNIT_ASSERT_EQUAL(S("fail 2 queue-full not-run"),
+                         text(F.dispatch(lenient(6, 0))));
+    for (const char *Next : {"start 4 w1", "start 6 w1", "start 3 w1"}) {
+      std::uint64_t Running = Last;
+      S Started = text(F.finish(Running));
+      CPPUNIT_ASSERT_EQUAL(S(Next), Started);
+      Last = std::stoull(Started.substr(6));
+    }
+  }
+
+  /// Guards against work that waits until its deadline and is refused then.
+  void hopelessWorkIsRefusedAtOnce() {
+    GuardFixture F;
+    F.announce(F.announcement("w1", 1));
+    for (std::uint64_t I = 1; I <= 20; ++I) {
+      F.dispatch(strict(I, true));
+      F.finish(I);
+    }
+    F.dispatch(lenient(30, 0));
+    DispatchInfo Hopeless = lenient(31, 0);
+    Hopeless.Remaining = Duration(60);
+    GuardActions Refused = F.dispatch(Hopeless);
+    CPPUNIT_ASSERT_EQUAL(S("fail 31 queue-full not-run"), text(Refused));
+    CPPUNIT_ASSERT(only<AttemptFailed>(Refused).at(0).RetryAfter.ms() > 0);
+  }
+
+  /// Guards against work for a server whose address another one has.
+  void addressBelongsToTheLatestStart() {
+    GuardFixture F;
+    Announcement Old = F.announcement("w1", 3, 5);
+    F.announce(Old);
+    Announcement New = F.announcement("w2", 3, 9);
+    New.Address = Old.Address;
+    F.announce(New);
+    CPPUNIT_ASSERT_EQUAL(S("start 1 w2"), text(F.dispatch(strict(1, true))));
+    // What the first one sent before it ended.
+    CPPUNIT_ASSERT(!F.G->announce(Old, F.Now));
+  }
+
+  /// Guards against a late announcement that undoes a departure.
+  void lateAnnouncementsChangeNothing() {
+    GuardFixture F;
+    Announcement A = F.announcement("w1", 3);
+    A.Sequence = 4;
+    F.announce(A);
+    F.G->depart(A.Name, std::nullopt, F.Now);
+    A.Sequence = 3;
+    F.announce(A);
+    CPPUNIT_ASSERT_EQUAL(S("fail 1 draining not-run"),
+                         text(F.dispatch(strict(1, true))));
+    A.Sequence = 5;
+    F.announce(A);
+    CPPUNIT_ASSERT_EQUAL(S("fail 2 draining not-run"),
+                         text(F.dispatch(strict(2, true))));
+  }
+
+  std::uint64_t Last = 1;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RiskTest);
+
+} // namespace
--- a/unittests/Net/BackendClientTest.cpp
+++ b/unittests/Net/BackendClientTest.cpp
@@ -9,6 +9,7 @@
 
 #include <array>
 #include <optional>
+#include <string>
 #include <thread>
 
 using namespace teaselhitch;
@@ -70,10 +71,93 @@
   return End;
 }
 
+/// Answers each request twice; the second answer comes at once, or late, when
+/// the next request has been sent.
+class DoublingServer {
+public:
+  explicit DoublingServer(bool IsLate)
+      : Acceptor(Context, {asio::ip::make_address("127.0.0.1"), 0}),
+        Thread([this, IsLate] { serve(IsLate); }) {}
+  ~DoublingServer() { Thread.join(); }
+  DoublingServer(const DoublingServer &) = delete;
+  DoublingServer &operator=(const DoublingServer &) = delete;
+
+  Endpoint address() const { return Address; }
+
+private:
+  static std::string answerTo(const std::string &Id) {
+    return "HTTP/1.1 200 OK\r\nTeaselhitch-Request-Id: " + Id +
+           "\r\nContent-Length: 1\r\n\r\n" + Id;
+  }
+
+  /// The id of the next request, or an empty text at the end.
+  static std::string readId(tcp::socket &Socket) {
+    std::string Text;
+    std::array<char, 4096> Bytes{};
+    boost::system::error_code Fault;
+    while (Text.find("\r\n\r\n") == std::string::npos && !Fault)
+      Text.append(Bytes.data(), Socket.read_some(asio::buffer(Bytes), Fault));
+    const std::string Key = "Teaselhitch-Request-Id: ";
+    std::size_t Place = Text.find(Key);
+    return Place == std::string::npos ? "" : Text.substr(Place + Key.size(), 1);
+  }
+
+  void serve(bool IsLate) {
+    boost::system::error_code Ignored;
+    int Served = 0;
+    while (Served != 2) {
+      tcp::socket Socket = Acceptor.accept();
+      std::string Earlier;
+      for (std::string Id = readId(Socket); !Id.empty() && Served != 2;
+           Id = readId(Socket)) {
+        ++Served;
+        std::string Text =
+            IsLate ? Earlier + answerTo(Id) : answerTo(Id) + answerTo(Id);
+        asio::write(Socket, asio::buffer(Text), Ignored);
+        Earlier = answerTo(Id);
+      }
+    }
+  }
+
+  asio::io_context Context;
+  tcp::acceptor Acceptor;
+  Endpoint Address{"127.0.0.1", Acceptor.local_endpoint().port()};
+  std::thread Thread;
+};
+
+/// The bodies of the answers to the requests 1 and 2.
+std::string answersFrom(const DoublingServer &Server) {
+  EventLoop Loop;
+  std::string Bodies;
+  std::unique_ptr<BackendProtocol> Protocol = createOwnBackendProtocol();
+  std::unique_ptr<BackendClient> Client;
+  auto Start = [&](std::uint64_t Sequence) {
+    Client->start(
+        {{NodeName("n"), 1, Sequence}, 1}, Server.address(),
+        HttpRequest{"GET",
+                    "/",
+                    {{"Teaselhitch-Request-Id", std::to_string(Sequence)}},
+                    ""},
+        true);
+  };
+  Client = BackendClient::create(
+      Loop, 1024, *Protocol,
+      [&](const AttemptId &Id, const RunResult &, const HttpAnswer &Answer) {
+        Bodies += Answer.Body;
+        if (Id.Request.Sequence == 2)
+          return Loop.stop();
+        Loop.post([&] { Start(2); });
+      });
+  Start(1);
+  Loop.run();
+  return Bodies;
+}
+
 class BackendClientTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(BackendClientTest);
   CPPUNIT_TEST(endOfTheProcessIsACrash);
   CPPUNIT_TEST(cutConnectionIsNoCrash);
+  CPPUNIT_TEST(secondAnswersReachNobody);
   CPPUNIT_TEST_SUITE_END();
 
   /// Guards against a crash that is taken for a lost connection, because the
@@ -90,6 +174,15 @@
     CuttingServer Server(false);
     CPPUNIT_ASSERT(endOfRequestTo(Server) == RunEnd::ConnectionLost);
   }
+
+  /// Guards against the answer of one request that reaches the caller of the
+  /// next one on the connection.
+  void secondAnswersReachNobody() {
+    for (bool IsLate : {false, true}) {
+      DoublingServer Server(IsLate);
+      CPPUNIT_ASSERT_EQUAL(std::string("12"), answersFrom(Server));
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(BackendClientTest);
--- a/unittests/Net/HttpServerTest.cpp
+++ b/unittests/Net/HttpServerTest.cpp
@@ -68,8 +68,8 @@
     Handled = 0;
     HttpServerSettings Settings;
     Settings.Listen = Endpoint{"127.0.0.1", 0};
-    Settings.MaxHeaderBytes = 1024;
-    Settings.MaxBodyBytes = 100;
+    Settings.Limits.MaxHeaderBytes = 1024;
+    Settings.Limits.MaxBodyBytes = 100;
     Loop = std::make_unique<EventLoop>();
     handleError(
         [&]() -> Result<int> {
@@ -157,6 +157,14 @@
         {"GET / HTTP/1.1\r\nHost: h\r\nA: " + std::string(2000, 'a') +
              "\r\n\r\n",
          "431"},
+        {"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: xchunked\r\n\r\n"
+         "GET /smuggled HTTP/1.1\r\nHost: h\r\n\r\n",
+         "400"},
+        {"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: gzip, "
+         "chunked\r\n\r\n0\r\n\r\n",
+         "400"},
+        {"GET / HTTP/1.1\r\n\r\n", "400"},
+        {"GET / HTTP/1.1\r\nHost: h\r\nHost: i\r\n\r\n", "400"},
         {"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 101\r\n\r\n", "413"},
         {"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
          "65\r\n" +
