--- a/lib/Guard/GuardDispatch.cpp
+++ b/lib/Guard/GuardDispatch.cpp
@@ -157,16 +157,16 @@
   std::uint32_t Slots = Servers.slots(Info.Service);
   if (Queue == Queues.end() || Slots == 0)
     return false;
-  // On average a running request still needs half of its time, and a request
-  // that is offered to several guards waits here for a part of its turn.
+  // One of the slots gets free after a part of a run time, and a request that is
+  // offered to several guards waits here for a part of its turn.
   auto Line = Queue->second.Queue.lines().find(A.Payer);
   std::ptrdiff_t Ahead = 0;
   if (Line != Queue->second.Queue.lines().end())
     Ahead = std::distance(Line->second.begin(),
                           Line->second.lower_bound(A.queued()));
-  double Turns = static_cast<double>(Ahead) / Slots / std::max(1U, Info.Offers);
-  Duration Mean = Risk.meanRunTime(Info);
-  return Mean * (Turns + 1.5) > Info.Remaining;
+  double Turns =
+      (static_cast<double>(Ahead) + 0.5) / Slots / std::max(1U, Info.Offers);
+  return Risk.meanRunTime(Info) * (Turns + 1) > Info.Remaining;
 }
 
 GuardCore::Attempt &GuardCore::store(Attempt A) {
