--- a/lib/Guard/GuardDispatch.cpp
+++ b/lib/Guard/GuardDispatch.cpp
@@ -157,8 +157,8 @@
   std::uint32_t Slots = Servers.slots(Info.Service);
   if (Queue == Queues.end() || Slots == 0)
     return false;
-  // One of the slots gets free after a part of a run time, and a request that is
-  // offered to several guards waits here for a part of its turn.
+  // One of the slots gets free after a part of a run time, and a request that
+  // is offered to several guards waits here for a part of its turn.
   auto Line = Queue->second.Queue.lines().find(A.Payer);
   std::ptrdiff_t Ahead = 0;
   if (Line != Queue->second.Queue.lines().end())
--- a/lib/Node/BackendsDuty.cpp
+++ b/lib/Node/BackendsDuty.cpp
@@ -19,6 +19,20 @@
 constexpr Duration StatusInterval = Duration(200);
 constexpr Duration IdleInterval = Duration::seconds(1);
 
+void countRun(MetricRegistry &Metrics, const RunResult &Result) {
+  Metrics
+      .counter("teaselhitch_runs_total",
+               "Attempts at the own backend servers, by their end.",
+               std::string("end=\"") + runEndName(Result.End) + "\"")
+      .add();
+  if (Result.End == RunEnd::Answered)
+    Metrics
+        .latency("teaselhitch_run_seconds",
+                 "Time from sending a request to a backend server to its whole "
+                 "answer.")
+        .record(Result.RunTime);
+}
+
 } // namespace
 
 BackendsDuty::BackendsDuty(const NodeSettings &Settings, Channels &Rings)
@@ -391,6 +405,7 @@
   if (It == Attempts.end())
     return;
   BackendServerName Server = It->second.Server;
+  countRun(Rings.Metrics, Result);
   logEvent(LogLevel::Info, "guard", "attempt-ended",
            {{"attempt", toString(Attempt)},
             {"server", Server.str()},
--- a/lib/Node/CallersDuty.cpp
+++ b/lib/Node/CallersDuty.cpp
@@ -209,6 +209,11 @@
 }
 
 void CallersDuty::logFailure(const AttemptFailed &M) const {
+  Rings.Metrics
+      .counter("teaselhitch_attempts_failed_total",
+               "Attempts that brought no answer, by reason.",
+               std::string("reason=\"") + reasonInfo(M.Why).Name + "\"")
+      .add();
   logEvent(LogLevel::Info, "entry", "attempt-failed",
            {{"attempt", toString(M.Attempt)},
             {"reason", reasonInfo(M.Why).Name},
--- a/lib/Node/OperatorsDuty.cpp
+++ b/lib/Node/OperatorsDuty.cpp
@@ -2,6 +2,7 @@
 
 #include "teaselhitch/Integration/Problem.h"
 #include "teaselhitch/Platform/Url.h"
+#include "teaselhitch/Support/Log.h"
 
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
@@ -172,6 +173,15 @@
 }
 
 HttpAnswer OperatorsDuty::metrics() const {
+  Rings.Metrics
+      .gauge("teaselhitch_log_lines_dropped_total",
+             "Log lines dropped because too many were written at once.")
+      .set(static_cast<double>(droppedLogLines()));
+  std::shared_ptr<const ActiveConfig> Config = Rings.Config.current();
+  Rings.Metrics
+      .gauge("teaselhitch_configuration_version",
+             "Version of the configuration in force; 0 for none.")
+      .set(Config ? static_cast<double>(Config->Version) : 0);
   HttpAnswer Answer;
   Answer.Status = Ok;
   Answer.Headers = {{"Content-Type", "text/plain; version=0.0.4"}};
--- a/lib/Platform/PlatformConnection.cpp
+++ b/lib/Platform/PlatformConnection.cpp
@@ -57,7 +57,8 @@
                                                     RequestEffect Kind,
                                                     Duration Longer) {
   Message.version(HttpVersion);
-  Message.set(http::field::host, Host);
+  if (Message.count(http::field::host) == 0)
+    Message.set(http::field::host, Host);
   Message.prepare_payload();
   Deadline = std::chrono::steady_clock::now() +
              std::chrono::microseconds(
--- a/tools/teaselhitch/Main.cpp
+++ b/tools/teaselhitch/Main.cpp
@@ -2,6 +2,7 @@
 /// The program `teaselhitch`: runs a node and gives operators their commands.
 
 #include "ConfigCommands.h"
+#include "Explain.h"
 #include "NodeCommand.h"
 #include "NodeQueries.h"
 #include "teaselhitch/Platform/HttpStores.h"
@@ -26,6 +27,7 @@
   config history         list the published versions
   status --node ADDRESS  what a running node believes, and why
   audit --node ADDRESS   changes and decisions of a running node
+  explain ID             the way of a request, from log lines
 
 'teaselhitch COMMAND --help' lists the options of a command.
 exit codes: 0 done, 1 refused or failed, 2 bad input, 3 platform or node
@@ -68,8 +70,11 @@
     return runStatusCommand(Args);
   if (Command == "audit")
     return runAuditCommand(Args);
+  if (Command == "explain")
+    return runExplainCommand(Args);
   std::cerr << "unknown command '" << Command << "'"
-            << suggestName(Command, {"node", "config", "status", "audit"})
+            << suggestName(Command,
+                           {"node", "config", "status", "audit", "explain"})
             << '\n';
   return ExitBadInput;
 }
