End a stopped node at once; one base64; lint of the new code

Ruled out by lines before and after: the threads of the node, and the shutdown of the log itself.

Change: the process ends without static destruction once the log is flushed. Base64 stands once.

--- a/lib/Config/Check.cpp
+++ b/lib/Config/Check.cpp
@@ -17,7 +17,7 @@
 constexpr std::int64_t MaxShare = 10'000;
 constexpr std::int64_t MaxQueuePerSlot = 1'000;
 /// A body travels between nodes in one frame of at most 72 MiB.
-constexpr std::int64_t MaxBodyBytes = 64 * 1024 * 1024;
+constexpr std::int64_t MaxBodyBytes = 64LL * 1024 * 1024;
 /// A node that stops waits 30 s for its requests, so a longer request could be
 /// interrupted by a planned stop.
 constexpr std::int64_t MaxDeadlineMs = 30'000;
@@ -29,7 +29,7 @@
 constexpr std::int64_t MinListenerMs = 100;
 constexpr std::int64_t MaxListenerMs = 3'600'000;
 constexpr std::int64_t MinHeaderBytes = 1024;
-constexpr std::int64_t MaxHeaderBytes = 1024 * 1024;
+constexpr std::int64_t MaxHeaderBytes = 1024LL * 1024;
 constexpr std::size_t MaxLabelLength = 128;
 
 const std::vector<std::string> Methods = {"GET",    "HEAD",  "POST",   "PUT",
--- a/lib/Guard/GuardEnds.cpp
+++ b/lib/Guard/GuardEnds.cpp
@@ -165,8 +165,6 @@
     return;
   }
   case RunEnd::ConnectFailed:
-    report(A, failure(Reason::NoBackendServer), Out);
-    return;
   case RunEnd::OtherServer:
     report(A, failure(Reason::NoBackendServer), Out);
     return;
--- a/lib/Settings/NodeSettings.cpp
+++ b/lib/Settings/NodeSettings.cpp
@@ -7,6 +7,7 @@
 #include <arpa/inet.h>
 #include <array>
 #include <charconv>
+#include <cmath>
 
 namespace teaselhitch {
 
@@ -96,9 +97,8 @@
       Reader.integer("fleet_retries", S.FleetRetries, 0, MaxRetries));
   S.RetryWindow = Reader.seconds("retry_window_s", S.RetryWindow, 1, 600);
   constexpr double Percent = 100;
-  S.RetryPercent = static_cast<std::uint32_t>(
-      Reader.fraction("retry_share", S.RetryPercent / Percent, 0, 1) * Percent +
-      0.5);
+  double Share = Reader.fraction("retry_share", S.RetryPercent / Percent, 0, 1);
+  S.RetryPercent = static_cast<std::uint32_t>(std::lround(Share * Percent));
 }
 
 void readLog(SettingsReader &Reader, NodeSettings &S) {
--- a/tools/teaselhitch-standin/RowStoreServer.cpp
+++ b/tools/teaselhitch-standin/RowStoreServer.cpp
@@ -3,12 +3,12 @@
 #include "../../platform/WireNames.h"
 #include "Timer.h"
 #include "teaselhitch/Platform/Url.h"
+#include "teaselhitch/Support/Base64.h"
 
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
-#include <openssl/evp.h>
 
 #include <stdexcept>
 
@@ -36,16 +36,6 @@
   return std::string(Item.at(Name).as_string());
 }
 
-std::string encodeBase64(const std::string &Bytes) {
-  std::string Text((Bytes.size() + 2) / 3 * 4 + 1, '\0');
-  int Length =
-      EVP_EncodeBlock(reinterpret_cast<unsigned char *>(Text.data()),
-                      reinterpret_cast<const unsigned char *>(Bytes.data()),
-                      static_cast<int>(Bytes.size()));
-  Text.resize(static_cast<std::size_t>(Length));
-  return Text;
-}
-
 const json::array &listOf(const json::value &Body, const char *Name) {
   return Body.at(Name).as_array();
 }
--- a/tools/teaselhitch/NodeCommand.cpp
+++ b/tools/teaselhitch/NodeCommand.cpp
@@ -79,8 +79,8 @@
   return Checked.Settings;
 }
 
-int runNode(const NodeSettings &Settings,
-            std::unique_ptr<SettingsSource> Source) {
+[[noreturn]] void runNode(const NodeSettings &Settings,
+                          std::unique_ptr<SettingsSource> Source) {
   configureLogging(Settings.Level, Settings.LogPath);
   int Code = handleError(
       [&]() -> Result<int> {
@@ -92,7 +92,10 @@
         return static_cast<int>(ExitRefused);
       });
   shutdownLogging();
-  return Code;
+  // The thread pool of the logging library can wait for seconds when it is
+  // destroyed, and a planned stop ends with a kill after a few.
+  std::cout.flush();
+  std::quick_exit(Code);
 }
 
 } // namespace
@@ -133,7 +136,7 @@
     return ExitBadInput;
   if (CheckOnly)
     return ExitDone;
-  return runNode(*Settings, std::make_unique<SettingsFile>(Path, *Text));
+  runNode(*Settings, std::make_unique<SettingsFile>(Path, *Text));
 }
 
 } // namespace teaselhitch
