--- a/lib/Node/ConfigWatchDuty.cpp
+++ b/lib/Node/ConfigWatchDuty.cpp
@@ -9,9 +9,9 @@
 namespace {
 
 /// Longest wait in one call. A connection that went silent, and a store that is
-/// back, are noticed when it is over. The waits of the nodes differ, and the
-/// first node that hears of a configuration tells the others.
-constexpr Duration LongestWait = Duration::seconds(5);
+/// back, are noticed when it is over; with 5 s, a version that was written a
+/// second after the store's return came too late into force.
+constexpr Duration LongestWait = Duration::seconds(3);
 /// Pause after a call that failed: a store that is back is used soon, and a
 /// fleet of a thousand nodes makes at most some thousand calls a second.
 constexpr Duration RetryPause = Duration(400);
