End a request with an old claim before it is offered widely

Cause, found when reading the change: an offer whose claim was too old ended the request from within the loop that offers it to several guards, which then used the request. Only requests with a caller's key, after 60 s.

Change: the age of the claim is checked before the first offer of a pass. Test: the claim gets too old between two passes; under the old code it reads freed memory (not run under a sanitizer).

--- a/lib/Entry/EntryAttempts.cpp
+++ b/lib/Entry/EntryAttempts.cpp
@@ -51,6 +51,8 @@
 /// there are none, it waits at several.
 void EntryCore::startAttempt(PendingRequest &P, Time Now,
                              EntryActions &Actions) {
+  if (!P.ClaimRow.empty() && Now - P.ClaimedAt > Settings.ClaimLifetime)
+    return fail(P, Reason::ClaimStoreUnavailable, Now, Actions);
   if (!P.Lenient) {
     Selection Next = Servers.choose(P, Now);
     if (Next.Server)
@@ -97,8 +99,6 @@
 
 void EntryCore::offer(PendingRequest &P, const Selection &To, bool IsHedge,
                       Time Now, EntryActions &Actions) {
-  if (!P.ClaimRow.empty() && Now - P.ClaimedAt > Settings.ClaimLifetime)
-    return fail(P, Reason::ClaimStoreUnavailable, Now, Actions);
   RunningAttempt Attempt;
   Attempt.Id = AttemptId{P.Id, ++P.Dispatches};
   Attempt.Server = To.Server->Id;
--- a/unittests/Entry/OfferTest.cpp
+++ b/unittests/Entry/OfferTest.cpp
@@ -75,6 +75,7 @@
   CPPUNIT_TEST(errorAnswerIsRepeatedAndKept);
   CPPUNIT_TEST(errorAnswerOfPaidWorkIsDelivered);
   CPPUNIT_TEST(suspectedServersAreAskedLast);
+  CPPUNIT_TEST(oldClaimEndsBeforeTheRequestIsOfferedWidely);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -100,6 +101,20 @@
     return Actions;
   }
 
+  EntryActions acceptWithKey(const char *Path) {
+    CallerRequest Request;
+    Request.Method = "POST";
+    Request.Path = Path;
+    Request.Organisation = OrganisationName("org");
+    Request.Key = "key-1";
+    EntryActions Actions;
+    Core->accept(Request, Now, Actions);
+    TableReply Reply;
+    Reply.Token = only<TableRequest>(Actions).at(0).Token;
+    Reply.Status = TableStatus::Ok;
+    return Core->tableReply(Reply, Now);
+  }
+
   EntryActions decline(const SendOffer &Offer, Reason Why) {
     AttemptFailed Failure;
     Failure.Attempt = Offer.Info.Attempt;
@@ -226,6 +241,22 @@
     CPPUNIT_ASSERT(only<SendOffer>(Actions).empty());
   }
 
+  /// Guards against the use of a request that has just ended: its claim gets
+  /// too old between two passes.
+  void oldClaimEndsBeforeTheRequestIsOfferedWidely() {
+    EntryActions Actions = acceptWithKey("/pay");
+    for (int I = 0; I != Servers; ++I) {
+      if (I + 1 == Servers)
+        Now = Now + Duration::seconds(61);
+      Actions = decline(only<SendOffer>(Actions).at(0), Reason::Busy);
+    }
+    CPPUNIT_ASSERT(only<SendOffer>(Actions).empty());
+    auto Replies = only<ReplyFailure>(Actions);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Replies.size());
+    CPPUNIT_ASSERT(Replies.front().Result == Outcome::NotRun);
+    CPPUNIT_ASSERT(Core->isIdle());
+  }
+
   /// Guards against paid work for a backend server that the fleet knows to be
   /// bad while others are free.
   void suspectedServersAreAskedLast() {
