--- a/unittests/RowStorePlatform/RowStoreTest.cpp
+++ b/unittests/RowStorePlatform/RowStoreTest.cpp
@@ -125,17 +125,17 @@
   /// Guards against a write that is taken for undone although it took effect.
   void faultsTellWhetherAWriteMayBeDone() {
     struct Case {
-      RowStoreFault Fault;
       const char *Write;
       const char *Read;
+      RowStoreFault Fault;
       bool IsDone;
     };
     const Case Cases[] = {
-        {RowStoreFault::Busy, "unavailable", "unavailable", false},
-        {RowStoreFault::Many, "unavailable", "unavailable", false},
-        {RowStoreFault::Reset, "timeout", "unavailable", false},
-        {RowStoreFault::Silent, "timeout", "unavailable", false},
-        {RowStoreFault::LostAnswer, "timeout", "unavailable", true},
+        {"unavailable", "unavailable", RowStoreFault::Busy, false},
+        {"unavailable", "unavailable", RowStoreFault::Many, false},
+        {"timeout", "unavailable", RowStoreFault::Reset, false},
+        {"timeout", "unavailable", RowStoreFault::Silent, false},
+        {"timeout", "unavailable", RowStoreFault::LostAnswer, true},
     };
     for (const Case &C : Cases) {
       StoreFixture F;
