Let evidence age with gray phases; try all suspected backend servers; ask for fresh proof first

Change: the risk is a probability that returns linearly to the usual one within 9 s; evidence counts from the start of an attempt; a backend server that looked bad needs successes of idempotent requests before paid ones; guards pace trials and entries choose among all suspected ones; the first three offers of a paid request ask for a risk of at most 4, 7 and 12%.

Ruled out: a longer exponential fade (it keeps a backend server away 12 s after its last failure).

Test of an 8 s old trial, of proof after a gray phase, of hung paid work and of trials for all fail on the code before.

--- a/include/teaselhitch/Detection/FailureOdds.h
+++ b/include/teaselhitch/Detection/FailureOdds.h
@@ -18,12 +18,14 @@
 
 /// The estimate for one backend server.
 ///
-/// It keeps the logarithm of the odds of two hypotheses: the backend server is
-/// sound, or it fails most of its requests (with an error, or by never
-/// answering). Evidence fades, so that without requests the estimate returns to
-/// what is usual.
+/// It weighs two hypotheses: the backend server is sound, or it fails most of
+/// its requests (with an error, or by never answering). What was seen counts
+/// less with time, so that without requests the estimate returns to what is
+/// usual.
 class FailureOdds {
 public:
+  FailureOdds();
+
   /// An attempt was sent to the backend server. \param Model must outlive the
   /// attempt.
   void started(const AttemptId &Attempt, const RunTimeModel &Model, Time Now);
@@ -54,16 +56,13 @@
 
   double history(Time Now) const;
   static double overdueEvidence(const Running &R, Time Now);
-  void add(double Evidence, Time Now);
+  /// Takes an attempt out and adds what its end tells.
+  void end(const AttemptId &Attempt, double Evidence, Time Now);
 
   std::map<AttemptId, Running> Attempts;
-  /// Logarithm of the odds from attempts that ended, as of UpdatedAt.
-  double Log = PriorLog;
+  /// Probability of failing from attempts that ended, as of UpdatedAt.
+  double Estimate;
   Time UpdatedAt;
-
-  /// Odds of one to nine: shortly before a failure is seen, one in ten backend
-  /// servers is failing in a fleet under heavy trouble.
-  static constexpr double PriorLog = -2.2;
 };
 
 } // namespace teaselhitch
--- a/include/teaselhitch/Model/Messages.h
+++ b/include/teaselhitch/Model/Messages.h
@@ -120,6 +120,10 @@
   /// Refuse, also while it waits, if the backend server looks bad; most others
   /// of the service do not.
   bool AvoidsRisk = false;
+  /// Greatest estimated risk of the backend server, in percent, at which the
+  /// attempt may start. The first offers of a request that must not run twice
+  /// ask for backend servers that have shown to be sound just now.
+  std::uint32_t MaxRiskPercent = 100;
   /// Guards to which the request is offered at the same time.
   std::uint32_t Offers = 1;
   /// Time within which the answer is worth its full value, counted from the
--- a/include/teaselhitch/Wire/FrameCodec.h
+++ b/include/teaselhitch/Wire/FrameCodec.h
@@ -20,7 +20,7 @@
 
 /// First message on a link, from both sides.
 struct Hello {
-  static constexpr std::uint32_t CurrentProtocol = 2;
+  static constexpr std::uint32_t CurrentProtocol = 3;
 
   std::string Fleet;
   NodeName Node;
--- a/lib/Detection/FailureOdds.cpp
+++ b/lib/Detection/FailureOdds.cpp
@@ -1,5 +1,7 @@
 #include "teaselhitch/Detection/FailureOdds.h"
 
+#include "teaselhitch/Model/Risk.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -10,13 +12,19 @@
 /// Share of requests that a sound and a failing backend server fail.
 constexpr double SoundFailures = 0.02;
 constexpr double FailingFailures = 0.7;
-/// Bounds of the logarithm, so that a change shows after few requests.
+/// Bounds of the logarithm of the odds, so that a change shows after few
+/// requests.
 constexpr double LeastLog = -5;
-constexpr double GreatestLog = 4;
-/// Most that one running attempt proves: a single request may be special.
-constexpr double MaxOverdueEvidence = 3.5;
-/// Evidence fades to about a third in this time; gray phases last seconds.
-constexpr Duration FadeTime = Duration::seconds(4);
+constexpr double GreatestLog = 5.5;
+/// Most that one running attempt proves: about one in fifty requests of a
+/// sound backend server runs several times as long as the others.
+constexpr double MaxOverdueEvidence = 3.8;
+
+double logOdds(double Probability) {
+  return std::log(Probability / (1 - Probability));
+}
+
+double probabilityOf(double Log) { return 1 / (1 + std::exp(-Log)); }
 
 /// Share of requests that a sound backend server fails, as far as the peers
 /// tell.
@@ -31,6 +39,8 @@
 
 } // namespace
 
+FailureOdds::FailureOdds() : Estimate(UsualRisk) {}
+
 void FailureOdds::started(const AttemptId &Attempt, const RunTimeModel &Model,
                           Time Now) {
   Attempts.insert_or_assign(Attempt, Running{Now, &Model});
@@ -38,14 +48,13 @@
 
 void FailureOdds::succeeded(const AttemptId &Attempt,
                             const ServiceBaseline &Peers, Time Now) {
-  if (Attempts.erase(Attempt) != 0)
-    add(std::log((1 - FailingFailures) / (1 - usualFailures(Peers))), Now);
+  end(Attempt, std::log((1 - FailingFailures) / (1 - usualFailures(Peers))),
+      Now);
 }
 
 void FailureOdds::failed(const AttemptId &Attempt, const ServiceBaseline &Peers,
                          Time Now) {
-  if (Attempts.erase(Attempt) != 0)
-    add(std::log(FailingFailures / usualFailures(Peers)), Now);
+  end(Attempt, std::log(FailingFailures / usualFailures(Peers)), Now);
 }
 
 void FailureOdds::ended(const AttemptId &Attempt, Time) {
@@ -54,29 +63,24 @@
 
 void FailureOdds::abandoned(const AttemptId &Attempt, Time Now) {
   auto It = Attempts.find(Attempt);
-  if (It == Attempts.end())
-    return;
-  double Evidence = overdueEvidence(It->second, Now);
-  Attempts.erase(It);
-  add(Evidence, Now);
+  if (It != Attempts.end())
+    end(Attempt, overdueEvidence(It->second, Now), Now);
 }
 
 double FailureOdds::probability(Time Now) const {
-  double Sum = history(Now);
+  double Log = logOdds(history(Now));
   for (const auto &[Attempt, R] : Attempts)
-    Sum += overdueEvidence(R, Now);
-  return 1 / (1 + std::exp(-Sum));
+    Log += overdueEvidence(R, Now) * evidenceWeight(Now - R.Since);
+  return probabilityOf(std::clamp(Log, LeastLog, GreatestLog));
 }
 
 void FailureOdds::reset(Time Now) {
-  Log = PriorLog;
+  Estimate = UsualRisk;
   UpdatedAt = Now;
 }
 
 double FailureOdds::history(Time Now) const {
-  double Left =
-      std::exp(-std::max(0.0, (Now - UpdatedAt).ms()) / FadeTime.ms());
-  return PriorLog + (Log - PriorLog) * Left;
+  return agedRisk(Estimate, Now - UpdatedAt);
 }
 
 /// A failing backend server leaves most requests without an answer, so an
@@ -89,8 +93,16 @@
   return std::min(MaxOverdueEvidence, std::log(Failing / Sound));
 }
 
-void FailureOdds::add(double Evidence, Time Now) {
-  Log = std::clamp(history(Now) + Evidence, LeastLog, GreatestLog);
+/// What became of an attempt tells of the moment at which it started: a request
+/// that hung until its deadline may have met a phase that is long over.
+void FailureOdds::end(const AttemptId &Attempt, double Evidence, Time Now) {
+  auto It = Attempts.find(Attempt);
+  if (It == Attempts.end())
+    return;
+  double Log =
+      logOdds(history(Now)) + Evidence * evidenceWeight(Now - It->second.Since);
+  Attempts.erase(It);
+  Estimate = probabilityOf(std::clamp(Log, LeastLog, GreatestLog));
   UpdatedAt = Now;
 }
 
--- a/lib/Entry/EntryAttempts.cpp
+++ b/lib/Entry/EntryAttempts.cpp
@@ -2,6 +2,7 @@
 #include "teaselhitch/Guard/GuardKey.h"
 
 #include <algorithm>
+#include <array>
 #include <cassert>
 
 namespace teaselhitch {
@@ -21,6 +22,12 @@
 /// Share of attempts that run longer when the entry hedges without a notice of
 /// the guard, which may be cut off.
 constexpr double UnansweredShare = 0.01;
+/// Greatest risk, in percent, that the first offers of a request that must not
+/// run twice accept. A backend server that answered within the last seconds has
+/// less, one of which nothing is known has more; where none has, the guards'
+/// own limits decide.
+constexpr std::array<std::uint32_t, 3> FirstRiskPercents = {4, 7, 12};
+constexpr std::uint32_t AnyRiskPercent = 100;
 constexpr unsigned FirstServerError = 500;
 constexpr unsigned GatewayTimeout = 504;
 
@@ -30,6 +37,14 @@
   return Failure.Result == Outcome::NotRun && Failure.Why != Reason::Shed;
 }
 
+/// Greatest risk that the next offer of a request accepts.
+std::uint32_t maxRiskPercent(const PendingRequest &P) {
+  bool IsFirst = !P.Lenient && P.Declined.size() < FirstRiskPercents.size();
+  if (P.Target.MatchedRule->Idempotent || !IsFirst)
+    return AnyRiskPercent;
+  return FirstRiskPercents.at(P.Declined.size());
+}
+
 /// A guard's decision on the request itself; another guard would not decide
 /// otherwise.
 bool isFinalRefusal(Reason Why) {
@@ -126,6 +141,7 @@
   Info.IsSubRequest = P.IsSubRequest;
   Info.Strict = Attempt.IsStrict;
   Info.AvoidsRisk = P.Lenient && !Servers.isMostlyRisky(P, Now);
+  Info.MaxRiskPercent = maxRiskPercent(P);
   Info.Offers = P.Lenient ? ParallelOffers : 1;
   Info.Objective = P.Objective;
   Info.ObjectiveLeft = P.ArrivedAt + P.Objective - Now;
--- a/lib/Entry/ServerSelection.cpp
+++ b/lib/Entry/ServerSelection.cpp
@@ -17,6 +17,10 @@
 constexpr double CrowdedTrialShare = 0.6;
 /// Estimated risk from which a backend server is avoided.
 constexpr double SuspectedRisk = 0.5;
+/// What a failure costs a request that can run again, compared with one that
+/// cannot: time and a repeat. Such requests find out about backend servers of
+/// which nothing is known.
+constexpr double IdempotentLoss = 0.3;
 
 /// As far as is known, no candidate has a free slot.
 bool isCrowded(const std::vector<Candidate> &Candidates) {
@@ -26,15 +30,6 @@
       });
 }
 
-/// The candidate whose evidence is weakest or oldest.
-const BackendServerRecord *leastRisky(const std::vector<Candidate> &From) {
-  return std::min_element(From.begin(), From.end(),
-                          [](const Candidate &A, const Candidate &B) {
-                            return A.Risk < B.Risk;
-                          })
-      ->Server;
-}
-
 } // namespace
 
 Candidate ServerSelection::makeCandidate(const BackendServerRecord &Server,
@@ -67,17 +62,21 @@
         P.hasDeclined(Server.Id) || !selects(*P.Target.To.Target, Server))
       continue;
     Candidate C = makeCandidate(Server, Now);
+    bool IsSuspected = C.Risk > SuspectedRisk;
+    if (P.Target.MatchedRule->Idempotent)
+      C.Risk *= IdempotentLoss;
     if (Server.Health == BackendServerHealth::Ejected)
       Ejected.push_back(C);
     else
-      (C.Risk > SuspectedRisk ? Suspected : InUse).push_back(C);
+      (IsSuspected ? Suspected : InUse).push_back(C);
   }
   bool MayTry = P.Dispatches == 0 && P.Target.MatchedRule->Idempotent;
   if (MayTry && !Ejected.empty() && Random.uniform() < TrialShare)
     return {best(Ejected), true};
   double Share = isCrowded(InUse) ? CrowdedTrialShare : SuspectedTrialShare;
+  // Any of them, so that all are tried again; their guards pace the trials.
   if (MayTry && !Suspected.empty() && Random.uniform() < Share)
-    return {leastRisky(Suspected), false};
+    return {Suspected[Random.below(Suspected.size())].Server, false};
   // Who is suspected is asked last, and only by those who may wait.
   bool AllSuspected = InUse.empty() && P.Lenient;
   return {best(AllSuspected ? Suspected : InUse), false};
--- a/lib/Guard/GuardCore.cpp
+++ b/lib/Guard/GuardCore.cpp
@@ -4,15 +4,6 @@
 
 namespace teaselhitch {
 
-namespace {
-
-/// Risk from which the fleet is told that a server looks bad, and down to which
-/// it has to fall until the fleet is told that it recovered.
-constexpr double SuspectedRisk = 0.8;
-constexpr double RecoveredRisk = 0.25;
-
-} // namespace
-
 GuardCore::GuardCore(GuardSettings NewSettings)
     : Settings(std::move(NewSettings)), Servers(Settings), Keys(Settings),
       Crashes(Settings) {}
@@ -136,6 +127,7 @@
   Keys.expire(Now);
   Crashes.tick(Servers.heard(CrashTable::CrashMemory, Now), Now, Out);
   abortOverdue(Now, Out);
+  Risk.tick(Now);
   reportOverdue(Now, Out);
   returnWaiting(Now, Out);
   publishRisk(Now);
@@ -153,9 +145,7 @@
       continue;
     GuardedServer &Server = *Servers.find(Name);
     bool WasSuspected = Server.Record.Health == BackendServerHealth::Suspected;
-    double P = Risk.probability(Name, Now);
-    // Two thresholds, so that one request does not change it back.
-    bool IsSuspected = P > (WasSuspected ? RecoveredRisk : SuspectedRisk);
+    bool IsSuspected = Risk.isUnproven(Name, Now);
     if (IsSuspected != WasSuspected)
       Servers.setHealth(Server,
                         IsSuspected ? BackendServerHealth::Suspected
--- a/lib/Guard/GuardDispatch.cpp
+++ b/lib/Guard/GuardDispatch.cpp
@@ -129,8 +129,7 @@
   if (Server == nullptr || OthersWait)
     return Reason::Busy;
   const BackendServerName &Name = Server->Record.Id.Name;
-  bool IsTrial = Server->InProgress == 0 && Risk.mayTry(Name, Info, Now);
-  if (Risk.isTooRisky(Name, Info, Now) && !IsTrial)
+  if (Risk.isTooRisky(Name, Info, Now) && !Risk.mayTry(Name, Info, Now))
     return Reason::Suspected;
   return std::nullopt;
 }
--- a/lib/Guard/ServerRisk.cpp
+++ b/lib/Guard/ServerRisk.cpp
@@ -1,5 +1,9 @@
 #include "ServerRisk.h"
 
+#include "teaselhitch/Model/Risk.h"
+
+#include <algorithm>
+
 namespace teaselhitch {
 
 namespace {
@@ -8,14 +12,23 @@
 constexpr double RunTimesPerObjective = 3;
 /// Greatest risk for requests that may run again, and for those that must not.
 constexpr double IdempotentRisk = 0.7;
-constexpr double OnceRisk = 0.35;
+constexpr double OnceRisk = 0.3;
 /// The latter when the alternative is to refuse the request.
-constexpr double WaitingOnceRisk = 0.8;
+constexpr double WaitingOnceRisk = 0.5;
 /// Greatest risk for any request when most backend servers look bad.
-constexpr double PanicRisk = 0.95;
-/// A backend server that looks bad and is idle gets an idempotent request now
-/// and then, with which it can show that it is sound again.
-constexpr double TrialRisk = 0.9;
+constexpr double PanicRisk = 0.9;
+/// Risk from which a backend server has to show that it is sound again, and
+/// below which successes have shown it.
+constexpr double UnprovenRisk = 0.5;
+/// Time between two trials of a backend server that looks bad. Each trial that
+/// hangs costs a repeat elsewhere, and three trials a second of all its
+/// callers are enough to see the end of a gray phase within two seconds.
+constexpr Duration TrialInterval = Duration(700);
+/// A trial that hangs holds the next one up for this long.
+constexpr Duration StuckTrial = Duration::seconds(2);
+/// Without any trial a backend server counts as unproven for this long, so
+/// that a service without idempotent requests does not lose it for good.
+constexpr Duration ProofTimeout = Duration::seconds(15);
 /// Share of requests that may run longer before one counts as overdue; more if
 /// the backend server looks bad anyway.
 constexpr double OverdueShare = 0.03;
@@ -40,63 +53,99 @@
 
 void ServerRisk::started(const BackendServerName &Server,
                          const DispatchInfo &Info, Time Now) {
-  Odds[Server].started(Info.Attempt, model(Info), Now);
+  Record &R = Servers[Server];
+  R.Odds.started(Info.Attempt, model(Info), Now);
+  if (!Info.Idempotent)
+    return;
+  ++R.Trials;
+  R.LastTrialAt = Now;
 }
 
 void ServerRisk::finished(const BackendServerName &Server,
                           const DispatchInfo &Info, const RunResult &Result,
                           Time Now) {
-  FailureOdds &O = Odds[Server];
+  Record &R = Servers[Server];
+  if (Info.Idempotent && R.Trials > 0)
+    --R.Trials;
+  noteResult(R, Info, Result, Now);
+}
+
+void ServerRisk::noteResult(Record &R, const DispatchInfo &Info,
+                            const RunResult &Result, Time Now) {
   switch (Result.End) {
   case RunEnd::Answered:
     if (Result.Status == GatewayTimeout)
-      return O.abandoned(Info.Attempt, Now);
+      return R.Odds.abandoned(Info.Attempt, Now);
     if (Result.Status >= FirstServerError)
-      return O.failed(Info.Attempt, Info.Baseline, Now);
-    O.succeeded(Info.Attempt, Info.Baseline, Now);
+      return R.Odds.failed(Info.Attempt, Info.Baseline, Now);
+    R.Odds.succeeded(Info.Attempt, Info.Baseline, Now);
+    if (R.Odds.probability(Now) < UnprovenRisk)
+      R.BadAt.reset();
     model(Info);
     Models[Info.Rule]->record(Result.RunTime);
     return;
   case RunEnd::ConnectFailed:
   case RunEnd::ConnectionLost:
-    return O.failed(Info.Attempt, Info.Baseline, Now);
+    return R.Odds.failed(Info.Attempt, Info.Baseline, Now);
   case RunEnd::Aborted:
-    return O.abandoned(Info.Attempt, Now);
+    return R.Odds.abandoned(Info.Attempt, Now);
   case RunEnd::Shed:
   case RunEnd::OtherServer:
   case RunEnd::Crashed:
   case RunEnd::TooLarge:
   case RunEnd::Withdrawn:
-    return O.ended(Info.Attempt, Now);
+    return R.Odds.ended(Info.Attempt, Now);
   }
 }
 
 void ServerRisk::restarted(const BackendServerName &Server, Time Now) {
-  auto It = Odds.find(Server);
-  if (It != Odds.end())
-    It->second.reset(Now);
+  auto It = Servers.find(Server);
+  if (It == Servers.end())
+    return;
+  It->second.Odds.reset(Now);
+  It->second.BadAt.reset();
 }
 
 double ServerRisk::probability(const BackendServerName &Server,
                                Time Now) const {
-  auto It = Odds.find(Server);
-  return It == Odds.end() ? FailureOdds().probability(Now)
-                          : It->second.probability(Now);
+  auto It = Servers.find(Server);
+  return It == Servers.end() ? UsualRisk : It->second.Odds.probability(Now);
 }
 
 bool ServerRisk::isTooRisky(const BackendServerName &Server,
                             const DispatchInfo &Info, Time Now) const {
-  double Limit = Info.Idempotent ? IdempotentRisk
-                 : Info.Strict   ? OnceRisk
-                                 : WaitingOnceRisk;
+  double Probability = probability(Server, Now);
   if (!Info.Strict && !Info.AvoidsRisk)
-    Limit = PanicRisk;
-  return probability(Server, Now) > Limit;
+    return Probability > PanicRisk;
+  if (Info.Idempotent)
+    return Probability > IdempotentRisk;
+  constexpr double Percent = 100;
+  double Limit = Info.Strict ? OnceRisk : WaitingOnceRisk;
+  return Probability > std::min(Limit, Info.MaxRiskPercent / Percent) ||
+         isUnproven(Server, Now);
 }
 
 bool ServerRisk::mayTry(const BackendServerName &Server,
                         const DispatchInfo &Info, Time Now) const {
-  return Info.Idempotent && probability(Server, Now) <= TrialRisk;
+  if (!Info.Idempotent)
+    return false;
+  auto It = Servers.find(Server);
+  if (It == Servers.end())
+    return true;
+  const Record &R = It->second;
+  return Now - R.LastTrialAt >= (R.Trials == 0 ? TrialInterval : StuckTrial);
+}
+
+bool ServerRisk::isUnproven(const BackendServerName &Server, Time Now) const {
+  auto It = Servers.find(Server);
+  return It != Servers.end() && It->second.BadAt &&
+         Now - *It->second.BadAt < ProofTimeout;
+}
+
+void ServerRisk::tick(Time Now) {
+  for (auto &[Name, R] : Servers)
+    if (R.Odds.probability(Now) > UnprovenRisk)
+      R.BadAt = Now;
 }
 
 bool ServerRisk::isOverdue(const BackendServerName &Server,
--- a/lib/Guard/ServerRisk.h
+++ b/lib/Guard/ServerRisk.h
@@ -10,6 +10,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 
 namespace teaselhitch {
 
@@ -32,10 +33,18 @@
                   Time Now) const;
 
   /// True if the attempt may find out whether a backend server that looks bad
-  /// and is idle is sound again.
+  /// is sound again: one idempotent attempt at a time, and not in quick
+  /// succession.
   bool mayTry(const BackendServerName &Server, const DispatchInfo &Info,
               Time Now) const;
 
+  /// True from the moment at which the backend server looks bad until requests
+  /// that started later have succeeded, or nobody has tried it for long.
+  bool isUnproven(const BackendServerName &Server, Time Now) const;
+
+  /// Notes which backend servers look bad. Call at least every 50 ms.
+  void tick(Time Now);
+
   /// True if the attempt runs so long that it is worth running it elsewhere.
   bool isOverdue(const BackendServerName &Server, const DispatchInfo &Info,
                  Duration Elapsed, Time Now) const;
@@ -44,9 +53,21 @@
   Duration meanRunTime(const DispatchInfo &Info) const;
 
 private:
+  /// What is known of one backend server.
+  struct Record {
+    FailureOdds Odds;
+    /// Idempotent attempts in progress, and when the last one started.
+    std::uint32_t Trials = 0;
+    Time LastTrialAt;
+    /// When it looked bad last; empty once it has shown to be sound.
+    std::optional<Time> BadAt;
+  };
+
   const RunTimeModel &model(const DispatchInfo &Info);
+  void noteResult(Record &R, const DispatchInfo &Info, const RunResult &Result,
+                  Time Now);
 
-  std::map<BackendServerName, FailureOdds> Odds;
+  std::map<BackendServerName, Record> Servers;
   /// Never erased while attempts refer to them; bounded by the rules.
   std::map<RuleName, std::unique_ptr<RunTimeModel>> Models;
 };
--- a/lib/Node/CallersDuty.cpp
+++ b/lib/Node/CallersDuty.cpp
@@ -250,8 +250,10 @@
             {"service", Action.Info.Service.str()},
             {"node", Action.Guard.str()},
             {"server", Action.Info.Preferred.str()},
+            {"idempotent", Action.Info.Idempotent},
             {"strict", Action.Info.Strict},
             {"avoids_risk", Action.Info.AvoidsRisk},
+            {"max_risk_percent", Action.Info.MaxRiskPercent},
             {"remaining_ms", Action.Info.Remaining.ms()},
             {"config", ConfigVersion}});
   AttemptId Attempt = Action.Info.Attempt;
--- a/lib/Routing/LeastRiskBalancer.cpp
+++ b/lib/Routing/LeastRiskBalancer.cpp
@@ -15,9 +15,9 @@
 
 // All costs are shares of the value of a request.
 
-/// A request on a backend server that is failing for certain; some of its
-/// requests succeed all the same.
-constexpr double LossCost = 0.6;
+/// A request on a backend server that is failing for certain; about a quarter
+/// of its requests succeed all the same.
+constexpr double LossCost = 0.75;
 /// A turn in a queue: objectives leave room for about three run times.
 constexpr double TurnCost = 0.3;
 /// Crossing to another failure domain and back, in bytes and time.
--- a/lib/Routing/LoadTracker.cpp
+++ b/lib/Routing/LoadTracker.cpp
@@ -1,7 +1,8 @@
 #include "teaselhitch/Routing/LoadTracker.h"
 
+#include "teaselhitch/Model/Risk.h"
+
 #include <algorithm>
-#include <cmath>
 #include <set>
 
 namespace teaselhitch {
@@ -13,10 +14,6 @@
 /// Load reports older than this many milliseconds are ignored, because load
 /// changes within a few run times.
 constexpr double ReportLifetimeMs = 1000;
-/// A reported risk approaches the usual one; gray phases last seconds.
-constexpr double RiskFadeMs = 4000;
-/// Risk of a backend server of which nothing is known.
-constexpr double UsualRisk = 0.1;
 /// Time in which a change of health reaches all nodes.
 constexpr double GossipMs = 700;
 /// Least risk of a backend server that is published as suspected, greatest of
@@ -78,7 +75,6 @@
   auto It = Servers.find(C.Server->Id);
   if (It == Servers.end())
     return;
-  C.Risk = UsualRisk;
   const Known &K = It->second;
   double AgeMs = (Now - K.ReportedAt).ms();
   bool Fresh = AgeMs < ReportLifetimeMs;
@@ -86,9 +82,9 @@
   C.Waiting = Fresh ? K.Reported.Waiting : 0;
   C.RunTimeMs = K.RunTimeMs;
   C.PathFailures = K.PathFailures;
+  C.Risk = UsualRisk;
   if (K.Reported.Slots != 0)
-    C.Risk += (K.Reported.RiskPercent / Percent - UsualRisk) *
-              std::exp(-AgeMs / RiskFadeMs);
+    C.Risk = agedRisk(K.Reported.RiskPercent / Percent, Now - K.ReportedAt);
   // What the guard tells the fleet is newer than what it replied a while ago.
   if (AgeMs > GossipMs)
     applyHealth(C);
--- a/lib/Wire/MessageSerialize.h
+++ b/lib/Wire/MessageSerialize.h
@@ -146,7 +146,7 @@
   codeFlag(Ar, I.IsSubRequest);
   codeFlag(Ar, I.Strict);
   codeFlag(Ar, I.AvoidsRisk);
-  Ar(I.Offers);
+  Ar(I.MaxRiskPercent, I.Offers);
   codeDuration(Ar, I.Objective);
   codeDuration(Ar, I.ObjectiveLeft);
   codeDuration(Ar, I.Remaining);
--- a/unittests/Detection/FailureOddsTest.cpp
+++ b/unittests/Detection/FailureOddsTest.cpp
@@ -31,6 +31,8 @@
   CPPUNIT_TEST(overdueRequestRaisesTheProbability);
   CPPUNIT_TEST(failuresOfAllPeersSayLittle);
   CPPUNIT_TEST(evidenceFades);
+  CPPUNIT_TEST(hungRequestTellsOfItsStart);
+  CPPUNIT_TEST(proofOfSoundnessAges);
   CPPUNIT_TEST(soundServerIsRarelySuspected);
   CPPUNIT_TEST_SUITE_END();
 
@@ -85,6 +87,35 @@
     CPPUNIT_ASSERT(Odds.probability(Time() + Duration::seconds(12)) < 0.3);
   }
 
+  /// Guards against a backend server that is avoided until the deadline of a
+  /// request that hung in a phase that is long over.
+  void hungRequestTellsOfItsStart() {
+    RunTimeModel Model = learnedModel();
+    FailureOdds Odds;
+    Odds.started(id(1), Model, Time());
+    Time Later = Time() + Duration::seconds(8);
+    CPPUNIT_ASSERT(Odds.probability(Time() + Duration(500)) > 0.7);
+    CPPUNIT_ASSERT(Odds.probability(Later) < 0.4);
+    Odds.abandoned(id(1), Later);
+    CPPUNIT_ASSERT(Odds.probability(Later) < 0.4);
+  }
+
+  /// Guards against paid work that goes to a backend server whose last success
+  /// is old while another one has just succeeded.
+  void proofOfSoundnessAges() {
+    RunTimeModel Model = learnedModel();
+    FailureOdds Odds;
+    for (std::uint64_t I = 0; I != 5; ++I) {
+      Odds.started(id(I), Model, Time());
+      Odds.succeeded(id(I), Calm, Time());
+    }
+    double Fresh = Odds.probability(Time() + Duration(300));
+    double Old = Odds.probability(Time() + Duration::seconds(3));
+    CPPUNIT_ASSERT(Fresh < 0.02);
+    CPPUNIT_ASSERT(Old > 2 * Fresh);
+    CPPUNIT_ASSERT(Old < 0.15);
+  }
+
   /// Guards against false suspicions at 1% errors: of the moments at which a
   /// sound backend server starts a request, one in fifty may look bad.
   void soundServerIsRarelySuspected() {
--- a/unittests/Entry/OfferTest.cpp
+++ b/unittests/Entry/OfferTest.cpp
@@ -3,6 +3,8 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <initializer_list>
+#include <map>
 #include <set>
 
 using namespace teaselhitch;
@@ -75,6 +77,8 @@
   CPPUNIT_TEST(errorAnswerIsRepeatedAndKept);
   CPPUNIT_TEST(errorAnswerOfPaidWorkIsDelivered);
   CPPUNIT_TEST(suspectedServersAreAskedLast);
+  CPPUNIT_TEST(allSuspectedServersAreTriedAgain);
+  CPPUNIT_TEST(paidWorkAsksForFreshProofFirst);
   CPPUNIT_TEST(oldClaimEndsBeforeTheRequestIsOfferedWidely);
   CPPUNIT_TEST_SUITE_END();
 
@@ -257,15 +261,50 @@
     CPPUNIT_ASSERT(Core->isIdle());
   }
 
-  /// Guards against paid work for a backend server that the fleet knows to be
-  /// bad while others are free.
-  void suspectedServersAreAskedLast() {
+  /// Lets the fleet know that these backend servers look bad.
+  void suspect(std::initializer_list<std::size_t> Which) {
     auto View = std::make_shared<FleetView>(*makeView());
     auto List =
         std::make_shared<ServiceView>(*View->Services.at(ServiceName("seats")));
-    List->at(1).Health = BackendServerHealth::Suspected;
+    for (std::size_t I : Which)
+      List->at(I).Health = BackendServerHealth::Suspected;
     View->Services[ServiceName("seats")] = List;
     Core->updateView(View);
+  }
+
+  /// Load: several backend servers look bad at once. Guards against one that
+  /// gets no trial for seconds because another one gets them all.
+  void allSuspectedServersAreTriedAgain() {
+    suspect({1, 2, 4});
+    std::map<NodeName, int> First;
+    constexpr int Requests = 300;
+    for (int I = 0; I != Requests; ++I)
+      ++First[only<SendOffer>(accept("/read")).at(0).Guard];
+    for (const char *Node : {"n2", "n3", "n5"})
+      CPPUNIT_ASSERT(First[NodeName(Node)] >= Requests / 50);
+  }
+
+  /// Load: three in ten backend servers hang most of what they get, and a paid
+  /// request that hangs is lost.
+  void paidWorkAsksForFreshProofFirst() {
+    EntryActions Actions = accept("/pay");
+    std::uint32_t Before = 0;
+    for (int I = 0; I != Servers; ++I) {
+      SendOffer Offer = only<SendOffer>(Actions).at(0);
+      CPPUNIT_ASSERT(Offer.Info.MaxRiskPercent >= Before);
+      Before = Offer.Info.MaxRiskPercent;
+      CPPUNIT_ASSERT(I != 0 || Before < 10);
+      Actions = decline(Offer, Reason::Suspected);
+    }
+    CPPUNIT_ASSERT_EQUAL(100U, Before);
+    CPPUNIT_ASSERT_EQUAL(
+        100U, only<SendOffer>(accept("/read")).at(0).Info.MaxRiskPercent);
+  }
+
+  /// Guards against paid work for a backend server that the fleet knows to be
+  /// bad while others are free.
+  void suspectedServersAreAskedLast() {
+    suspect({1});
     for (int I = 0; I != 50; ++I) {
       auto Offers = only<SendOffer>(accept("/pay"));
       CPPUNIT_ASSERT(Offers.at(0).Guard != NodeName("n2"));
--- a/unittests/Guard/RiskTest.cpp
+++ b/unittests/Guard/RiskTest.cpp
@@ -24,11 +24,23 @@
   return I;
 }
 
+/// Three paid requests that fail at once.
+void failThree(GuardFixture &F) {
+  for (std::uint64_t I = 1; I <= 3; ++I)
+    F.dispatch(strict(I, false));
+  for (std::uint64_t I = 1; I <= 3; ++I)
+    F.G->finished(F.id(I), {RunEnd::Answered, 500, Duration(100)}, F.Now);
+}
+
 class RiskTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(RiskTest);
   CPPUNIT_TEST(hangingServerIsDeclined);
   CPPUNIT_TEST(serverThatFailsAtOnceDrawsLittleWork);
   CPPUNIT_TEST(idleServerIsTriedAgain);
+  CPPUNIT_TEST(paidWorkNeedsProofAfterAGrayPhase);
+  CPPUNIT_TEST(serverWithoutTrialsIsUsedAgain);
+  CPPUNIT_TEST(hungPaidWorkDoesNotHoldTrialsUp);
+  CPPUNIT_TEST(paidWorkPrefersFreshProof);
   CPPUNIT_TEST(strictOffersDoNotWait);
   CPPUNIT_TEST(overdueIdempotentAttemptsAreReportedOnce);
   CPPUNIT_TEST(subRequestsAndRankGoFirst);
@@ -72,10 +84,7 @@
   void idleServerIsTriedAgain() {
     GuardFixture F;
     F.announce(F.announcement("w1", 3));
-    for (std::uint64_t I = 1; I <= 3; ++I)
-      F.dispatch(strict(I, false));
-    for (std::uint64_t I = 1; I <= 3; ++I)
-      F.G->finished(F.id(I), {RunEnd::Answered, 500, Duration(100)}, F.Now);
+    failThree(F);
     F.tickAt(2500);
     CPPUNIT_ASSERT_EQUAL(S("fail 8 suspected not-run"),
                          text(F.dispatch(strict(8, false))));
@@ -85,6 +94,75 @@
                          text(F.dispatch(strict(10, true))));
   }
 
+  /// Load: three in ten backend servers hang most requests for about nine
+  /// seconds. Guards against paid work that is the first to try one of them
+  /// again.
+  void paidWorkNeedsProofAfterAGrayPhase() {
+    GuardFixture F;
+    F.announce(F.announcement("w1", 3));
+    failThree(F);
+    F.tickAt(20);
+    for (double Ms : {4000.0, 8000.0, 12000.0}) {
+      F.Now = Time(Ms);
+      CPPUNIT_ASSERT_EQUAL(S("fail 10 suspected not-run"),
+                           text(F.dispatch(strict(10, false))));
+    }
+    F.dispatch(strict(11, true));
+    F.finish(11);
+    CPPUNIT_ASSERT_EQUAL(S("start 12 w1"), text(F.dispatch(strict(12, false))));
+  }
+
+  /// Guards against a service without idempotent requests that loses a backend
+  /// server for good.
+  void serverWithoutTrialsIsUsedAgain() {
+    GuardFixture F;
+    F.announce(F.announcement("w1", 3));
+    failThree(F);
+    F.tickAt(20);
+    F.Now = Time(25000);
+    CPPUNIT_ASSERT_EQUAL(S("start 10 w1"), text(F.dispatch(strict(10, false))));
+  }
+
+  /// Load: paid requests hang until their deadlines of several seconds, while
+  /// the gray phase is already over.
+  void hungPaidWorkDoesNotHoldTrialsUp() {
+    GuardFixture F;
+    F.announce(F.announcement("w1", 3));
+    F.dispatch(strict(1, false));
+    F.dispatch(strict(2, false));
+    F.tickAt(1500);
+    CPPUNIT_ASSERT_EQUAL(S("start 3 w1"), text(F.dispatch(strict(3, true))));
+    F.Now = Time(1600);
+    F.finish(3);
+    // Trials are paced.
+    CPPUNIT_ASSERT_EQUAL(S("fail 4 suspected not-run"),
+                         text(F.dispatch(strict(4, true))));
+    F.tickAt(2400);
+    CPPUNIT_ASSERT_EQUAL(S("start 5 w1"), text(F.dispatch(strict(5, true))));
+  }
+
+  /// Load: most backend servers have succeeded just now, some have not been
+  /// used for seconds.
+  void paidWorkPrefersFreshProof() {
+    GuardFixture F;
+    F.announce(F.announcement("w1", 3));
+    DispatchInfo Careful = strict(1, false);
+    Careful.MaxRiskPercent = 4;
+    CPPUNIT_ASSERT_EQUAL(S("fail 1 suspected not-run"),
+                         text(F.dispatch(Careful)));
+    for (std::uint64_t I = 2; I != 5; ++I) {
+      F.dispatch(strict(I, true));
+      F.finish(I);
+    }
+    Careful.Attempt = F.id(5);
+    CPPUNIT_ASSERT_EQUAL(S("start 5 w1"), text(F.dispatch(Careful)));
+    F.finish(5);
+    F.Now = Time(5000);
+    Careful.Attempt = F.id(6);
+    CPPUNIT_ASSERT_EQUAL(S("fail 6 suspected not-run"),
+                         text(F.dispatch(Careful)));
+  }
+
   /// Guards against a request that waits although others have a free slot.
   void strictOffersDoNotWait() {
     GuardFixture F;
