Bound offers, let hedges wait for a slot, count retries in a sliding window, rank sub-requests by their parent

RiskTest::subRequestsAndRankGoFirst expected that any sub-request goes before urgent work. That order put paid work of the highest rank behind lookups of lower ranks; the test now demands the order by rank, sub-requests first within it.

Ruled out: more retries than the budget (a tenth of what the rule allows was used).

--- a/include/teaselhitch/Detection/FailureOdds.h
+++ b/include/teaselhitch/Detection/FailureOdds.h
@@ -29,6 +29,11 @@
   /// An attempt was sent to the backend server. \param Model must outlive the
   /// attempt.
   void started(const AttemptId &Attempt, const RunTimeModel &Model, Time Now);
+  /// The backend server is at work on it: it has made a request of its own for
+  /// it. Whatever comes later is not the silence of a failing backend server.
+  void progressed(const AttemptId &Attempt, const ServiceBaseline &Peers,
+                  Time Now);
+  bool hasProgressed(const AttemptId &Attempt) const;
   /// It was answered as requested. \param Peers how the service does; where
   /// many requests fail everywhere, a failure says little of one backend
   /// server.
@@ -52,12 +57,15 @@
   struct Running {
     Time Since;
     const RunTimeModel *Model = nullptr;
+    /// Its soundness is counted already.
+    bool HasProgressed = false;
   };
 
   double history(Time Now) const;
   static double overdueEvidence(const Running &R, Time Now);
   /// Takes an attempt out and adds what its end tells.
   void end(const AttemptId &Attempt, double Evidence, Time Now);
+  void add(const Running &R, double Evidence, Time Now);
 
   std::map<AttemptId, Running> Attempts;
   /// Probability of failing from attempts that ended, as of UpdatedAt.
--- a/include/teaselhitch/Entry/Entry.h
+++ b/include/teaselhitch/Entry/Entry.h
@@ -36,9 +36,12 @@
   /// Id that the caller gave to the request, or empty. It ties log records to
   /// the caller's own.
   std::string CallerId;
-  /// A backend server made it while it runs another request, whose slot it
-  /// holds until it has the answer.
-  bool IsSubRequest = false;
+  /// The caller's id of the request whose run makes this one and holds a slot
+  /// until it has the answer; empty if a client made it.
+  std::string ParentId;
+  /// Rank of that request, if it is known. A sub-request is as urgent as what
+  /// waits for it.
+  std::optional<std::uint32_t> ParentPriority;
   /// How long the caller waits, if it told so.
   std::optional<Duration> Deadline;
   std::uint64_t BodyBytes = 0;
--- a/include/teaselhitch/Entry/RetryBudget.h
+++ b/include/teaselhitch/Entry/RetryBudget.h
@@ -10,18 +10,22 @@
 #include <compare>
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 
 namespace teaselhitch {
 
-/// The retry budget of one service at one entry.
+/// The retry budget of one service at one entry: a share of the requests of a
+/// sliding window, which may be spent at any moment of it, and a fixed part.
 class RetryBudget {
 public:
-  /// Retries that are allowed whatever the traffic.
+  /// Retries that are allowed whatever the traffic, and the window in which
+  /// the share counts.
   struct Allowance {
     /// In a second.
     double PerSecond = 1;
     /// Greatest number of saved-up retries.
     double MaxSaved = 20;
+    Duration Window = Duration::seconds(10);
 
     auto operator<=>(const Allowance &) const = default;
   };
@@ -40,11 +44,21 @@
   [[nodiscard]] bool tryRetry(Time Now);
 
 private:
+  /// A part of the window.
+  struct Slice {
+    Time Start;
+    double Earned = 0;
+    double Spent = 0;
+  };
+
   void refill(Time Now);
+  Slice &current(Time Now);
 
   Allowance Allowed;
   double Saved = 1;
   Time RefilledAt;
+  /// Oldest first.
+  std::deque<Slice> Slices;
 };
 
 } // namespace teaselhitch
--- a/include/teaselhitch/Guard/Guard.h
+++ b/include/teaselhitch/Guard/Guard.h
@@ -189,6 +189,10 @@
   virtual GuardActions finished(const AttemptId &Attempt,
                                 const RunResult &Result, Time Now) = 0;
 
+  /// The backend server has made a request of its own for a running attempt,
+  /// so it does not hang.
+  virtual void progressed(const AttemptId &Attempt, Time Now) = 0;
+
   /// Load and estimated risk of a backend server, for answers to entries.
   virtual ServerLoad load(const BackendServerName &Server, Time Now) const = 0;
 
--- a/include/teaselhitch/Integration/BackendProtocol.h
+++ b/include/teaselhitch/Integration/BackendProtocol.h
@@ -72,6 +72,10 @@
   /// The reply to one that was refused.
   virtual HttpAnswer refused(const Error &Why) const = 0;
 
+  /// Id that the caller gave to the request, which a backend server repeats in
+  /// the requests that it makes meanwhile; empty if there is none.
+  virtual std::string callerId(const HttpRequest &Request) const = 0;
+
   /// Adds the headers that backend servers expect.
   virtual void prepare(HttpRequest &Request, const RunContext &Run) const = 0;
 
--- a/lib/Detection/FailureOdds.cpp
+++ b/lib/Detection/FailureOdds.cpp
@@ -37,6 +37,10 @@
   return std::min(Share, Greatest);
 }
 
+double successEvidence(const ServiceBaseline &Peers) {
+  return std::log((1 - FailingFailures) / (1 - usualFailures(Peers)));
+}
+
 } // namespace
 
 FailureOdds::FailureOdds() : Estimate(UsualRisk) {}
@@ -46,10 +50,23 @@
   Attempts.insert_or_assign(Attempt, Running{Now, &Model});
 }
 
+void FailureOdds::progressed(const AttemptId &Attempt,
+                             const ServiceBaseline &Peers, Time Now) {
+  auto It = Attempts.find(Attempt);
+  if (It == Attempts.end() || It->second.HasProgressed)
+    return;
+  add(It->second, successEvidence(Peers), Now);
+  It->second.HasProgressed = true;
+}
+
+bool FailureOdds::hasProgressed(const AttemptId &Attempt) const {
+  auto It = Attempts.find(Attempt);
+  return It != Attempts.end() && It->second.HasProgressed;
+}
+
 void FailureOdds::succeeded(const AttemptId &Attempt,
                             const ServiceBaseline &Peers, Time Now) {
-  end(Attempt, std::log((1 - FailingFailures) / (1 - usualFailures(Peers))),
-      Now);
+  end(Attempt, successEvidence(Peers), Now);
 }
 
 void FailureOdds::failed(const AttemptId &Attempt, const ServiceBaseline &Peers,
@@ -86,6 +103,8 @@
 /// A failing backend server leaves most requests without an answer, so an
 /// attempt that outlasts most others makes that hypothesis more probable.
 double FailureOdds::overdueEvidence(const Running &R, Time Now) {
+  if (R.HasProgressed)
+    return 0;
   double Sound = R.Model->survival(Now - R.Since);
   double Failing = FailingFailures + (1 - FailingFailures) * Sound;
   if (Sound <= 0)
@@ -99,9 +118,14 @@
   auto It = Attempts.find(Attempt);
   if (It == Attempts.end())
     return;
-  double Log =
-      logOdds(history(Now)) + Evidence * evidenceWeight(Now - It->second.Since);
+  // An error after progress is most likely that of a request that it made.
+  if (!It->second.HasProgressed)
+    add(It->second, Evidence, Now);
   Attempts.erase(It);
+}
+
+void FailureOdds::add(const Running &R, double Evidence, Time Now) {
+  double Log = logOdds(history(Now)) + Evidence * evidenceWeight(Now - R.Since);
   Estimate = probabilityOf(std::clamp(Log, LeastLog, GreatestLog));
   UpdatedAt = Now;
 }
--- a/lib/Entry/Entry.cpp
+++ b/lib/Entry/Entry.cpp
@@ -70,7 +70,8 @@
   P.Target = Target;
   P.Organisation = Request.Organisation;
   P.CallerId = Request.CallerId;
-  P.IsSubRequest = Request.IsSubRequest;
+  P.IsSubRequest = !Request.ParentId.empty();
+  P.Priority = Request.ParentPriority.value_or(R.Priority);
   P.ArrivedAt = Now;
   P.Objective = R.Objective.ms() > 0 ? R.Objective : R.Deadline;
   P.Deadline =
--- a/lib/Entry/EntryAttempts.cpp
+++ b/lib/Entry/EntryAttempts.cpp
@@ -11,6 +11,9 @@
 
 /// `Retry-After` when nothing better is known.
 constexpr Duration DefaultRetryAfter = Duration::seconds(1);
+/// Guards that are asked for a free slot one after the other. Each costs a
+/// round trip; where five have none, most have none.
+constexpr std::size_t MaxStrictOffers = 5;
 /// Guards at which a request may wait at the same time. The first slot that
 /// gets free takes it; more guards gain little and cost messages.
 constexpr std::uint32_t ParallelOffers = 3;
@@ -22,10 +25,10 @@
 /// Share of attempts that run longer when the entry hedges without a notice of
 /// the guard, which may be cut off.
 constexpr double UnansweredShare = 0.01;
-/// Greatest risk, in percent, that the first offers of a request that must not
-/// run twice accept. A backend server that answered within the last seconds has
-/// less, one of which nothing is known has more; where none has, the guards'
-/// own limits decide.
+/// Greatest risk, in percent, that the first offers of the last attempt that a
+/// request has accept. A backend server that answered within the last seconds
+/// has less, one of which nothing is known has more; where none has, the
+/// guards' own limits decide.
 constexpr std::array<std::uint32_t, 3> FirstRiskPercents = {4, 7, 12};
 constexpr std::uint32_t AnyRiskPercent = 100;
 constexpr unsigned FirstServerError = 500;
@@ -39,10 +42,10 @@
 
 /// Greatest risk that the next offer of a request accepts.
 std::uint32_t maxRiskPercent(const PendingRequest &P) {
-  bool IsFirst = !P.Lenient && P.Declined.size() < FirstRiskPercents.size();
-  if (P.Target.MatchedRule->Idempotent || !IsFirst)
+  if (P.Lenient || P.hasSpareAttempt() ||
+      P.StrictOffers >= FirstRiskPercents.size())
     return AnyRiskPercent;
-  return FirstRiskPercents.at(P.Declined.size());
+  return FirstRiskPercents.at(P.StrictOffers);
 }
 
 /// A guard's decision on the request itself; another guard would not decide
@@ -69,11 +72,17 @@
   if (!P.ClaimRow.empty() && Now - P.ClaimedAt > Settings.ClaimLifetime)
     return fail(P, Reason::ClaimStoreUnavailable, Now, Actions);
   if (!P.Lenient) {
-    Selection Next = Servers.choose(P, Now);
-    if (Next.Server)
-      return offer(P, Next, false, Now, Actions);
+    Selection Next =
+        P.StrictOffers < MaxStrictOffers ? Servers.choose(P, Now) : Selection();
+    if (Next.Server) {
+      offer(P, Next, Now, Actions);
+      ++P.StrictOffers;
+      return;
+    }
     P.Lenient = true;
     P.Declined.clear();
+    for (const RunningAttempt &R : P.Running)
+      P.Declined.push_back(R.Server);
   }
   offerLeniently(P, Now, Actions);
 }
@@ -87,7 +96,7 @@
       break;
     ++P.LenientOffers;
     P.Declined.push_back(Next.Server->Id);
-    offer(P, Next, false, Now, Actions);
+    offer(P, Next, Now, Actions);
   }
   if (P.Running.empty())
     fail(P, P.LastFailure.value_or(Reason::NoBackendServer), Now, Actions);
@@ -109,21 +118,21 @@
   P.Lenient = true;
   BackendServerRecord Any;
   Any.Id.Node = Owner->Node;
-  offer(P, {&Any, false}, false, Now, Actions);
+  offer(P, {&Any, false}, Now, Actions);
 }
 
-void EntryCore::offer(PendingRequest &P, const Selection &To, bool IsHedge,
-                      Time Now, EntryActions &Actions) {
+void EntryCore::offer(PendingRequest &P, const Selection &To, Time Now,
+                      EntryActions &Actions) {
   RunningAttempt Attempt;
   Attempt.Id = AttemptId{P.Id, ++P.Dispatches};
   Attempt.Server = To.Server->Id;
   Attempt.IsTrial = To.IsTrial;
   Attempt.IsStrict = !P.Lenient && !To.IsTrial;
-  Attempt.IsHedge = IsHedge;
   Attempt.Since = Now;
+  SendOffer Action{Attempt.Server.Node, describe(P, Attempt, Now)};
   P.Running.push_back(Attempt);
   Servers.load().attemptStarted(Attempt.Server);
-  Actions.push_back(SendOffer{Attempt.Server.Node, describe(P, Attempt, Now)});
+  Actions.push_back(std::move(Action));
 }
 
 DispatchInfo EntryCore::describe(PendingRequest &P,
@@ -137,7 +146,7 @@
   Info.Organisation = P.Organisation;
   Info.Idempotent = R.Idempotent;
   Info.Paid = R.Paid;
-  Info.Priority = R.Priority;
+  Info.Priority = P.Priority;
   Info.IsSubRequest = P.IsSubRequest;
   Info.Strict = Attempt.IsStrict;
   Info.AvoidsRisk = P.Lenient && !Servers.isMostlyRisky(P, Now);
@@ -164,14 +173,13 @@
   Attempt->Since = Now;
   DispatchInfo Info = describe(*P, *Attempt, Now);
   Actions.push_back(SendAttempt{Attempt->Server.Node, std::move(Info)});
-  if (!Attempt->IsHedge)
-    cancelOffers(*P, Actions);
+  cancelOffers(*P, Actions);
   return Actions;
 }
 
 void EntryCore::cancelOffers(PendingRequest &P, EntryActions &Actions) {
   std::erase_if(P.Running, [&](const RunningAttempt &R) {
-    if (R.IsSent || R.IsHedge)
+    if (R.IsSent)
       return false;
     Actions.push_back(SendCancel{R.Server.Node, R.Id});
     Servers.load().attemptEnded(R.Server);
@@ -230,12 +238,11 @@
     return true;
   if (P.Tried.size() >= P.Target.MatchedRule->Attempts || P.Deadline <= Now)
     return false;
-  P.Lenient = false;
-  P.Declined.clear();
+  P.startPass();
   Selection Next = Servers.choose(P, Now);
   if (!Next.Server || !budget(P).tryRetry(Now))
     return false;
-  offer(P, Next, false, Now, Actions);
+  offer(P, Next, Now, Actions);
   return true;
 }
 
@@ -275,16 +282,11 @@
   // slot by now.
   bool HasWaited = !Ended.IsStrict && Now - Ended.Since > OfferTimeout;
   if (HasWaited && Failure.Why == Reason::Suspected && P.Running.empty()) {
-    P.Lenient = false;
-    P.LenientOffers = 0;
+    P.startPass();
     P.Declined = {Ended.Server};
   }
-  if (!P.isSent())
-    return startAttempt(P, Now, Actions);
-  // A hedge is worth a free slot, but not a place in a queue.
-  Selection Next = Ended.IsHedge ? Servers.choose(P, Now) : Selection();
-  if (Next.Server)
-    offer(P, Next, true, Now, Actions);
+  // A hedge waits for a slot as well: the attempt beside it most likely hangs.
+  startAttempt(P, Now, Actions);
 }
 
 void EntryCore::retryOrFail(PendingRequest &P, const RunningAttempt &Ended,
@@ -298,15 +300,13 @@
   bool IsRefusal = isGuardRefusal(Failure);
   if (!IsRefusal) {
     P.Tried.push_back(Ended.Server);
-    P.Lenient = false;
-    P.LenientOffers = 0;
-    P.Declined.clear();
+    P.startPass();
   }
   bool MayGoOn = mayRepeat(P, Failure, Now);
   if (MayGoOn && IsRefusal)
     return declined(P, Ended, Failure, Now, Actions);
-  // A hedge still runs, or other guards may still grant it.
-  if (!P.Running.empty() && !isFinalRefusal(Failure.Why))
+  // Another attempt still runs, or other guards may still grant it.
+  if (P.isSent() || (!P.Running.empty() && !isFinalRefusal(Failure.Why)))
     return;
   bool Free = Ended.IsTrial;
   if (MayGoOn && (Free || budget(P).tryRetry(Now)))
@@ -334,13 +334,12 @@
       P.Running.size() != 1 || !P.isSent() ||
       P.Tried.size() + 1 >= P.Target.MatchedRule->Attempts)
     return false;
-  P.Lenient = false;
+  P.startPass();
   P.Declined = {P.Running.front().Server};
-  Selection Next = Servers.choose(P, Now);
-  if (!Next.Server || !budget(P).tryRetry(Now))
+  if (!Servers.choose(P, Now).Server || !budget(P).tryRetry(Now))
     return false;
   P.IsHedged = true;
-  offer(P, Next, true, Now, Actions);
+  startAttempt(P, Now, Actions);
   return true;
 }
 
--- a/lib/Entry/EntryCore.h
+++ b/lib/Entry/EntryCore.h
@@ -57,13 +57,13 @@
   void startGuardKeyAttempt(PendingRequest &P, Time Now, EntryActions &Actions);
   /// Offers the request to guards that may queue it.
   void offerLeniently(PendingRequest &P, Time Now, EntryActions &Actions);
-  void offer(PendingRequest &P, const Selection &To, bool IsHedge, Time Now,
+  void offer(PendingRequest &P, const Selection &To, Time Now,
              EntryActions &Actions);
   DispatchInfo describe(PendingRequest &P, const RunningAttempt &Attempt,
                         Time Now);
   /// Runs the request on a second backend server; false if there is none.
   bool hedge(PendingRequest &P, Time Now, EntryActions &Actions);
-  /// Takes back what is offered but not sent, hedges excepted.
+  /// Takes back what is offered but not sent.
   void cancelOffers(PendingRequest &P, EntryActions &Actions);
   void endOverdueOffers(Time Now, EntryActions &Actions);
   void hedgeOverdue(Time Now, EntryActions &Actions);
--- a/lib/Entry/RequestTable.cpp
+++ b/lib/Entry/RequestTable.cpp
@@ -17,6 +17,18 @@
                      [](const RunningAttempt &R) { return R.IsSent; });
 }
 
+void PendingRequest::startPass() {
+  Lenient = false;
+  StrictOffers = 0;
+  LenientOffers = 0;
+  Declined.clear();
+}
+
+bool PendingRequest::hasSpareAttempt() const {
+  const Rule &R = *Target.MatchedRule;
+  return R.Idempotent && Tried.size() + (isSent() ? 1 : 0) + 1 < R.Attempts;
+}
+
 RunningAttempt *PendingRequest::running(const AttemptId &Id) {
   auto It = std::find_if(Running.begin(), Running.end(),
                          [&](const RunningAttempt &R) { return R.Id == Id; });
--- a/lib/Entry/RequestTable.h
+++ b/lib/Entry/RequestTable.h
@@ -23,8 +23,6 @@
   bool IsTrial = false;
   /// The guard was asked to refuse it unless a slot is free.
   bool IsStrict = false;
-  /// It runs beside another attempt.
-  bool IsHedge = false;
   /// The request was sent; until then nothing can have run.
   bool IsSent = false;
   /// When it was offered, then when it was sent.
@@ -44,6 +42,8 @@
   Duration Objective;
   std::string CallerId;
   bool IsSubRequest = false;
+  /// Rank in queues; 0 goes first.
+  std::uint32_t Priority = 0;
   std::uint64_t Fingerprint = 0;
   /// A guard-bound key, or empty.
   std::string GuardKey;
@@ -62,7 +62,9 @@
   std::vector<BackendServerId> Declined;
   /// Guards may queue it: no backend server that looks sound has a free slot.
   bool Lenient = false;
-  /// Offers in the lenient pass.
+  /// Offers in this pass, to guards that had to refuse unless a slot was free
+  /// and to those that may queue it.
+  std::uint32_t StrictOffers = 0;
   std::uint32_t LenientOffers = 0;
   /// The attempt was hedged, or could not be.
   bool IsHedged = false;
@@ -77,6 +79,10 @@
   RunningAttempt *running(const AttemptId &Id);
   /// True if the request is at a guard and may run.
   bool isSent() const;
+  /// Forgets which guards refused it; they are asked anew.
+  void startPass();
+  /// True if another attempt may follow the next one, whatever comes of it.
+  bool hasSpareAttempt() const;
   void removeRunning(const AttemptId &Id);
 };
 
--- a/lib/Entry/ServerSelection.cpp
+++ b/lib/Entry/ServerSelection.cpp
@@ -20,7 +20,7 @@
 /// What a failure costs a request that can run again, compared with one that
 /// cannot: time and a repeat. Such requests find out about backend servers of
 /// which nothing is known.
-constexpr double IdempotentLoss = 0.3;
+constexpr double RepeatableLoss = 0.3;
 
 /// As far as is known, no candidate has a free slot.
 bool isCrowded(const std::vector<Candidate> &Candidates) {
@@ -63,14 +63,14 @@
       continue;
     Candidate C = makeCandidate(Server, Now);
     bool IsSuspected = C.Risk > SuspectedRisk;
-    if (P.Target.MatchedRule->Idempotent)
-      C.Risk *= IdempotentLoss;
+    if (P.hasSpareAttempt())
+      C.Risk *= RepeatableLoss;
     if (Server.Health == BackendServerHealth::Ejected)
       Ejected.push_back(C);
     else
       (IsSuspected ? Suspected : InUse).push_back(C);
   }
-  bool MayTry = P.Dispatches == 0 && P.Target.MatchedRule->Idempotent;
+  bool MayTry = P.Dispatches == 0 && P.hasSpareAttempt();
   if (MayTry && !Ejected.empty() && Random.uniform() < TrialShare)
     return {best(Ejected), true};
   double Share = isCrowded(InUse) ? CrowdedTrialShare : SuspectedTrialShare;
--- a/lib/Guard/AdmissionQueue.cpp
+++ b/lib/Guard/AdmissionQueue.cpp
@@ -6,12 +6,12 @@
 namespace teaselhitch {
 
 bool QueuedAttempt::operator<(const QueuedAttempt &Other) const {
-  if (IsSubRequest != Other.IsSubRequest)
-    return IsSubRequest;
   if (Paid != Other.Paid)
     return Paid;
   if (Priority != Other.Priority)
     return Priority < Other.Priority;
+  if (IsSubRequest != Other.IsSubRequest)
+    return IsSubRequest;
   if (Objective != Other.Objective)
     return Objective < Other.Objective;
   if (Deadline != Other.Deadline)
--- a/lib/Guard/AdmissionQueue.h
+++ b/lib/Guard/AdmissionQueue.h
@@ -9,9 +9,10 @@
 
 namespace teaselhitch {
 
-/// An attempt that waits for a slot. Sub-requests go first, then paid work,
-/// then the least priority number, then the earliest objective, then the
-/// earliest deadline, then the earliest arrival.
+/// An attempt that waits for a slot. Paid work goes first, then the least
+/// priority number, then sub-requests, then the earliest objective, then the
+/// earliest deadline, then the earliest arrival. Sub-requests have the priority
+/// of the request that waits for them.
 struct QueuedAttempt {
   AttemptId Attempt;
   bool IsSubRequest = false;
--- a/lib/Guard/GuardCore.h
+++ b/lib/Guard/GuardCore.h
@@ -30,6 +30,7 @@
   GuardActions cancel(const AttemptId &Id, Time Now) override;
   GuardActions finished(const AttemptId &Id, const RunResult &Result,
                         Time Now) override;
+  void progressed(const AttemptId &Id, Time Now) override;
   ServerLoad load(const BackendServerName &Server, Time Now) const override;
   GuardActions depart(const BackendServerName &Server,
                       std::optional<std::uint64_t> Incarnation,
--- a/lib/Guard/GuardDispatch.cpp
+++ b/lib/Guard/GuardDispatch.cpp
@@ -141,9 +141,9 @@
     return false;
   const QueuedAttempt &Last = *Line->second.rbegin();
   // Only rank displaces; otherwise who came first keeps the place.
-  bool GoesBefore = A.Info.IsSubRequest > Last.IsSubRequest ||
-                    (A.Info.IsSubRequest == Last.IsSubRequest &&
-                     A.Info.Priority < Last.Priority);
+  bool GoesBefore = A.Info.Priority < Last.Priority ||
+                    (A.Info.Priority == Last.Priority &&
+                     A.Info.IsSubRequest > Last.IsSubRequest);
   if (GoesBefore)
     refuseWaiting(AttemptId(Last.Attempt), Reason::QueueFull, Now, Out,
                   retryAfter(A.Info.Service));
--- a/lib/Guard/GuardEnds.cpp
+++ b/lib/Guard/GuardEnds.cpp
@@ -68,6 +68,12 @@
   return Out;
 }
 
+void GuardCore::progressed(const AttemptId &Id, Time Now) {
+  auto It = Attempts.find(Id);
+  if (It != Attempts.end() && It->second.Running)
+    Risk.progressed(It->second.Server, It->second.Info, Now);
+}
+
 void GuardCore::refuse(const DispatchInfo &Info, Reason Why,
                        Duration RetryAfter, Time Now, GuardActions &Out) {
   AttemptFailed F = failure(Why);
--- a/lib/Guard/ServerRisk.cpp
+++ b/lib/Guard/ServerRisk.cpp
@@ -79,8 +79,7 @@
     if (Result.Status >= FirstServerError)
       return R.Odds.failed(Info.Attempt, Info.Baseline, Now);
     R.Odds.succeeded(Info.Attempt, Info.Baseline, Now);
-    if (R.Odds.probability(Now) < UnprovenRisk)
-      R.BadAt.reset();
+    noteProof(R, Now);
     model(Info);
     Models[Info.Rule]->record(Result.RunTime);
     return;
@@ -98,6 +97,18 @@
   }
 }
 
+void ServerRisk::progressed(const BackendServerName &Server,
+                            const DispatchInfo &Info, Time Now) {
+  Record &R = Servers[Server];
+  R.Odds.progressed(Info.Attempt, Info.Baseline, Now);
+  noteProof(R, Now);
+}
+
+void ServerRisk::noteProof(Record &R, Time Now) {
+  if (R.Odds.probability(Now) < UnprovenRisk)
+    R.BadAt.reset();
+}
+
 void ServerRisk::restarted(const BackendServerName &Server, Time Now) {
   auto It = Servers.find(Server);
   if (It == Servers.end())
@@ -117,17 +128,18 @@
   double Probability = probability(Server, Now);
   if (!Info.Strict && !Info.AvoidsRisk)
     return Probability > PanicRisk;
-  if (Info.Idempotent)
-    return Probability > IdempotentRisk;
   constexpr double Percent = 100;
-  double Limit = Info.Strict ? OnceRisk : WaitingOnceRisk;
+  double Limit = Info.Idempotent ? IdempotentRisk
+                 : Info.Strict   ? OnceRisk
+                                 : WaitingOnceRisk;
   return Probability > std::min(Limit, Info.MaxRiskPercent / Percent) ||
-         isUnproven(Server, Now);
+         (!Info.Idempotent && isUnproven(Server, Now));
 }
 
 bool ServerRisk::mayTry(const BackendServerName &Server,
                         const DispatchInfo &Info, Time Now) const {
-  if (!Info.Idempotent)
+  constexpr std::uint32_t AnyRisk = 100;
+  if (!Info.Idempotent || Info.MaxRiskPercent < AnyRisk)
     return false;
   auto It = Servers.find(Server);
   if (It == Servers.end())
@@ -152,7 +164,9 @@
                            const DispatchInfo &Info, Duration Elapsed,
                            Time Now) const {
   auto It = Models.find(Info.Rule);
-  if (It == Models.end())
+  auto Known = Servers.find(Server);
+  if (It == Models.end() || Known == Servers.end() ||
+      Known->second.Odds.hasProgressed(Info.Attempt))
     return false;
   double Share = probability(Server, Now) > IdempotentRisk ? SuspectOverdueShare
                                                            : OverdueShare;
--- a/lib/Guard/ServerRisk.h
+++ b/lib/Guard/ServerRisk.h
@@ -20,6 +20,9 @@
                Time Now);
   void finished(const BackendServerName &Server, const DispatchInfo &Info,
                 const RunResult &Result, Time Now);
+  /// The backend server is at work on the attempt.
+  void progressed(const BackendServerName &Server, const DispatchInfo &Info,
+                  Time Now);
   /// The backend server started again or is gone.
   void restarted(const BackendServerName &Server, Time Now);
 
@@ -66,6 +69,8 @@
   const RunTimeModel &model(const DispatchInfo &Info);
   void noteResult(Record &R, const DispatchInfo &Info, const RunResult &Result,
                   Time Now);
+  /// Ends the time in which the backend server needs proof, if it has enough.
+  static void noteProof(Record &R, Time Now);
 
   std::map<BackendServerName, Record> Servers;
   /// Never erased while attempts refer to them; bounded by the rules.
--- a/lib/Integration/OwnBackendProtocol.cpp
+++ b/lib/Integration/OwnBackendProtocol.cpp
@@ -39,6 +39,9 @@
                     boost::json::object{{"error", Why.Message}});
   }
 
+  /// This interface does not tie sub-requests to the request that needs them.
+  std::string callerId(const HttpRequest &) const override { return ""; }
+
   void prepare(HttpRequest &Request, const RunContext &Run) const override {
     auto RemainingMs = static_cast<std::int64_t>(Run.Remaining.ms());
     Request.Headers.push_back(
--- a/lib/Node/BackendsDuty.cpp
+++ b/lib/Node/BackendsDuty.cpp
@@ -82,6 +82,8 @@
   Self->Duty::receive(Rings.PeersToBackendsRing, [Self](PeersToBackends &&M) {
     Self->receive(std::move(M));
   });
+  Self->Duty::receive(Rings.ProgressToBackends,
+                      [Self](SubRequestSeen &&M) { Self->receive(M); });
   Self->Duty::receive(Rings.PlatformToBackends, [Self](TableReply &&Reply) {
     Self->run(Self->Control->reply(Reply, Self->now()));
   });
@@ -176,6 +178,7 @@
   R.Service = Info.Service;
   R.Idempotent = Info.Idempotent;
   R.Organisation = Info.Organisation;
+  R.Priority = Info.Priority;
   // A repeated attempt id is a fault of the sender; the first stays.
   if (!Attempts.emplace(Info.Attempt, std::move(R)).second)
     return;
@@ -199,6 +202,8 @@
   Running &R = It->second;
   R.IsSent = true;
   HttpRequest Request = std::move(Message.Request);
+  R.CallerId = Protocol->callerId(Request);
+  announceRun(R, true);
   Protocol->prepare(Request,
                     RunContext{R.Server, Info.Attempt.Request, Info.Remaining});
   logEvent(LogLevel::Info, "guard", "attempt-started",
@@ -208,6 +213,22 @@
   Client->start(Info.Attempt, R.Address, std::move(Request), R.Idempotent);
 }
 
+void BackendsDuty::announceRun(const Running &R, bool IsRunning) {
+  if (R.CallerId.empty())
+    return;
+  // Without it, sub-requests have the priority of their own rule.
+  if (!Rings.RunsToCallers.trySend(
+          RunChange{R.CallerId, R.Priority, IsRunning}))
+    logEvent(LogLevel::Warning, "backends", "run-change-dropped",
+             {{"caller_id", R.CallerId}});
+}
+
+void BackendsDuty::receive(const SubRequestSeen &Message) {
+  for (const auto &[Attempt, R] : Attempts)
+    if (R.IsSent && R.CallerId == Message.ParentId)
+      Core->progressed(Attempt, now());
+}
+
 void BackendsDuty::receive(const Cancel &Message) {
   auto It = Attempts.find(Message.Attempt);
   if (It != Attempts.end())
@@ -405,6 +426,7 @@
   if (It == Attempts.end())
     return;
   BackendServerName Server = It->second.Server;
+  announceRun(It->second, false);
   countRun(Rings.Metrics, Result);
   logEvent(LogLevel::Info, "guard", "attempt-ended",
            {{"attempt", toString(Attempt)},
--- a/lib/Node/BackendsDuty.h
+++ b/lib/Node/BackendsDuty.h
@@ -46,6 +46,9 @@
     BackendServerName Server;
     Endpoint Address;
     Time GrantedAt;
+    /// Empty until it is sent, or if the caller gave none.
+    std::string CallerId;
+    std::uint32_t Priority = 0;
     /// The request came and was sent to the backend server.
     bool IsSent = false;
     /// The entry has its answer or is gone.
@@ -63,6 +66,9 @@
   /// Releases slots whose requests did not come in time.
   void expireGrants();
   void withdraw(const AttemptId &Attempt);
+  void receive(const SubRequestSeen &Message);
+  /// Lets the entry of this node know whose sub-requests may come.
+  void announceRun(const Running &R, bool IsRunning);
   void entryLost(LinkId Link);
   void run(const GuardActions &Actions);
   void perform(const StartAttempt &Action);
--- a/lib/Node/CallersDuty.cpp
+++ b/lib/Node/CallersDuty.cpp
@@ -88,6 +88,8 @@
   auto Receive = [Self](EntryMessage &&M) { Self->receive(std::move(M)); };
   Self->Duty::receive(Rings.BackendsToCallers, Receive);
   Self->Duty::receive(Rings.PeersToCallers, Receive);
+  Self->Duty::receive(Rings.RunsToCallers,
+                      [Self](RunChange &&Change) { Self->receive(Change); });
   Self->Duty::receive(Rings.PlatformToCallers, [Self](TableReply &&Reply) {
     Self->run(Self->Core->tableReply(Reply, Self->now()));
   });
@@ -168,6 +170,8 @@
       });
   if (!Described)
     return Exchange->reply(refuse(Reason::BadRequest));
+  if (!Described->ParentId.empty())
+    noteParent(*Described);
   EntryActions Actions;
   RequestId Id = Core->accept(*Described, now(), Actions);
   Requests.emplace(Id.Sequence, Waiting{Exchange, Request, Described->CallerId,
@@ -179,6 +183,24 @@
   run(std::move(Actions));
 }
 
+void CallersDuty::noteParent(CallerRequest &Request) {
+  auto It = Runs.find(Request.ParentId);
+  if (It == Runs.end())
+    return;
+  Request.ParentPriority = It->second;
+  // Without it, the run looks slower to its guard than it is.
+  if (!Rings.ProgressToBackends.trySend(SubRequestSeen{Request.ParentId}))
+    logEvent(LogLevel::Warning, "callers", "progress-dropped",
+             {{"caller_id", Request.CallerId}});
+}
+
+void CallersDuty::receive(const RunChange &Change) {
+  if (Change.IsRunning)
+    Runs.insert_or_assign(Change.CallerId, Change.Priority);
+  else
+    Runs.erase(Change.CallerId);
+}
+
 void CallersDuty::handleMint(std::shared_ptr<HttpExchange> Exchange) {
   const HttpRequest &Request = Exchange->request();
   ServiceName Service = handleError(
--- a/lib/Node/CallersDuty.h
+++ b/lib/Node/CallersDuty.h
@@ -46,6 +46,9 @@
   /// The answer to a request that got no request id.
   HttpAnswer refuse(Reason Why, const std::string &CallerId = "");
   void handleRequest(const std::shared_ptr<HttpExchange> &Exchange);
+  /// Finds the rank of the request that waits for this one.
+  void noteParent(CallerRequest &Request);
+  void receive(const RunChange &Change);
   void handleMint(std::shared_ptr<HttpExchange> Exchange);
   void receive(EntryMessage Message);
   void logFailure(const AttemptFailed &M) const;
@@ -75,6 +78,9 @@
   std::unordered_map<std::uint64_t, Waiting> Requests;
   std::unordered_map<std::uint64_t, std::shared_ptr<HttpExchange>> Mints;
   std::uint64_t NextMint = 1;
+  /// Priorities of the requests that run on backend servers of this node, by
+  /// the ids that their callers gave them.
+  std::unordered_map<std::string, std::uint32_t> Runs;
   std::uint64_t ConfigGeneration = 0;
   std::uint64_t ConfigVersion = 0;
   std::uint64_t ViewGeneration = 0;
--- a/lib/Node/Channels.h
+++ b/lib/Node/Channels.h
@@ -80,10 +80,27 @@
 /// Messages that a ring holds before it refuses more.
 inline constexpr std::size_t RingCapacity = 4096;
 
+/// Backends to callers: a backend server of this node has begun or ended a
+/// request.
+struct RunChange {
+  /// Id that the caller gave to the request.
+  std::string CallerId;
+  std::uint32_t Priority = 0;
+  bool IsRunning = false;
+};
+
+/// Callers to backends: the run of the request with this caller's id has made
+/// a request of its own.
+struct SubRequestSeen {
+  std::string ParentId;
+};
+
 /// All that the threads of a node share.
 struct Channels {
   Channel<GuardMessage> CallersToBackends{RingCapacity};
   Channel<EntryMessage> BackendsToCallers{RingCapacity};
+  Channel<RunChange> RunsToCallers{RingCapacity};
+  Channel<SubRequestSeen> ProgressToBackends{RingCapacity};
   Channel<ToGuard> CallersToPeers{RingCapacity};
   Channel<EntryMessage> PeersToCallers{RingCapacity};
   Channel<PeersToBackends> PeersToBackendsRing{RingCapacity};
--- a/lib/Node/ConfigWatchDuty.cpp
+++ b/lib/Node/ConfigWatchDuty.cpp
@@ -1,20 +1,17 @@
 #include "ConfigWatchDuty.h"
 
+#include "teaselhitch/Config/WatchPlan.h"
 #include "teaselhitch/Support/Log.h"
 
+#include <algorithm>
 #include <chrono>
 
 namespace teaselhitch {
 
 namespace {
 
-/// Longest wait in one call. A connection that went silent, and a store that is
-/// back, are noticed when it is over; with 5 s, a version that was written a
-/// second after the store's return came too late into force.
-constexpr Duration LongestWait = Duration::seconds(3);
-/// Pause after a call that failed: a store that is back is used soon, and a
-/// fleet of a thousand nodes makes at most some thousand calls a second.
-constexpr Duration RetryPause = Duration(400);
+/// A pause is cut into parts of this length, so that a stop does not wait.
+constexpr Duration PausePart = Duration(200);
 
 } // namespace
 
@@ -32,18 +29,25 @@
 
 void ConfigWatchDuty::watch() {
   while (!IsStopping) {
-    if (readNext() || IsStopping)
-      continue;
-    std::this_thread::sleep_for(
-        std::chrono::milliseconds(static_cast<int>(RetryPause.ms())));
+    std::shared_ptr<const FleetView> View = Rings.View.current();
+    WatchPlan Plan = planWatch(Self, View.get());
+    if (!readNext(Plan.Wait))
+      pause(Plan.RetryPause);
   }
 }
 
-bool ConfigWatchDuty::readNext() {
+void ConfigWatchDuty::pause(Duration Length) {
+  for (Duration Left = Length; Left.ms() > 0 && !IsStopping;
+       Left = Left - PausePart)
+    std::this_thread::sleep_for(std::chrono::milliseconds(
+        static_cast<int>(std::min(Left, PausePart).ms())));
+}
+
+bool ConfigWatchDuty::readNext(Duration Wait) {
   std::string Cause;
   bool Answered = handleError(
       [&]() -> Result<bool> {
-        BOOST_LEAF_AUTO(Next, Source->next(LongestWait));
+        BOOST_LEAF_AUTO(Next, Source->next(Wait));
         if (Next && !Rings.ConfigToPeers.trySend(std::move(*Next)))
           logEvent(LogLevel::Error, "config", "configuration-dropped",
                    {{"cause", "the ring to the peers thread is full"}});
--- a/lib/Node/ConfigWatchDuty.h
+++ b/lib/Node/ConfigWatchDuty.h
@@ -16,8 +16,9 @@
 
 class ConfigWatchDuty {
 public:
-  ConfigWatchDuty(std::unique_ptr<ConfigSource> Source, Channels &Rings)
-      : Source(std::move(Source)), Rings(Rings) {}
+  ConfigWatchDuty(std::unique_ptr<ConfigSource> Source, NodeName Self,
+                  Channels &Rings)
+      : Source(std::move(Source)), Self(std::move(Self)), Rings(Rings) {}
   ~ConfigWatchDuty() { stop(); }
   ConfigWatchDuty(const ConfigWatchDuty &) = delete;
   ConfigWatchDuty &operator=(const ConfigWatchDuty &) = delete;
@@ -28,11 +29,13 @@
 
 private:
   void watch();
-  /// False if the source did not answer.
-  bool readNext();
+  /// False if the source did not answer within the wait.
+  bool readNext(Duration Wait);
+  void pause(Duration Length);
   void noteAnswer(bool Answered, const std::string &Cause);
 
   std::unique_ptr<ConfigSource> Source;
+  NodeName Self;
   Channels &Rings;
   std::atomic<bool> IsStopping{false};
   bool IsLost = false;
--- a/lib/Node/Node.cpp
+++ b/lib/Node/Node.cpp
@@ -45,7 +45,8 @@
     BOOST_LEAF_ASSIGN(Peers, PeersDuty::create(Settings, Source == nullptr,
                                                Incarnation, Rings));
     if (Source)
-      Watch = std::make_unique<ConfigWatchDuty>(std::move(Source), Rings);
+      Watch = std::make_unique<ConfigWatchDuty>(std::move(Source),
+                                                Settings.Node, Rings);
     BOOST_LEAF_ASSIGN(
         Backends, BackendsDuty::create(Settings, *Adapter, Incarnation, Rings));
     BOOST_LEAF_ASSIGN(
--- a/lib/Wire/MessageSerialize.h
+++ b/lib/Wire/MessageSerialize.h
@@ -5,6 +5,7 @@
 /// Cereal functions for the types of Model/Messages.h and the frames. Loading
 /// throws cereal::Exception on values that are out of range.
 
+#include "WireStrings.h"
 #include "teaselhitch/Wire/FrameCodec.h"
 
 #include <cereal/cereal.hpp>
@@ -27,7 +28,7 @@
 
 template <typename ArchiveT>
 void codeSize(ArchiveT &Ar, std::uint64_t &Size, std::uint64_t Max) {
-  Ar(Size);
+  wire::codeVarint(Ar, Size);
   if (Size > Max)
     throw cereal::Exception("size out of range");
 }
@@ -102,7 +103,9 @@
 
 template <typename ArchiveT> void codeAttempt(ArchiveT &Ar, AttemptId &Id) {
   codeName(Ar, Id.Request.Entry);
-  Ar(Id.Request.Incarnation, Id.Request.Sequence, Id.Number);
+  wire::codeVarint(Ar, Id.Request.Incarnation);
+  wire::codeVarint(Ar, Id.Request.Sequence);
+  wire::codeVarint(Ar, Id.Number);
 }
 
 template <typename ArchiveT>
@@ -115,7 +118,10 @@
 }
 
 template <typename ArchiveT> void codeLoad(ArchiveT &Ar, ServerLoad &L) {
-  Ar(L.InProgress, L.Waiting, L.Slots, L.RiskPercent);
+  wire::codeVarint(Ar, L.InProgress);
+  wire::codeVarint(Ar, L.Waiting);
+  wire::codeVarint(Ar, L.Slots);
+  wire::codeVarint(Ar, L.RiskPercent);
   constexpr std::uint32_t MaxPercent = 100;
   if (L.RiskPercent > MaxPercent)
     throw cereal::Exception("risk out of range");
@@ -142,11 +148,12 @@
   codeName(Ar, I.Organisation);
   codeFlag(Ar, I.Idempotent);
   codeFlag(Ar, I.Paid);
-  Ar(I.Priority);
+  wire::codeVarint(Ar, I.Priority);
   codeFlag(Ar, I.IsSubRequest);
   codeFlag(Ar, I.Strict);
   codeFlag(Ar, I.AvoidsRisk);
-  Ar(I.MaxRiskPercent, I.Offers);
+  wire::codeVarint(Ar, I.MaxRiskPercent);
+  wire::codeVarint(Ar, I.Offers);
   codeDuration(Ar, I.Objective);
   codeDuration(Ar, I.ObjectiveLeft);
   codeDuration(Ar, I.Remaining);
--- a/unittests/Detection/FailureOddsTest.cpp
+++ b/unittests/Detection/FailureOddsTest.cpp
@@ -33,6 +33,7 @@
   CPPUNIT_TEST(evidenceFades);
   CPPUNIT_TEST(hungRequestTellsOfItsStart);
   CPPUNIT_TEST(proofOfSoundnessAges);
+  CPPUNIT_TEST(progressProvesSoundness);
   CPPUNIT_TEST(soundServerIsRarelySuspected);
   CPPUNIT_TEST_SUITE_END();
 
@@ -116,6 +117,23 @@
     CPPUNIT_ASSERT(Old < 0.15);
   }
 
+  /// Guards against a backend server that is blamed for the failures of the
+  /// services that it calls.
+  void progressProvesSoundness() {
+    RunTimeModel Model = learnedModel();
+    FailureOdds Odds;
+    double Before = Odds.probability(Time());
+    for (std::uint64_t I = 0; I != 3; ++I) {
+      Odds.started(id(I), Model, Time());
+      Odds.progressed(id(I), Calm, Time() + Duration(50));
+    }
+    Time Later = Time() + Duration(600);
+    CPPUNIT_ASSERT(Odds.probability(Later) < Before / 3);
+    for (std::uint64_t I = 0; I != 3; ++I)
+      Odds.failed(id(I), Calm, Later);
+    CPPUNIT_ASSERT(Odds.probability(Later) < Before / 3);
+  }
+
   /// Guards against false suspicions at 1% errors: of the moments at which a
   /// sound backend server starts a request, one in fifty may look bad.
   void soundServerIsRarelySuspected() {
--- a/unittests/Entry/OfferTest.cpp
+++ b/unittests/Entry/OfferTest.cpp
@@ -73,6 +73,9 @@
   CPPUNIT_TEST(unansweredOfferGoesElsewhere);
   CPPUNIT_TEST(nothingRunsAfterALateGrant);
   CPPUNIT_TEST(overdueIdempotentRequestIsHedged);
+  CPPUNIT_TEST(hedgeWaitsForASlot);
+  CPPUNIT_TEST(refusedHedgeEndsNothing);
+  CPPUNIT_TEST(lastAttemptAsksForFreshProof);
   CPPUNIT_TEST(overduePaidRequestIsNotHedged);
   CPPUNIT_TEST(errorAnswerIsRepeatedAndKept);
   CPPUNIT_TEST(errorAnswerOfPaidWorkIsDelivered);
@@ -214,6 +217,52 @@
     CPPUNIT_ASSERT(Core->isIdle());
   }
 
+  /// Runs /read at a backend server that hangs, and declines its hedges until
+  /// guards may queue them.
+  std::vector<SendOffer> hedgeWidely(AttemptId &First) {
+    First = only<SendOffer>(accept("/read")).at(0).Info.Attempt;
+    grant(First);
+    auto Offers = only<SendOffer>(Core->overdue({First, {1, 0, 3, 90}}, Now));
+    while (Offers.size() == 1 && Offers.front().Info.Strict)
+      Offers = only<SendOffer>(decline(Offers.front(), Reason::Busy));
+    return Offers;
+  }
+
+  /// Load: three in ten backend servers hang, and the others have no free slot.
+  /// Guards against a sub-request that hangs until its parent fails.
+  void hedgeWaitsForASlot() {
+    AttemptId First;
+    std::vector<SendOffer> Offers = hedgeWidely(First);
+    CPPUNIT_ASSERT(!Offers.empty());
+    for (const SendOffer &Offer : Offers)
+      CPPUNIT_ASSERT(Offer.Info.Attempt != First && !Offer.Info.Strict);
+    EntryActions Actions = grant(Offers.back().Info.Attempt);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), only<SendAttempt>(Actions).size());
+    CPPUNIT_ASSERT_EQUAL(Offers.size() - 1, only<SendCancel>(Actions).size());
+  }
+
+  /// Guards against a running attempt that ends because a guard refuses the
+  /// hedge beside it.
+  void refusedHedgeEndsNothing() {
+    AttemptId First;
+    for (const SendOffer &Offer : hedgeWidely(First))
+      CPPUNIT_ASSERT(
+          only<ReplyFailure>(decline(Offer, Reason::DeadlineExpired)).empty());
+    EntryActions Actions = Core->answered(answer(First, 200), Now);
+    CPPUNIT_ASSERT(only<ReplyAnswer>(Actions).at(0).Attempt == First);
+  }
+
+  /// Load: three in ten backend servers hang. A request that hung once is lost
+  /// if it hangs again.
+  void lastAttemptAsksForFreshProof() {
+    SendOffer First = only<SendOffer>(accept("/read")).at(0);
+    CPPUNIT_ASSERT_EQUAL(100U, First.Info.MaxRiskPercent);
+    grant(First.Info.Attempt);
+    auto Hedges = only<SendOffer>(
+        Core->overdue({First.Info.Attempt, {1, 0, 3, 90}}, Now));
+    CPPUNIT_ASSERT(Hedges.at(0).Info.MaxRiskPercent < 10);
+  }
+
   /// Guards against a second run of paid work.
   void overduePaidRequestIsNotHedged() {
     AttemptId First = only<SendOffer>(accept("/pay")).at(0).Info.Attempt;
--- /dev/null
+++ b/unittests/Entry/RetryBudgetTest.cpp
@@ -0,0 +1,71 @@
+#include "teaselhitch/Entry/RetryBudget.h"
+
+#include "teaselhitch/Support/Random.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <vector>
+
+using namespace teaselhitch;
+
+namespace {
+
+constexpr std::uint64_t Seed = 11;
+constexpr std::uint32_t Percent = 20;
+const Duration Window = Duration::seconds(10);
+
+class RetryBudgetTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(RetryBudgetTest);
+  CPPUNIT_TEST(failuresInARowAreRepeated);
+  CPPUNIT_TEST(noWindowExceedsItsShare);
+  CPPUNIT_TEST_SUITE_END();
+
+  /// Load: a node with few requests meets several backend servers that hang
+  /// within a second, after a calm time.
+  void failuresInARowAreRepeated() {
+    RetryBudget Budget;
+    Budget.setAllowance(RetryBudget::share(200, Window, 100));
+    Time Now;
+    constexpr int Requests = 25;
+    for (int I = 0; I != Requests; ++I) {
+      Now = Now + Duration(400);
+      Budget.requestArrived(Percent, Now);
+    }
+    for (int I = 0; I != Requests * 20 / 100; ++I)
+      CPPUNIT_ASSERT(Budget.tryRetry(Now));
+  }
+
+  /// Load: everything fails. No window of ten seconds, whatever its start, may
+  /// have more retries than its share of the requests and the fixed part.
+  void noWindowExceedsItsShare() {
+    SeededRandom Random(Seed);
+    constexpr double Fixed = 4;
+    RetryBudget Budget;
+    Budget.setAllowance(RetryBudget::share(Fixed * 50, Window, 50));
+    std::vector<Time> Requests;
+    std::vector<Time> Retries;
+    Time Now;
+    for (int I = 0; I != 4000; ++I) {
+      bool IsBurst = I / 500 % 2 == 1;
+      Now = Now + Duration(Random.uniform() * (IsBurst ? 20 : 300));
+      Budget.requestArrived(Percent, Now);
+      Requests.push_back(Now);
+      while (Budget.tryRetry(Now))
+        Retries.push_back(Now);
+    }
+    const auto CountIn = [](const std::vector<Time> &Times, Time End) {
+      return std::count_if(Times.begin(), Times.end(), [&](Time T) {
+        return T <= End && End - T <= Window;
+      });
+    };
+    for (std::size_t I = 0; I < Retries.size(); I += 7) {
+      double Allowed = Fixed + 0.2 * CountIn(Requests, Retries[I]);
+      CPPUNIT_ASSERT(CountIn(Retries, Retries[I]) <= Allowed + 1e-9);
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RetryBudgetTest);
+
+} // namespace
--- a/unittests/Guard/RiskTest.cpp
+++ b/unittests/Guard/RiskTest.cpp
@@ -40,6 +40,7 @@
   CPPUNIT_TEST(paidWorkNeedsProofAfterAGrayPhase);
   CPPUNIT_TEST(serverWithoutTrialsIsUsedAgain);
   CPPUNIT_TEST(hungPaidWorkDoesNotHoldTrialsUp);
+  CPPUNIT_TEST(runThatWaitsForItsSubRequestsIsNotOverdue);
   CPPUNIT_TEST(paidWorkPrefersFreshProof);
   CPPUNIT_TEST(strictOffersDoNotWait);
   CPPUNIT_TEST(overdueIdempotentAttemptsAreReportedOnce);
@@ -141,6 +142,20 @@
     CPPUNIT_ASSERT_EQUAL(S("start 5 w1"), text(F.dispatch(strict(5, true))));
   }
 
+  /// Load: a service behind this one is slow. Guards against backend servers
+  /// that are suspected because their own requests wait there.
+  void runThatWaitsForItsSubRequestsIsNotOverdue() {
+    GuardFixture F;
+    F.announce(F.announcement("w1", 3));
+    F.dispatch(strict(1, true));
+    F.dispatch(strict(2, false));
+    F.Now = Time(50);
+    F.G->progressed(F.id(1), F.Now);
+    F.G->progressed(F.id(2), F.Now);
+    CPPUNIT_ASSERT(only<AttemptOverdue>(F.tickAt(1500)).empty());
+    CPPUNIT_ASSERT_EQUAL(S("start 3 w1"), text(F.dispatch(strict(3, false))));
+  }
+
   /// Load: most backend servers have succeeded just now, some have not been
   /// used for seconds.
   void paidWorkPrefersFreshProof() {
@@ -185,14 +200,17 @@
     CPPUNIT_ASSERT(only<AttemptOverdue>(F.tickAt(1600)).empty());
   }
 
-  /// Load: more work than slots, of which some holds slots elsewhere.
+  /// Load: more work than slots, of which some holds slots elsewhere. A
+  /// sub-request has the rank of the request that waits for it and goes before
+  /// others of that rank; urgent work does not wait for those of less urgent
+  /// requests.
   void subRequestsAndRankGoFirst() {
     GuardFixture F;
     F.announce(F.announcement("w1", 1));
     F.dispatch(lenient(1, 0));
     F.dispatch(lenient(2, 2));
     F.dispatch(lenient(3, 1));
-    DispatchInfo Sub = lenient(4, 2);
+    DispatchInfo Sub = lenient(4, 1);
     Sub.IsSubRequest = true;
     F.dispatch(Sub);
     // The queue is full; rank displaces the last one.
@@ -200,7 +218,7 @@
                          text(F.dispatch(lenient(5, 2))));
     CPPUNIT_ASSERT_EQUAL(S("fail 2 queue-full not-run"),
                          text(F.dispatch(lenient(6, 0))));
-    for (const char *Next : {"start 4 w1", "start 6 w1", "start 3 w1"}) {
+    for (const char *Next : {"start 6 w1", "start 4 w1", "start 3 w1"}) {
       std::uint64_t Running = Last;
       S Started = text(F.finish(Running));
       CPPUNIT_ASSERT_EQUAL(S(Next), Started);
