Limit requests whose sub-requests find no room; rank sub-requests above their parent; try all suspected servers within seconds

Change: a guard admits a share of the requests of a rule that falls with refused sub-requests of its runs and recovers with the square of the time since; a sub-request is one rank above its parent and waits in the order of objectives; two in five idempotent requests are offered to a suspected backend server, and one that found no room is a trial instead of a refusal. Callers that leave are logged.

The order of subRequestsAndRankGoFirst follows: the sub-request there has the shorter objective that lookups have.

OfferTest::suspectedServersAreTriedWithinSeconds fails with the share of 15%.

--- a/include/teaselhitch/Entry/Entry.h
+++ b/include/teaselhitch/Entry/Entry.h
@@ -39,8 +39,7 @@
   /// The caller's id of the request whose run makes this one and holds a slot
   /// until it has the answer; empty if a client made it.
   std::string ParentId;
-  /// Rank of that request, if it is known. A sub-request is as urgent as what
-  /// waits for it.
+  /// Rank of that request, if it is known.
   std::optional<std::uint32_t> ParentPriority;
   /// How long the caller waits, if it told so.
   std::optional<Duration> Deadline;
--- a/include/teaselhitch/Guard/Guard.h
+++ b/include/teaselhitch/Guard/Guard.h
@@ -193,6 +193,12 @@
   /// so it does not hang.
   virtual void progressed(const AttemptId &Attempt, Time Now) = 0;
 
+  /// A request that a backend server made for an attempt of this rule has
+  /// ended. \param Congested it found no room until it was refused or its
+  /// caller left.
+  virtual void subRequestEnded(const RuleName &Rule, bool Congested,
+                               Time Now) = 0;
+
   /// Load and estimated risk of a backend server, for answers to entries.
   virtual ServerLoad load(const BackendServerName &Server, Time Now) const = 0;
 
--- a/include/teaselhitch/Model/Messages.h
+++ b/include/teaselhitch/Model/Messages.h
@@ -111,9 +111,6 @@
   bool Paid = false;
   /// Rank in the queue; 0 goes first.
   std::uint32_t Priority = 0;
-  /// Another request waits for it and holds a slot elsewhere; it goes before
-  /// others of its priority, which is that of the waiting request.
-  bool IsSubRequest = false;
   /// Refuse unless a slot is free and the backend server looks sound; the
   /// entry has other candidates.
   bool Strict = false;
--- a/include/teaselhitch/Model/Outcome.h
+++ b/include/teaselhitch/Model/Outcome.h
@@ -55,10 +55,11 @@
   Suspected,
   AnswerTooLarge,
   GrantExpired,
+  DependencyBusy,
 };
 
 /// The last of the reasons, for decoders.
-inline constexpr Reason LastReason = Reason::GrantExpired;
+inline constexpr Reason LastReason = Reason::DependencyBusy;
 
 /// What the documentation promises of a reason.
 struct ReasonInfo {
--- a/lib/Entry/Entry.cpp
+++ b/lib/Entry/Entry.cpp
@@ -16,6 +16,14 @@
 /// Keys that start so were issued by guards.
 constexpr const char *GuardKeyPrefix = "th1.";
 
+/// A sub-request is one rank more urgent than the request that waits for it and
+/// holds a slot meanwhile: refusing it wastes what that one has used.
+std::uint32_t priorityOf(const CallerRequest &Request, const Rule &R) {
+  if (!Request.ParentPriority)
+    return R.Priority;
+  return *Request.ParentPriority == 0 ? 0 : *Request.ParentPriority - 1;
+}
+
 } // namespace
 
 EntryCore::EntryCore(EntrySettings Chosen, RandomSource &Random,
@@ -70,8 +78,7 @@
   P.Target = Target;
   P.Organisation = Request.Organisation;
   P.CallerId = Request.CallerId;
-  P.IsSubRequest = !Request.ParentId.empty();
-  P.Priority = Request.ParentPriority.value_or(R.Priority);
+  P.Priority = priorityOf(Request, R);
   P.ArrivedAt = Now;
   P.Objective = R.Objective.ms() > 0 ? R.Objective : R.Deadline;
   P.Deadline =
--- a/lib/Entry/EntryAttempts.cpp
+++ b/lib/Entry/EntryAttempts.cpp
@@ -52,7 +52,8 @@
 /// otherwise.
 bool isFinalRefusal(Reason Why) {
   return Why == Reason::Quarantined || Why == Reason::BadRequest ||
-         Why == Reason::OverShare || Why == Reason::DeadlineExpired;
+         Why == Reason::OverShare || Why == Reason::DeadlineExpired ||
+         Why == Reason::DependencyBusy;
 }
 
 } // namespace
@@ -147,7 +148,6 @@
   Info.Idempotent = R.Idempotent;
   Info.Paid = R.Paid;
   Info.Priority = P.Priority;
-  Info.IsSubRequest = P.IsSubRequest;
   Info.Strict = Attempt.IsStrict;
   Info.AvoidsRisk = P.Lenient && !Servers.isMostlyRisky(P, Now);
   Info.MaxRiskPercent = maxRiskPercent(P);
--- a/lib/Entry/RequestTable.h
+++ b/lib/Entry/RequestTable.h
@@ -41,7 +41,6 @@
   /// Time within which the answer is worth its full value.
   Duration Objective;
   std::string CallerId;
-  bool IsSubRequest = false;
   /// Rank in queues; 0 goes first.
   std::uint32_t Priority = 0;
   std::uint64_t Fingerprint = 0;
--- a/lib/Entry/ServerSelection.cpp
+++ b/lib/Entry/ServerSelection.cpp
@@ -11,8 +11,10 @@
 constexpr double TrialShare = 0.02;
 /// Share of idempotent requests that are offered to a suspected backend server
 /// first, to find out whether it is sound again. Its guard takes one at a time,
-/// and a trial that hangs is hedged.
-constexpr double SuspectedTrialShare = 0.15;
+/// and a trial that hangs is hedged. Where a third of the backend servers are
+/// suspected and each gets about one such request in a second, all are tried
+/// within two seconds.
+constexpr double SuspectedTrialShare = 0.4;
 /// The same when the others have no free slot: capacity is worth a trial.
 constexpr double CrowdedTrialShare = 0.6;
 /// Estimated risk from which a backend server is avoided.
--- a/lib/Guard/AdmissionQueue.cpp
+++ b/lib/Guard/AdmissionQueue.cpp
@@ -10,8 +10,6 @@
     return Paid;
   if (Priority != Other.Priority)
     return Priority < Other.Priority;
-  if (IsSubRequest != Other.IsSubRequest)
-    return IsSubRequest;
   if (Objective != Other.Objective)
     return Objective < Other.Objective;
   if (Deadline != Other.Deadline)
--- a/lib/Guard/AdmissionQueue.h
+++ b/lib/Guard/AdmissionQueue.h
@@ -10,12 +10,10 @@
 namespace teaselhitch {
 
 /// An attempt that waits for a slot. Paid work goes first, then the least
-/// priority number, then sub-requests, then the earliest objective, then the
-/// earliest deadline, then the earliest arrival. Sub-requests have the priority
-/// of the request that waits for them.
+/// priority number, then the earliest objective, then the earliest deadline,
+/// then the earliest arrival.
 struct QueuedAttempt {
   AttemptId Attempt;
-  bool IsSubRequest = false;
   bool Paid = false;
   std::uint32_t Priority = 0;
   /// When the answer stops being worth its full value.
--- a/lib/Guard/GuardCore.h
+++ b/lib/Guard/GuardCore.h
@@ -3,6 +3,7 @@
 
 #include "AdmissionQueue.h"
 #include "CrashTable.h"
+#include "DependencyLimits.h"
 #include "FairShares.h"
 #include "GuardKeys.h"
 #include "ServerRisk.h"
@@ -31,6 +32,10 @@
   GuardActions finished(const AttemptId &Id, const RunResult &Result,
                         Time Now) override;
   void progressed(const AttemptId &Id, Time Now) override;
+  void subRequestEnded(const RuleName &Rule, bool Congested,
+                       Time Now) override {
+    Dependencies.subRequestEnded(Rule, Congested, Now);
+  }
   ServerLoad load(const BackendServerName &Server, Time Now) const override;
   GuardActions depart(const BackendServerName &Server,
                       std::optional<std::uint64_t> Incarnation,
@@ -78,8 +83,8 @@
     Duration Charged;
 
     QueuedAttempt queued() const {
-      return {Info.Attempt, Info.IsSubRequest, Info.Paid, Info.Priority,
-              Objective,    Deadline,          Order};
+      return {Info.Attempt, Info.Paid, Info.Priority,
+              Objective,    Deadline,  Order};
     }
   };
 
@@ -94,6 +99,9 @@
   Attempt &store(Attempt A);
   /// Why an attempt that may not wait cannot start now.
   std::optional<Reason> declineStrict(const DispatchInfo &Info, Time Now);
+  /// The attempt may start now to find out whether a server that looks bad is
+  /// sound again.
+  bool isTrial(const DispatchInfo &Info, Time Now);
   /// An attempt that waits now would most likely miss its deadline.
   bool wouldExpire(const Attempt &A) const;
   /// Makes room in a full queue for an attempt that goes before others; false
@@ -154,6 +162,7 @@
   std::set<ServiceName> JudgedByRisk;
   ServerTable Servers;
   ServerRisk Risk;
+  DependencyLimits Dependencies;
   std::map<ServiceName, ServiceQueue> Queues;
   std::map<AttemptId, Attempt> Attempts;
   GuardKeys Keys;
--- a/lib/Guard/GuardDispatch.cpp
+++ b/lib/Guard/GuardDispatch.cpp
@@ -68,6 +68,10 @@
            Now, Out);
     return Out;
   }
+  if (!Dependencies.admit(Info.Rule, Now)) {
+    refuse(Info, Reason::DependencyBusy, {}, Now, Out);
+    return Out;
+  }
   std::optional<Reason> Declined =
       Info.Strict ? declineStrict(Info, Now) : std::nullopt;
   if (Declined) {
@@ -85,7 +89,8 @@
 
 void GuardCore::admit(Attempt &A, Time Now, GuardActions &Out) {
   const ServiceName &Service = A.Info.Service;
-  if (!A.Info.Strict && Servers.isServed(Service) && allRisky(A.Info, Now)) {
+  if (!A.Info.Strict && Servers.isServed(Service) && allRisky(A.Info, Now) &&
+      !isTrial(A.Info, Now)) {
     refuse(A.Info, Reason::Suspected, {}, Now, Out);
     return;
   }
@@ -128,12 +133,17 @@
   bool OthersWait = Queue != Queues.end() && Queue->second.Queue.size() != 0;
   if (Server == nullptr || OthersWait)
     return Reason::Busy;
-  const BackendServerName &Name = Server->Record.Id.Name;
-  if (Risk.isTooRisky(Name, Info, Now) && !Risk.mayTry(Name, Info, Now))
+  bool IsRisky = Risk.isTooRisky(Server->Record.Id.Name, Info, Now);
+  if (IsRisky && !isTrial(Info, Now))
     return Reason::Suspected;
   return std::nullopt;
 }
 
+bool GuardCore::isTrial(const DispatchInfo &Info, Time Now) {
+  GuardedServer *Server = Servers.choose(Info.Service, Info.Preferred, Now);
+  return Server != nullptr && Risk.mayTry(Server->Record.Id.Name, Info, Now);
+}
+
 bool GuardCore::displaceLast(const Attempt &A, Time Now, GuardActions &Out) {
   const AdmissionQueue &Queue = Queues[A.Info.Service].Queue;
   auto Line = Queue.lines().find(A.Payer);
@@ -141,9 +151,7 @@
     return false;
   const QueuedAttempt &Last = *Line->second.rbegin();
   // Only rank displaces; otherwise who came first keeps the place.
-  bool GoesBefore = A.Info.Priority < Last.Priority ||
-                    (A.Info.Priority == Last.Priority &&
-                     A.Info.IsSubRequest > Last.IsSubRequest);
+  bool GoesBefore = A.Info.Priority < Last.Priority;
   if (GoesBefore)
     refuseWaiting(AttemptId(Last.Attempt), Reason::QueueFull, Now, Out,
                   retryAfter(A.Info.Service));
--- a/lib/Guard/ServerRisk.cpp
+++ b/lib/Guard/ServerRisk.cpp
@@ -14,7 +14,7 @@
 constexpr double IdempotentRisk = 0.7;
 constexpr double OnceRisk = 0.3;
 /// The latter when the alternative is to refuse the request.
-constexpr double WaitingOnceRisk = 0.5;
+constexpr double WaitingOnceRisk = 0.6;
 /// Greatest risk for any request when most backend servers look bad.
 constexpr double PanicRisk = 0.9;
 /// Risk from which a backend server has to show that it is sound again, and
@@ -133,7 +133,7 @@
                  : Info.Strict   ? OnceRisk
                                  : WaitingOnceRisk;
   return Probability > std::min(Limit, Info.MaxRiskPercent / Percent) ||
-         (!Info.Idempotent && isUnproven(Server, Now));
+         (Info.Strict && !Info.Idempotent && isUnproven(Server, Now));
 }
 
 bool ServerRisk::mayTry(const BackendServerName &Server,
--- a/lib/Model/Outcome.cpp
+++ b/lib/Model/Outcome.cpp
@@ -68,6 +68,8 @@
        "the answer is larger than the limit of the node"},
       {GrantExpired, "grant-expired", 503, NotRun,
        "the guard no longer held a slot when the request came"},
+      {DependencyBusy, "dependency-busy", 503, NotRun,
+       "a service that the request needs has no room"},
   };
   return Reasons;
 }
--- a/lib/Node/BackendsDuty.cpp
+++ b/lib/Node/BackendsDuty.cpp
@@ -82,8 +82,10 @@
   Self->Duty::receive(Rings.PeersToBackendsRing, [Self](PeersToBackends &&M) {
     Self->receive(std::move(M));
   });
-  Self->Duty::receive(Rings.ProgressToBackends,
-                      [Self](SubRequestSeen &&M) { Self->receive(M); });
+  Self->Duty::receive(
+      Rings.SubRequestsToBackends, [Self](SubRequestNotice &&Notice) {
+        std::visit([Self](const auto &M) { Self->receive(M); }, Notice);
+      });
   Self->Duty::receive(Rings.PlatformToBackends, [Self](TableReply &&Reply) {
     Self->run(Self->Control->reply(Reply, Self->now()));
   });
@@ -178,6 +180,7 @@
   R.Service = Info.Service;
   R.Idempotent = Info.Idempotent;
   R.Organisation = Info.Organisation;
+  R.Rule = Info.Rule;
   R.Priority = Info.Priority;
   // A repeated attempt id is a fault of the sender; the first stays.
   if (!Attempts.emplace(Info.Attempt, std::move(R)).second)
@@ -218,7 +221,7 @@
     return;
   // Without it, sub-requests have the priority of their own rule.
   if (!Rings.RunsToCallers.trySend(
-          RunChange{R.CallerId, R.Priority, IsRunning}))
+          RunChange{R.CallerId, R.Rule, R.Priority, IsRunning}))
     logEvent(LogLevel::Warning, "backends", "run-change-dropped",
              {{"caller_id", R.CallerId}});
 }
@@ -229,6 +232,10 @@
       Core->progressed(Attempt, now());
 }
 
+void BackendsDuty::receive(const SubRequestEnded &Message) {
+  Core->subRequestEnded(Message.ParentRule, Message.Congested, now());
+}
+
 void BackendsDuty::receive(const Cancel &Message) {
   auto It = Attempts.find(Message.Attempt);
   if (It != Attempts.end())
--- a/lib/Node/BackendsDuty.h
+++ b/lib/Node/BackendsDuty.h
@@ -48,6 +48,7 @@
     Time GrantedAt;
     /// Empty until it is sent, or if the caller gave none.
     std::string CallerId;
+    RuleName Rule;
     std::uint32_t Priority = 0;
     /// The request came and was sent to the backend server.
     bool IsSent = false;
@@ -67,6 +68,7 @@
   void expireGrants();
   void withdraw(const AttemptId &Attempt);
   void receive(const SubRequestSeen &Message);
+  void receive(const SubRequestEnded &Message);
   /// Lets the entry of this node know whose sub-requests may come.
   void announceRun(const Running &R, bool IsRunning);
   void entryLost(LinkId Link);
--- a/lib/Node/CallersDuty.cpp
+++ b/lib/Node/CallersDuty.cpp
@@ -26,6 +26,10 @@
 /// Callers reuse connections until shortly before the idle timeout; one that
 /// closes at the same moment would cost a request.
 constexpr double IdleMargin = 1.25;
+/// A sub-request that waits longer for a slot shows that there is no room. It
+/// is a few round trips between failure domains, and a fraction of the run
+/// times that objectives leave room for.
+constexpr Duration LongWait = Duration(150);
 constexpr const char *KeysPath = "/.teaselhitch/keys";
 constexpr const char *OwnPathPrefix = "/.teaselhitch/";
 
@@ -170,33 +174,54 @@
       });
   if (!Described)
     return Exchange->reply(refuse(Reason::BadRequest));
-  if (!Described->ParentId.empty())
-    noteParent(*Described);
+  RuleName ParentRule = noteParent(*Described);
   EntryActions Actions;
   RequestId Id = Core->accept(*Described, now(), Actions);
-  Requests.emplace(Id.Sequence, Waiting{Exchange, Request, Described->CallerId,
-                                        std::nullopt, now()});
-  Exchange->onGone([this, Id] {
-    Requests.erase(Id.Sequence);
-    run(Core->callerGone(Id, now()));
-  });
+  Requests.emplace(Id.Sequence,
+                   Waiting{Exchange, Request, Described->CallerId, std::nullopt,
+                           now(), ParentRule, false});
+  Exchange->onGone([this, Id] { callerGone(Id); });
   run(std::move(Actions));
 }
 
-void CallersDuty::noteParent(CallerRequest &Request) {
+void CallersDuty::callerGone(const RequestId &Id) {
+  auto It = Requests.find(Id.Sequence);
+  if (It != Requests.end()) {
+    logEvent(LogLevel::Info, "entry", "caller-gone",
+             {{"request_id", toString(Id)},
+              {"caller_id", It->second.CallerId},
+              {"duration_ms", (now() - It->second.Since).ms()}});
+    noteSubRequestEnd(It->second);
+    Requests.erase(It);
+  }
+  run(Core->callerGone(Id, now()));
+}
+
+RuleName CallersDuty::noteParent(CallerRequest &Request) {
   auto It = Runs.find(Request.ParentId);
   if (It == Runs.end())
+    return RuleName();
+  Request.ParentPriority = It->second.Priority;
+  tellBackends(SubRequestSeen{Request.ParentId});
+  return It->second.Rule;
+}
+
+void CallersDuty::noteSubRequestEnd(const Waiting &Ended) {
+  if (Ended.ParentRule.empty())
     return;
-  Request.ParentPriority = It->second;
-  // Without it, the run looks slower to its guard than it is.
-  if (!Rings.ProgressToBackends.trySend(SubRequestSeen{Request.ParentId}))
-    logEvent(LogLevel::Warning, "callers", "progress-dropped",
-             {{"caller_id", Request.CallerId}});
+  tellBackends(SubRequestEnded{Ended.ParentRule, !Ended.IsSent});
+}
+
+void CallersDuty::tellBackends(SubRequestNotice Notice) {
+  // Without it, a run looks slower to its guard than it is, or the guard notes
+  // later that the services behind it have no room.
+  if (!Rings.SubRequestsToBackends.trySend(std::move(Notice)))
+    logEvent(LogLevel::Warning, "callers", "sub-request-notice-dropped");
 }
 
 void CallersDuty::receive(const RunChange &Change) {
   if (Change.IsRunning)
-    Runs.insert_or_assign(Change.CallerId, Change.Priority);
+    Runs.insert_or_assign(Change.CallerId, Change);
   else
     Runs.erase(Change.CallerId);
 }
@@ -288,6 +313,7 @@
   if (It == Requests.end())
     return;
   AttemptId Attempt = Action.Info.Attempt;
+  It->second.IsSent = true;
   logEvent(LogLevel::Info, "entry", "dispatch",
            {{"attempt", toString(Attempt)},
             {"node", Action.Guard.str()},
@@ -382,6 +408,7 @@
     return;
   Waiting Done = std::move(It->second);
   Requests.erase(It);
+  noteSubRequestEnd(Done);
   Latency.record(now() - Done.Since);
   logEvent(LogLevel::Info, "entry", "request-ended",
            {{"request_id", toString(Id)},
--- a/lib/Node/CallersDuty.h
+++ b/lib/Node/CallersDuty.h
@@ -40,14 +40,24 @@
     /// An error answer, for the case that no other attempt brings a better one.
     std::optional<HttpAnswer> Kept;
     Time Since;
+    /// Rule of the request that waits for this one; empty if there is none.
+    RuleName ParentRule;
+    /// It was sent to a guard that had a slot.
+    bool IsSent = false;
   };
 
   void handle(std::shared_ptr<HttpExchange> Exchange);
   /// The answer to a request that got no request id.
   HttpAnswer refuse(Reason Why, const std::string &CallerId = "");
   void handleRequest(const std::shared_ptr<HttpExchange> &Exchange);
-  /// Finds the rank of the request that waits for this one.
-  void noteParent(CallerRequest &Request);
+  /// Finds the rank of the request that waits for this one. Returns its rule,
+  /// or an empty name.
+  RuleName noteParent(CallerRequest &Request);
+  /// Tells the guard of this node whether a sub-request found room.
+  void noteSubRequestEnd(const Waiting &Ended);
+  void tellBackends(SubRequestNotice Notice);
+  /// The caller has closed its connection.
+  void callerGone(const RequestId &Id);
   void receive(const RunChange &Change);
   void handleMint(std::shared_ptr<HttpExchange> Exchange);
   void receive(EntryMessage Message);
@@ -78,9 +88,9 @@
   std::unordered_map<std::uint64_t, Waiting> Requests;
   std::unordered_map<std::uint64_t, std::shared_ptr<HttpExchange>> Mints;
   std::uint64_t NextMint = 1;
-  /// Priorities of the requests that run on backend servers of this node, by
-  /// the ids that their callers gave them.
-  std::unordered_map<std::string, std::uint32_t> Runs;
+  /// The requests that run on backend servers of this node, by the ids that
+  /// their callers gave them.
+  std::unordered_map<std::string, RunChange> Runs;
   std::uint64_t ConfigGeneration = 0;
   std::uint64_t ConfigVersion = 0;
   std::uint64_t ViewGeneration = 0;
--- a/lib/Node/Channels.h
+++ b/lib/Node/Channels.h
@@ -85,6 +85,7 @@
 struct RunChange {
   /// Id that the caller gave to the request.
   std::string CallerId;
+  RuleName Rule;
   std::uint32_t Priority = 0;
   bool IsRunning = false;
 };
@@ -95,12 +96,22 @@
   std::string ParentId;
 };
 
+/// Callers to backends: such a request has ended.
+struct SubRequestEnded {
+  /// Rule of the request that made it.
+  RuleName ParentRule;
+  /// It found no room until it was refused or its caller left.
+  bool Congested = false;
+};
+
+using SubRequestNotice = std::variant<SubRequestSeen, SubRequestEnded>;
+
 /// All that the threads of a node share.
 struct Channels {
   Channel<GuardMessage> CallersToBackends{RingCapacity};
   Channel<EntryMessage> BackendsToCallers{RingCapacity};
   Channel<RunChange> RunsToCallers{RingCapacity};
-  Channel<SubRequestSeen> ProgressToBackends{RingCapacity};
+  Channel<SubRequestNotice> SubRequestsToBackends{RingCapacity};
   Channel<ToGuard> CallersToPeers{RingCapacity};
   Channel<EntryMessage> PeersToCallers{RingCapacity};
   Channel<PeersToBackends> PeersToBackendsRing{RingCapacity};
--- a/lib/Wire/MessageSerialize.h
+++ b/lib/Wire/MessageSerialize.h
@@ -149,7 +149,6 @@
   codeFlag(Ar, I.Idempotent);
   codeFlag(Ar, I.Paid);
   wire::codeVarint(Ar, I.Priority);
-  codeFlag(Ar, I.IsSubRequest);
   codeFlag(Ar, I.Strict);
   codeFlag(Ar, I.AvoidsRisk);
   wire::codeVarint(Ar, I.MaxRiskPercent);
--- a/unittests/Entry/OfferTest.cpp
+++ b/unittests/Entry/OfferTest.cpp
@@ -81,6 +81,7 @@
   CPPUNIT_TEST(errorAnswerOfPaidWorkIsDelivered);
   CPPUNIT_TEST(suspectedServersAreAskedLast);
   CPPUNIT_TEST(allSuspectedServersAreTriedAgain);
+  CPPUNIT_TEST(suspectedServersAreTriedWithinSeconds);
   CPPUNIT_TEST(paidWorkAsksForFreshProofFirst);
   CPPUNIT_TEST(oldClaimEndsBeforeTheRequestIsOfferedWidely);
   CPPUNIT_TEST_SUITE_END();
@@ -333,6 +334,29 @@
       CPPUNIT_ASSERT(First[NodeName(Node)] >= Requests / 50);
   }
 
+  /// Load: a third of the backend servers look bad, and each would get about
+  /// one idempotent request in a second. Guards against sound ones that get
+  /// nothing for two seconds: at most in one of five spans.
+  void suspectedServersAreTriedWithinSeconds() {
+    suspect({1, 4});
+    constexpr int Seconds = 200;
+    constexpr double RequestsPerSecond = Servers;
+    std::vector<std::vector<int>> Tried(2, std::vector<int>(Seconds));
+    for (int I = 0; I != static_cast<int>(Seconds * RequestsPerSecond); ++I) {
+      SendOffer Offer = only<SendOffer>(accept("/read")).at(0);
+      Core->callerGone(Offer.Info.Attempt.Request, Now);
+      NodeName Guard = Offer.Guard;
+      auto Second = static_cast<std::size_t>(I / RequestsPerSecond);
+      if (Guard == NodeName("n2") || Guard == NodeName("n5"))
+        ++Tried[Guard == NodeName("n2") ? 0 : 1][Second];
+    }
+    int Empty = 0;
+    for (const std::vector<int> &Each : Tried)
+      for (std::size_t S = 0; S + 1 < Each.size(); ++S)
+        Empty += Each[S] + Each[S + 1] == 0 ? 1 : 0;
+    CPPUNIT_ASSERT(Empty <= 2 * Seconds / 5);
+  }
+
   /// Load: three in ten backend servers hang most of what they get, and a paid
   /// request that hangs is lost.
   void paidWorkAsksForFreshProofFirst() {
--- a/unittests/Guard/RiskTest.cpp
+++ b/unittests/Guard/RiskTest.cpp
@@ -42,6 +42,7 @@
   CPPUNIT_TEST(hungPaidWorkDoesNotHoldTrialsUp);
   CPPUNIT_TEST(runThatWaitsForItsSubRequestsIsNotOverdue);
   CPPUNIT_TEST(paidWorkPrefersFreshProof);
+  CPPUNIT_TEST(workThatFoundNoRoomIsATrial);
   CPPUNIT_TEST(strictOffersDoNotWait);
   CPPUNIT_TEST(overdueIdempotentAttemptsAreReportedOnce);
   CPPUNIT_TEST(subRequestsAndRankGoFirst);
@@ -178,6 +179,26 @@
                          text(F.dispatch(Careful)));
   }
 
+  /// Load: all sound backend servers are full. A request that can run again is
+  /// better tried at one that looks bad than refused; paid work is not.
+  void workThatFoundNoRoomIsATrial() {
+    GuardFixture F;
+    F.announce(F.announcement("w1", 3));
+    failThree(F);
+    F.tickAt(1000);
+    DispatchInfo Waiting = lenient(10, 0);
+    Waiting.AvoidsRisk = true;
+    CPPUNIT_ASSERT_EQUAL(S("start 10 w1"), text(F.dispatch(Waiting)));
+    Waiting.Attempt = F.id(11);
+    CPPUNIT_ASSERT_EQUAL(S("fail 11 suspected not-run"),
+                         text(F.dispatch(Waiting)));
+    Waiting.Attempt = F.id(12);
+    Waiting.Idempotent = false;
+    F.tickAt(2500);
+    CPPUNIT_ASSERT_EQUAL(S("fail 12 suspected not-run"),
+                         text(F.dispatch(Waiting)));
+  }
+
   /// Guards against a request that waits although others have a free slot.
   void strictOffersDoNotWait() {
     GuardFixture F;
@@ -201,9 +222,8 @@
   }
 
   /// Load: more work than slots, of which some holds slots elsewhere. A
-  /// sub-request has the rank of the request that waits for it and goes before
-  /// others of that rank; urgent work does not wait for those of less urgent
-  /// requests.
+  /// sub-request has a rank from its parent and a short objective, so it goes
+  /// before others of that rank; more urgent work does not wait for it.
   void subRequestsAndRankGoFirst() {
     GuardFixture F;
     F.announce(F.announcement("w1", 1));
@@ -211,7 +231,7 @@
     F.dispatch(lenient(2, 2));
     F.dispatch(lenient(3, 1));
     DispatchInfo Sub = lenient(4, 1);
-    Sub.IsSubRequest = true;
+    Sub.ObjectiveLeft = Duration(100);
     F.dispatch(Sub);
     // The queue is full; rank displaces the last one.
     CPPUNIT_ASSERT_EQUAL(S("fail 5 queue-full not-run"),
