Close connections on which a header is not finished in time

Cause: header_timeout_ms of listeners was read and checked but not in force; a caller that sent half a header held its connection for the idle time.

Change: the time counts from the first byte of a header; a connection that is between requests waits for that byte with the idle time. A planned stop no longer closes a connection in the middle of a header. Ruled out: one timer for both, which closes connections that callers may reuse for much longer than a header takes.

HttpServerTest::slowHeaderEndsTheConnection waits for the idle time of an hour, and fails, without the change.

--- a/include/teaselhitch/Net/HttpServer.h
+++ b/include/teaselhitch/Net/HttpServer.h
@@ -30,6 +30,9 @@
 struct HttpLimits {
   std::uint32_t MaxHeaderBytes = 16 * 1024;
   std::uint64_t MaxBodyBytes = 1024ULL * 1024;
+  /// A connection on which a header is not complete this long after its first
+  /// byte is closed.
+  Duration HeaderTimeout = Duration::seconds(30);
   /// An idle connection is closed after this time.
   Duration IdleTimeout = Duration::seconds(60);
 
--- a/lib/Net/HttpServer.cpp
+++ b/lib/Net/HttpServer.cpp
@@ -36,6 +36,8 @@
 /// client that has just opened one is about to send its request.
 constexpr Duration MinIdle = Duration(500);
 constexpr Duration SweepInterval = Duration(100);
+/// Most headers arrive whole with the first read.
+constexpr std::size_t FirstReadBytes = 4096;
 
 /// The reason for which a request that does not parse is refused.
 Reason reasonFor(ErrorCodeT Fault) {
@@ -98,6 +100,7 @@
 private:
   class Exchange;
 
+  void readRestOfHeader();
   void onHeader(ErrorCodeT Fault);
   void onBody(ErrorCodeT Fault);
   void refuse(ErrorCodeT Fault);
@@ -149,7 +152,23 @@
   Parser.emplace();
   Parser->header_limit(Server->Settings.Limits.MaxHeaderBytes);
   Parser->body_limit(Server->Settings.Limits.MaxBodyBytes);
+  // A pipelined request has begun already.
+  if (Buffer.size() != 0)
+    return readRestOfHeader();
   Stream.expires_after(toChrono(Server->Settings.Limits.IdleTimeout));
+  Stream.async_read_some(
+      Buffer.prepare(FirstReadBytes),
+      [Self = shared_from_this()](ErrorCodeT Fault, std::size_t Count) {
+        if (Fault)
+          return Self->close();
+        Self->Buffer.commit(Count);
+        Self->readRestOfHeader();
+      });
+}
+
+void Session::readRestOfHeader() {
+  IsIdle = false;
+  Stream.expires_after(toChrono(Server->Settings.Limits.HeaderTimeout));
   http::async_read_header(
       Stream, Buffer, *Parser,
       [Self = shared_from_this()](ErrorCodeT Fault, std::size_t) {
@@ -160,7 +179,6 @@
 void Session::onHeader(ErrorCodeT Fault) {
   if (Fault)
     return refuse(Fault);
-  IsIdle = false;
   if (!isWellFramed(Parser->get()))
     return refuse(http::error::bad_transfer_encoding);
   Stream.expires_after(toChrono(Server->Settings.RequestTimeout));
--- a/lib/Node/CallersDuty.cpp
+++ b/lib/Node/CallersDuty.cpp
@@ -37,6 +37,7 @@
   HttpLimits Limits;
   Limits.MaxHeaderBytes = L.MaxHeaderBytes;
   Limits.MaxBodyBytes = std::min(L.MaxBodyBytes, MaxForwardedBytes);
+  Limits.HeaderTimeout = L.HeaderTimeout;
   Limits.IdleTimeout = L.IdleTimeout * IdleMargin;
   return Limits;
 }
--- a/unittests/Entry/RetryBudgetTest.cpp
+++ b/unittests/Entry/RetryBudgetTest.cpp
@@ -60,8 +60,10 @@
       });
     };
     for (std::size_t I = 0; I < Retries.size(); I += 7) {
-      double Allowed = Fixed + 0.2 * CountIn(Requests, Retries[I]);
-      CPPUNIT_ASSERT(CountIn(Retries, Retries[I]) <= Allowed + 1e-9);
+      double Allowed =
+          Fixed + 0.2 * static_cast<double>(CountIn(Requests, Retries[I]));
+      CPPUNIT_ASSERT(static_cast<double>(CountIn(Retries, Retries[I])) <=
+                     Allowed + 1e-9);
     }
   }
 };
--- a/unittests/Net/HttpServerTest.cpp
+++ b/unittests/Net/HttpServerTest.cpp
@@ -47,6 +47,15 @@
     return Text;
   }
 
+  /// True if the server closes the connection; false if it has not after half a
+  /// minute.
+  bool isClosed() const {
+    timeval Limit{30, 0};
+    ::setsockopt(Socket, SOL_SOCKET, SO_RCVTIMEO, &Limit, sizeof(Limit));
+    char Byte = 0;
+    return ::recv(Socket, &Byte, 1, 0) == 0;
+  }
+
   /// All that the server sends until it closes.
   std::string readAll() const { return readUntil(std::string("\0\0", 2)); }
 
@@ -61,6 +70,7 @@
   CPPUNIT_TEST(dropsHopByHopHeaders);
   CPPUNIT_TEST(reportsCallersThatGo);
   CPPUNIT_TEST(drainClosesAfterTheAnswer);
+  CPPUNIT_TEST(slowHeaderEndsTheConnection);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -70,6 +80,8 @@
     Settings.Listen = Endpoint{"127.0.0.1", 0};
     Settings.Limits.MaxHeaderBytes = 1024;
     Settings.Limits.MaxBodyBytes = 100;
+    Settings.Limits.HeaderTimeout = Duration::seconds(1);
+    Settings.Limits.IdleTimeout = Duration::seconds(3600);
     Loop = std::make_unique<EventLoop>();
     handleError(
         [&]() -> Result<int> {
@@ -193,6 +205,17 @@
     CPPUNIT_ASSERT(Text.find("Connection=") == std::string::npos);
   }
 
+  /// Guards against connections that are held by callers who never finish a
+  /// header. The idle time of the fixture is an hour.
+  void slowHeaderEndsTheConnection() {
+    RawClient Client(Port);
+    Client.send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+    Client.readUntil(";end");
+    Client.send("GET /2 HTTP/1.1\r\nHo");
+    CPPUNIT_ASSERT(Client.isClosed());
+    CPPUNIT_ASSERT_EQUAL(1, Handled.load());
+  }
+
   /// Guards against work for callers that have gone.
   void reportsCallersThatGo() {
     {
