Learn how long connections to a backend server may rest

Cause: the grown sites have backend servers that forget connections which rest for 300 ms; paid requests were sent on connections that had rested up to 3 s, and each of those was lost.

Change: a connection that is lost without an answer after a rest, while the backend server goes on working, limits the rest of the others to three fifths of it for 20 s. Idempotent requests learn it as well.

IdleLimitsTest plays the load without a network; with the limits taken out each of its 40 requests is lost.

--- a/lib/Guard/ServerRisk.cpp
+++ b/lib/Guard/ServerRisk.cpp
@@ -20,9 +20,9 @@
 /// Risk from which a backend server has to show that it is sound again, and
 /// below which successes have shown it.
 constexpr double UnprovenRisk = 0.5;
-/// Time between two trials of a backend server that looks bad. Each trial that
-/// hangs costs a repeat elsewhere, and three trials a second of all its
-/// callers are enough to see the end of a gray phase within two seconds.
+/// Time between two trials of a backend server that looks bad. Each one that
+/// hangs costs a repeat elsewhere; at this pace, two successes show the end of a
+/// gray phase within two seconds.
 constexpr Duration TrialInterval = Duration(700);
 /// A trial that hangs holds the next one up for this long.
 constexpr Duration StuckTrial = Duration::seconds(2);
--- a/lib/Net/BackendClient.cpp
+++ b/lib/Net/BackendClient.cpp
@@ -2,6 +2,7 @@
 
 #include "Asio.h"
 #include "Http.h"
+#include "IdleLimits.h"
 
 #include <boost/asio/post.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -100,6 +101,8 @@
   std::unique_ptr<beast::tcp_stream> Check;
   char CheckByte = 0;
   Time SentAt;
+  /// How long the connection had rested, if it was used before.
+  std::optional<Duration> RestedFor;
   /// The whole request was sent.
   bool IsWritten = false;
   /// An answer to another request came on the connection.
@@ -135,6 +138,7 @@
         return Now - C->IdleSince > C->MaxIdleTime;
       });
     std::erase_if(Pool, [](const auto &Item) { return Item.second.empty(); });
+    Limits.prune(Now);
   }
 
   void finished(const AttemptId &Attempt, const RunResult &Result,
@@ -143,6 +147,11 @@
     OnDone(Attempt, Result, std::move(Answer));
   }
 
+  /// A reused connection was lost although the server works.
+  void lostAfterRest(const Endpoint &Server, Duration Rested) {
+    Limits.lostAfterRest(Server, Rested, Wall.now());
+  }
+
   void keepIdle(const Endpoint &Server, ConnectionPtr C) {
     std::vector<ConnectionPtr> &Idle = Pool[Server];
     if (Idle.size() >= MaxIdle)
@@ -166,9 +175,11 @@
     if (It == Pool.end() || It->second.empty())
       return nullptr;
     ConnectionPtr &Last = It->second.back();
-    Duration Limit =
-        Idempotent ? Last->MaxIdleTime : std::min(Last->MaxIdleTime, FreshIdle);
-    if (Wall.now() - Last->IdleSince > Limit || hasBytes(*Last))
+    Time Now = Wall.now();
+    Duration Limit = std::min(Last->MaxIdleTime, Limits.limit(Server, Now));
+    if (!Idempotent)
+      Limit = std::min(Limit, FreshIdle);
+    if (Now - Last->IdleSince > Limit || hasBytes(*Last))
       return nullptr;
     ConnectionPtr C = std::move(Last);
     It->second.pop_back();
@@ -202,6 +213,7 @@
   }
 
   Done OnDone;
+  IdleLimits Limits;
   std::map<AttemptId, std::shared_ptr<Exchange>> Running;
   std::map<Endpoint, std::vector<ConnectionPtr>> Pool;
 };
@@ -209,6 +221,7 @@
 void Exchange::run(ConnectionPtr Reused) {
   if (Reused) {
     Link = std::move(Reused);
+    RestedFor = Client.Wall.now() - Link->IdleSince;
     return write();
   }
   connect();
@@ -343,6 +356,8 @@
         if (Self->Ended)
           return;
         bool Lasts = !Fault || Fault == beast::error::timeout;
+        if (Lasts && Self->RestedFor)
+          Self->Client.lostAfterRest(Self->Server, *Self->RestedFor);
         Self->end(Lasts ? RunEnd::ConnectionLost : RunEnd::Crashed);
       });
 }
