--- a/lib/Guard/ServerRisk.cpp
+++ b/lib/Guard/ServerRisk.cpp
@@ -21,8 +21,8 @@
 /// below which successes have shown it.
 constexpr double UnprovenRisk = 0.5;
 /// Time between two trials of a backend server that looks bad. Each one that
-/// hangs costs a repeat elsewhere; at this pace, two successes show the end of a
-/// gray phase within two seconds.
+/// hangs costs a repeat elsewhere; at this pace, two successes show the end of
+/// a gray phase within two seconds.
 constexpr Duration TrialInterval = Duration(700);
 /// A trial that hangs holds the next one up for this long.
 constexpr Duration StuckTrial = Duration::seconds(2);
--- a/lib/Node/CallersDuty.cpp
+++ b/lib/Node/CallersDuty.cpp
@@ -26,10 +26,6 @@
 /// Callers reuse connections until shortly before the idle timeout; one that
 /// closes at the same moment would cost a request.
 constexpr double IdleMargin = 1.25;
-/// A sub-request that waits longer for a slot shows that there is no room. It
-/// is a few round trips between failure domains, and a fraction of the run
-/// times that objectives leave room for.
-constexpr Duration LongWait = Duration(150);
 constexpr const char *KeysPath = "/.teaselhitch/keys";
 constexpr const char *OwnPathPrefix = "/.teaselhitch/";
 
--- a/unittests/Entry/OfferTest.cpp
+++ b/unittests/Entry/OfferTest.cpp
@@ -76,6 +76,7 @@
   CPPUNIT_TEST(hedgeWaitsForASlot);
   CPPUNIT_TEST(refusedHedgeEndsNothing);
   CPPUNIT_TEST(lastAttemptAsksForFreshProof);
+  CPPUNIT_TEST(subRequestsRankAboveTheirParent);
   CPPUNIT_TEST(overduePaidRequestIsNotHedged);
   CPPUNIT_TEST(errorAnswerIsRepeatedAndKept);
   CPPUNIT_TEST(errorAnswerOfPaidWorkIsDelivered);
@@ -264,6 +265,27 @@
     CPPUNIT_ASSERT(Hedges.at(0).Info.MaxRiskPercent < 10);
   }
 
+  std::uint32_t priorityBelow(std::optional<std::uint32_t> Parent) {
+    CallerRequest Request;
+    Request.Method = "GET";
+    Request.Path = "/read";
+    Request.Organisation = OrganisationName("org");
+    Request.ParentId = "parent";
+    Request.ParentPriority = Parent;
+    EntryActions Actions;
+    Core->accept(Request, Now, Actions);
+    return only<SendOffer>(Actions).at(0).Info.Priority;
+  }
+
+  /// Load: the service behind is full. Guards against sub-requests that are
+  /// refused before new work of the rank of their parents.
+  void subRequestsRankAboveTheirParent() {
+    CPPUNIT_ASSERT_EQUAL(1U, priorityBelow(2));
+    CPPUNIT_ASSERT_EQUAL(0U, priorityBelow(0));
+    // The rule's own, where the parent is not known.
+    CPPUNIT_ASSERT_EQUAL(0U, priorityBelow(std::nullopt));
+  }
+
   /// Guards against a second run of paid work.
   void overduePaidRequestIsNotHedged() {
     AttemptId First = only<SendOffer>(accept("/pay")).at(0).Info.Attempt;
--- a/unittests/RowStorePlatform/SidecarProtocolsTest.cpp
+++ b/unittests/RowStorePlatform/SidecarProtocolsTest.cpp
@@ -119,7 +119,9 @@
                         ""};
     CallerRequest Read = createSidecarCallers("own")->describe(Request).value();
     CPPUNIT_ASSERT(Read.Host == "a.example" && Read.Path == "/a/b");
-    CPPUNIT_ASSERT(Read.Deadline == Duration(250) && !Read.ParentId.empty());
+    CPPUNIT_ASSERT(Read.Deadline == Duration(250) && Read.ParentId == "parent");
+    CPPUNIT_ASSERT(createSidecarBackends()->callerId(Request) ==
+                   "parent.child");
     CPPUNIT_ASSERT_EQUAL(std::string("own"),
                          headerValue(Request.Headers, "Caller-Service"));
     CPPUNIT_ASSERT(headerValue(Request.Headers, "Expect-Instance").empty());
