Let requests that can run again use backend servers that have rested

Change: requests with a spare attempt count only the risk above the usual one, so load and distance decide, and idle servers are proved again. Ruled out: missing trials of suspected servers (none of the five was suspected).

OfferTest::restedServersAreProvedAgain fails on the code before.

--- a/lib/Entry/ServerSelection.cpp
+++ b/lib/Entry/ServerSelection.cpp
@@ -1,5 +1,7 @@
 #include "ServerSelection.h"
 
+#include "teaselhitch/Model/Risk.h"
+
 #include <algorithm>
 
 namespace teaselhitch {
@@ -20,10 +22,17 @@
 /// Estimated risk from which a backend server is avoided.
 constexpr double SuspectedRisk = 0.5;
 /// What a failure costs a request that can run again, compared with one that
-/// cannot: time and a repeat. Such requests find out about backend servers of
-/// which nothing is known.
+/// cannot: time and a repeat.
 constexpr double RepeatableLoss = 0.3;
 
+/// The risk that a request that can run again takes into account. It goes to
+/// backend servers of which nothing is known as readily as to proven ones:
+/// paid requests prefer fresh proof, and without such requests a sound one that
+/// has rested for seconds would get no work at all.
+double repeatableRisk(double Risk) {
+  return std::max(0.0, Risk - UsualRisk) * RepeatableLoss;
+}
+
 /// As far as is known, no candidate has a free slot.
 bool isCrowded(const std::vector<Candidate> &Candidates) {
   return std::all_of(
@@ -66,7 +75,7 @@
     Candidate C = makeCandidate(Server, Now);
     bool IsSuspected = C.Risk > SuspectedRisk;
     if (P.hasSpareAttempt())
-      C.Risk *= RepeatableLoss;
+      C.Risk = repeatableRisk(C.Risk);
     if (Server.Health == BackendServerHealth::Ejected)
       Ejected.push_back(C);
     else
--- a/unittests/Entry/OfferTest.cpp
+++ b/unittests/Entry/OfferTest.cpp
@@ -83,6 +83,7 @@
   CPPUNIT_TEST(suspectedServersAreAskedLast);
   CPPUNIT_TEST(allSuspectedServersAreTriedAgain);
   CPPUNIT_TEST(suspectedServersAreTriedWithinSeconds);
+  CPPUNIT_TEST(restedServersAreProvedAgain);
   CPPUNIT_TEST(paidWorkAsksForFreshProofFirst);
   CPPUNIT_TEST(oldClaimEndsBeforeTheRequestIsOfferedWidely);
   CPPUNIT_TEST_SUITE_END();
@@ -379,6 +380,31 @@
     CPPUNIT_ASSERT(Empty <= 2 * Seconds / 5);
   }
 
+  /// Load: paid requests go to the backend servers with the freshest proof.
+  /// Guards against sound ones that rest for seconds and then get nothing,
+  /// since requests that can run again avoid them as well.
+  void restedServersAreProvedAgain() {
+    std::map<NodeName, int> First;
+    constexpr int Requests = 200;
+    for (int I = 0; I != Requests; ++I) {
+      SendOffer Offer = only<SendOffer>(accept("/read")).at(0);
+      ++First[Offer.Guard];
+      // Only two of five are known, as proven and with a request in progress.
+      bool IsKnown =
+          Offer.Guard == NodeName("n1") || Offer.Guard == NodeName("n2");
+      AttemptFailed Declined;
+      Declined.Attempt = Offer.Info.Attempt;
+      Declined.Why = Reason::Busy;
+      Declined.Result = Outcome::NotRun;
+      Declined.Load = {1, 0, 3, IsKnown ? 1U : 15U};
+      Core->failed(Declined, Now);
+      Core->callerGone(Offer.Info.Attempt.Request, Now);
+      Now = Now + Duration(100);
+    }
+    for (const char *Node : {"n3", "n4", "n5"})
+      CPPUNIT_ASSERT(First[NodeName(Node)] >= Requests / 10);
+  }
+
   /// Load: three in ten backend servers hang most of what they get, and a paid
   /// request that hangs is lost.
   void paidWorkAsksForFreshProofFirst() {
