--- a/unittests/Guard/DependencyLimitsTest.cpp
+++ b/unittests/Guard/DependencyLimitsTest.cpp
@@ -134,8 +134,8 @@
   }
 
   static void refuseForLong(DependencyLimits &Limits) {
-    for (double Ms = 0; Ms <= Last.ms(); Ms += 300)
-      Limits.subRequestEnded(Booking, true, Time(Ms));
+    for (Time Now; Now <= Last; Now = Now + Duration(300))
+      Limits.subRequestEnded(Booking, true, Now);
   }
 
   static int admittedOf(int Requests, DependencyLimits &Limits, Time Now) {
