Keep one copy of the idle limit and of the unlimited risk

Cause: reading the change once more: the usual rest of a connection (8 s) stood in BackendClient and in IdleLimits, the value that means no limit of risk in EntryAttempts and in ServerRisk, and a strict offer looked its server up a second time to see whether it may be a trial.

No change of behaviour.

--- a/include/teaselhitch/Model/Risk.h
+++ b/include/teaselhitch/Model/Risk.h
@@ -8,6 +8,7 @@
 #include "teaselhitch/Support/Clock.h"
 
 #include <algorithm>
+#include <cstdint>
 
 namespace teaselhitch {
 
@@ -15,6 +16,10 @@
 /// to three in ten are in a fleet under trouble, few in a calm one.
 inline constexpr double UsualRisk = 0.15;
 
+/// DispatchInfo::MaxRiskPercent of an attempt that leaves the limit to the
+/// guard.
+inline constexpr std::uint32_t AnyRiskPercent = 100;
+
 /// Gray phases of the users' backend servers start and end about this far
 /// apart, as the decision logs of their standard days show.
 inline constexpr Duration GrayPhase = Duration::seconds(9);
--- a/lib/Entry/EntryAttempts.cpp
+++ b/lib/Entry/EntryAttempts.cpp
@@ -1,5 +1,6 @@
 #include "EntryCore.h"
 #include "teaselhitch/Guard/GuardKey.h"
+#include "teaselhitch/Model/Risk.h"
 
 #include <algorithm>
 #include <array>
@@ -30,7 +31,6 @@
 /// has less, one of which nothing is known has more; where none has, the
 /// guards' own limits decide.
 constexpr std::array<std::uint32_t, 3> FirstRiskPercents = {4, 7, 12};
-constexpr std::uint32_t AnyRiskPercent = 100;
 constexpr unsigned FirstServerError = 500;
 constexpr unsigned GatewayTimeout = 504;
 
--- a/lib/Guard/GuardDispatch.cpp
+++ b/lib/Guard/GuardDispatch.cpp
@@ -133,8 +133,8 @@
   bool OthersWait = Queue != Queues.end() && Queue->second.Queue.size() != 0;
   if (Server == nullptr || OthersWait)
     return Reason::Busy;
-  bool IsRisky = Risk.isTooRisky(Server->Record.Id.Name, Info, Now);
-  if (IsRisky && !isTrial(Info, Now))
+  const BackendServerName &Name = Server->Record.Id.Name;
+  if (Risk.isTooRisky(Name, Info, Now) && !Risk.mayTry(Name, Info, Now))
     return Reason::Suspected;
   return std::nullopt;
 }
--- a/lib/Guard/ServerRisk.cpp
+++ b/lib/Guard/ServerRisk.cpp
@@ -138,8 +138,7 @@
 
 bool ServerRisk::mayTry(const BackendServerName &Server,
                         const DispatchInfo &Info, Time Now) const {
-  constexpr std::uint32_t AnyRisk = 100;
-  if (!Info.Idempotent || Info.MaxRiskPercent < AnyRisk)
+  if (!Info.Idempotent || Info.MaxRiskPercent < AnyRiskPercent)
     return false;
   auto It = Servers.find(Server);
   if (It == Servers.end())
--- a/lib/Net/BackendClient.cpp
+++ b/lib/Net/BackendClient.cpp
@@ -28,8 +28,6 @@
 /// process ends, its connections can close a little before its listening
 /// socket; a connection that is made between the two is reset at once.
 constexpr Duration CheckTime = Duration(250);
-/// Idle connections close after this time, before common server timeouts.
-constexpr Duration IdleTimeout = Duration::seconds(8);
 /// Part of the idle timeout that a server states which is used.
 constexpr double KeepAliveShare = 0.8;
 /// A server may drop an idle connection without a sign; a request that is then
@@ -43,11 +41,11 @@
   constexpr std::string_view Key = "timeout=";
   std::size_t Start = KeepAlive.find(Key);
   if (Start == std::string::npos)
-    return IdleTimeout;
+    return UsualIdleLimit;
   double Seconds = 0;
   const char *First = KeepAlive.data() + Start + Key.size();
   std::from_chars(First, KeepAlive.data() + KeepAlive.size(), Seconds);
-  return std::min(IdleTimeout, Duration::seconds(Seconds * KeepAliveShare));
+  return std::min(UsualIdleLimit, Duration::seconds(Seconds * KeepAliveShare));
 }
 
 /// A connection to a backend server.
@@ -58,7 +56,7 @@
   beast::flat_buffer Buffer;
   Time IdleSince;
   /// How long it may lie idle.
-  Duration MaxIdleTime = IdleTimeout;
+  Duration MaxIdleTime = UsualIdleLimit;
   /// Set while the connection lies idle in the pool.
   bool IsIdle = false;
 };
--- a/lib/Net/IdleLimits.cpp
+++ b/lib/Net/IdleLimits.cpp
@@ -6,8 +6,6 @@
 
 namespace {
 
-/// Before common server timeouts.
-constexpr Duration UsualLimit = Duration::seconds(8);
 /// A connection that is lost after a shorter rest was not forgotten.
 constexpr Duration ShortestRest = Duration(100);
 /// Part of the rest after which a connection was lost that others may have.
@@ -21,7 +19,7 @@
 Duration IdleLimits::limit(const Endpoint &Server, Time Now) const {
   auto It = Servers.find(Server);
   bool IsKnown = It != Servers.end() && Now < It->second.Until;
-  return IsKnown ? It->second.Limit : UsualLimit;
+  return IsKnown ? It->second.Limit : UsualIdleLimit;
 }
 
 void IdleLimits::lostAfterRest(const Endpoint &Server, Duration Rested,
--- a/lib/Net/IdleLimits.h
+++ b/lib/Net/IdleLimits.h
@@ -16,6 +16,10 @@
 
 namespace teaselhitch {
 
+/// Greatest rest of a connection of whose server nothing else is known; before
+/// common server timeouts.
+inline constexpr Duration UsualIdleLimit = Duration::seconds(8);
+
 class IdleLimits {
 public:
   /// Greatest rest of a connection that is used again.
