Start with any bound of the platform, and keep the fleet within its retries

Also, each node rounded its part of the fixed allowance up to one retry, so 354 nodes with 630 retries could make 669, and an allowance of 0 meant one retry a second and node. Change: numbers that the platform chooses are read by SettingsReader::bound(): fractions, 0 and very large numbers are accepted, what cannot be honoured is limited with a warning. nodeAllowance() deals whole tokens by rank.

--- a/include/teaselhitch/Entry/RetryBudget.h
+++ b/include/teaselhitch/Entry/RetryBudget.h
@@ -32,12 +32,14 @@
   };
 
   /// Returns the allowance of one node if the whole fleet may make \p
-  /// FleetRetries in each window. Accumulated tokens and those added during a
-  /// window together do not exceed the node's part.
+  /// FleetRetries in each window. In no window do the accumulated tokens of all
+  /// nodes and those added meanwhile exceed FleetRetries, also if there are
+  /// fewer tokens than nodes.
+  /// \param Rank position of the node among all nodes, from 0.
   static Allowance nodeAllowance(double FleetRetries, Duration Window,
-                                 std::size_t Nodes);
+                                 std::size_t Nodes, std::size_t Rank);
 
-  void setAllowance(const Allowance &New) { Allowed = New; }
+  void setAllowance(const Allowance &New);
 
   /// Records a request.
   /// \param RetryPercent hundredths of a retry that the request adds to the
@@ -47,14 +49,22 @@
   /// Takes one retry from the budget; returns false if the budget is spent.
   [[nodiscard]] bool tryRetry(Time Now);
 
+  /// Takes a retry that cannot be refused, because another decision has caused
+  /// it. If the budget is spent, the following retries pay for it.
+  void recordUnavoidableRetry(Time Now);
+
 private:
   /// A time slice of the window.
   struct Slice {
     Time Start;
-    double Earned = 0;
-    double Spent = 0;
+    /// Hundredths of retries.
+    std::uint64_t EarnedPercent = 0;
+    std::uint64_t Spent = 0;
   };
 
+  /// Returns the retries that the share of the current window still allows.
+  double shareLeft(Time Now);
+
   void refill(Time Now);
   Slice &currentSlice(Time Now);
 
--- a/include/teaselhitch/Settings/NodeSettings.h
+++ b/include/teaselhitch/Settings/NodeSettings.h
@@ -79,9 +79,9 @@
   // [policy]
   std::string Balancer = "two-choices";
   /// Number of retries per service and retry window that the whole fleet may
-  /// make in addition to the percentage in the Limit object of the service; 0
-  /// allows each node one retry per second.
-  std::uint32_t FleetRetries = 0;
+  /// make in addition to the percentage in the Limit object of the service. If
+  /// this is not set, each node may make one retry per second.
+  std::optional<double> FleetRetries;
   Duration RetryWindow = Duration::seconds(10);
   /// Retry percentage for configurations whose source does not specify one.
   std::uint32_t RetryPercent = 20;
@@ -109,9 +109,12 @@
 
 /// Result of parsing and validating a settings file.
 struct CheckedSettings {
-  /// Valid only if Faults is empty.
+  /// Valid only if Errors is empty.
   NodeSettings Settings;
   std::vector<SettingsError> Errors;
+  /// Numbers that the platform gave and that this program cannot honour fully.
+  /// The nearest supported number is used.
+  std::vector<SettingsError> Warnings;
 };
 
 /// Parses and validates the text of a settings file. Reports all errors, or
--- a/lib/Entry/RetryBudget.cpp
+++ b/lib/Entry/RetryBudget.cpp
@@ -1,6 +1,7 @@
 #include "teaselhitch/Entry/RetryBudget.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace teaselhitch {
 
@@ -14,12 +15,24 @@
 
 RetryBudget::Allowance RetryBudget::nodeAllowance(double FleetRetries,
                                                   Duration Window,
-                                                  std::size_t Nodes) {
-  double NodeRetries =
-      FleetRetries / static_cast<double>(std::max<std::size_t>(Nodes, 1));
+                                                  std::size_t Nodes,
+                                                  std::size_t Rank) {
+  auto Count = static_cast<double>(std::max<std::size_t>(Nodes, 1));
+  auto Position = static_cast<double>(Rank);
   // Half of the retries may accumulate, half is added during a window.
-  double Half = NodeRetries / 2;
-  return {Half * 1000 / Window.ms(), std::max(Half, 1.0), Window};
+  double FleetTokens = std::floor(FleetRetries / 2);
+  // Whole tokens, because a node can spend nothing of a fraction. If there are
+  // fewer tokens than nodes, they are spread evenly over the ranks.
+  double NodeTokens = std::floor((Position + 1) * FleetTokens / Count) -
+                      std::floor(Position * FleetTokens / Count);
+  if (NodeTokens < 1)
+    return {0, 0, Window};
+  return {NodeTokens * 1000 / Window.ms(), NodeTokens, Window};
+}
+
+void RetryBudget::setAllowance(const Allowance &New) {
+  Allowed = New;
+  Tokens = std::min(Tokens, Allowed.MaxTokens);
 }
 
 void RetryBudget::refill(Time Now) {
@@ -39,20 +52,26 @@
 }
 
 void RetryBudget::recordRequest(std::uint32_t RetryPercent, Time Now) {
-  currentSlice(Now).Earned += RetryPercent / 100.0;
+  currentSlice(Now).EarnedPercent += RetryPercent;
 }
 
-bool RetryBudget::tryRetry(Time Now) {
-  Slice &Newest = currentSlice(Now);
-  double Earned = 0;
-  double Spent = 0;
+double RetryBudget::shareLeft(Time Now) {
+  (void)currentSlice(Now); // removes the slices of the past
+  std::uint64_t EarnedPercent = 0;
+  std::uint64_t Spent = 0;
   for (const Slice &S : Slices) {
     Spent += S.Spent;
     if (Now - S.Start <= Allowed.Window)
-      Earned += S.Earned;
+      EarnedPercent += S.EarnedPercent;
   }
-  if (Spent + 1 <= Earned) {
-    Newest.Spent += 1;
+  constexpr double Percent = 100;
+  return static_cast<double>(EarnedPercent) / Percent -
+         static_cast<double>(Spent);
+}
+
+bool RetryBudget::tryRetry(Time Now) {
+  if (shareLeft(Now) >= 1) {
+    ++currentSlice(Now).Spent;
     return true;
   }
   refill(Now);
@@ -62,4 +81,9 @@
   return true;
 }
 
+void RetryBudget::recordUnavoidableRetry(Time Now) {
+  if (!tryRetry(Now))
+    ++currentSlice(Now).Spent;
+}
+
 } // namespace teaselhitch
--- a/lib/Settings/NodeSettings.cpp
+++ b/lib/Settings/NodeSettings.cpp
@@ -7,7 +7,6 @@
 #include <arpa/inet.h>
 #include <array>
 #include <charconv>
-#include <cmath>
 
 namespace teaselhitch {
 
@@ -82,25 +81,31 @@
   S.DrainTimeout =
       Reader.duration("drain_timeout_ms", S.DrainTimeout, 0, 600000);
   S.DrainGrace = Reader.duration("drain_grace_ms", S.DrainGrace, 0, 60000);
-  Duration StopTime = Reader.seconds("stop_time_s", Duration(), 1, 3600);
-  if (StopTime.ms() > 0) {
+  constexpr double MaxStopTimeS = 3600;
+  if (std::optional<double> StopTimeS =
+          Reader.bound("stop_time_s", 0, MaxStopTimeS)) {
+    Duration StopTime = Duration::seconds(*StopTimeS);
     S.DrainGrace = std::min(HealthCheckDetectionTime, StopTime * 0.5);
-    S.DrainTimeout = StopTime - S.DrainGrace - ExitMargin;
+    S.DrainTimeout = std::max(Duration(), StopTime - S.DrainGrace - ExitMargin);
   }
   S.AnnouncementTimeout = Reader.duration("announcement_timeout_ms",
                                           S.AnnouncementTimeout, 1000, 600000);
 }
 
 void readPolicy(SettingsReader &Reader, NodeSettings &S) {
-  constexpr std::int64_t MaxRetries = 100000;
+  constexpr double MaxRetries = 1e9;
+  constexpr double MinWindowS = 1;
+  constexpr double MaxWindowS = 86400;
   Reader.section("policy");
   S.Balancer = Reader.text("balancer", S.Balancer);
-  S.FleetRetries = static_cast<std::uint32_t>(
-      Reader.integer("fleet_retries", S.FleetRetries, 0, MaxRetries));
-  S.RetryWindow = Reader.seconds("retry_window_s", S.RetryWindow, 1, 600);
+  S.FleetRetries = Reader.bound("fleet_retries", 0, MaxRetries);
+  if (std::optional<double> WindowS =
+          Reader.bound("retry_window_s", MinWindowS, MaxWindowS))
+    S.RetryWindow = Duration::seconds(*WindowS);
   constexpr double Percent = 100;
-  double Share = Reader.number("retry_share", S.RetryPercent / Percent, 0, 1);
-  S.RetryPercent = static_cast<std::uint32_t>(std::lround(Share * Percent));
+  // Rounded down, because more retries than allowed break the bound.
+  if (std::optional<double> Share = Reader.bound("retry_share", 0, 1))
+    S.RetryPercent = static_cast<std::uint32_t>(*Share * Percent + 1e-9);
 }
 
 void readLog(SettingsReader &Reader, NodeSettings &S) {
@@ -136,7 +141,7 @@
 
 CheckedSettings readNodeSettings(std::string_view Text) {
   CheckedSettings Checked;
-  SettingsReader Reader(Text, Checked.Errors);
+  SettingsReader Reader(Text, Checked.Errors, Checked.Warnings);
   if (!Checked.Errors.empty())
     return Checked;
   NodeSettings &S = Checked.Settings;
--- a/lib/Settings/SettingsReader.cpp
+++ b/lib/Settings/SettingsReader.cpp
@@ -6,6 +6,7 @@
 #include <toml++/toml.h>
 
 #include <algorithm>
+#include <cmath>
 #include <sstream>
 
 namespace teaselhitch {
@@ -24,8 +25,9 @@
 } // namespace
 
 SettingsReader::SettingsReader(std::string_view Text,
-                               std::vector<SettingsError> &Errors)
-    : Errors(Errors), Doc(std::make_unique<Document>()) {
+                               std::vector<SettingsError> &Errors,
+                               std::vector<SettingsError> &Warnings)
+    : Errors(Errors), Warnings(Warnings), Doc(std::make_unique<Document>()) {
   toml::parse_result ParseResult = toml::parse(Text);
   if (ParseResult) {
     Doc->Root = std::move(ParseResult).table();
@@ -187,26 +189,31 @@
   return Duration(static_cast<double>(integer(Key, DefaultMs, MinMs, MaxMs)));
 }
 
-double SettingsReader::number(const std::string &Key, double Default,
-                              double Min, double Max) {
+std::optional<double> SettingsReader::bound(const std::string &Key, double Min,
+                                            double Max) {
   KnownKeys[Section].insert(Key);
   const toml::node *Node =
       Doc->CurrentTable ? Doc->CurrentTable->get(Key) : nullptr;
   if (!Node)
-    return Default;
+    return std::nullopt;
   std::optional<double> Value = Node->value<double>();
-  if (Value && *Value >= Min && *Value <= Max)
-    return *Value;
-  std::ostringstream Text;
-  Text << "expected a number from " << Min << " to " << Max;
-  reportError(Key, Text.str());
-  return Default;
-}
-
-Duration SettingsReader::seconds(const std::string &Key, Duration Default,
-                                 double Min, double Max) {
-  constexpr double MsPerSecond = 1000;
-  return Duration::seconds(number(Key, Default.ms() / MsPerSecond, Min, Max));
+  if (!Value) {
+    reportError(Key, "expected a number");
+    return std::nullopt;
+  }
+  if (std::isnan(*Value)) {
+    Warnings.push_back(SettingsError{lineOf(*Node), Section + "." + Key,
+                                     "not a number, the default is used"});
+    return std::nullopt;
+  }
+  double Used = std::clamp(*Value, Min, Max);
+  if (Used != *Value) {
+    std::ostringstream Text;
+    Text << *Value << " is not supported, " << Used << " is used";
+    Warnings.push_back(
+        SettingsError{lineOf(*Node), Section + "." + Key, Text.str()});
+  }
+  return Used;
 }
 
 void SettingsReader::reportUnknownKeys() {
--- a/lib/Settings/SettingsReader.h
+++ b/lib/Settings/SettingsReader.h
@@ -9,6 +9,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -19,7 +20,8 @@
 class SettingsReader {
 public:
   /// Parses \p Text. A syntax error is appended to \p Errors.
-  SettingsReader(std::string_view Text, std::vector<SettingsError> &Errors);
+  SettingsReader(std::string_view Text, std::vector<SettingsError> &Errors,
+                 std::vector<SettingsError> &Warnings);
   ~SettingsReader();
 
   /// Selects the TOML table from which the following calls read.
@@ -43,11 +45,11 @@
   Duration duration(const std::string &Key, Duration Default,
                     std::int64_t MinMs, std::int64_t MaxMs);
 
-  /// Reads an integer or floating-point number.
-  double number(const std::string &Key, double Default, double Min, double Max);
-  /// Reads an integer or floating-point number of seconds.
-  Duration seconds(const std::string &Key, Duration Default, double Min,
-                   double Max);
+  /// Reads a number, with or without a fraction, that the platform rather than
+  /// an operator chooses. A number outside the range must not keep the node
+  /// from starting: the nearest supported number is returned and a warning is
+  /// reported. Returns nothing if the key is missing or is not a number.
+  std::optional<double> bound(const std::string &Key, double Min, double Max);
 
   /// Reports an error for each table and key that was not read, and suggests
   /// the most similar known name.
@@ -64,6 +66,7 @@
   const T *value(const std::string &Key, const char *Expected);
 
   std::vector<SettingsError> &Errors;
+  std::vector<SettingsError> &Warnings;
   std::unique_ptr<Document> Doc;
   std::string Section;
   /// The keys that were read so far, by table.
--- a/tools/teaselhitch/NodeCommand.cpp
+++ b/tools/teaselhitch/NodeCommand.cpp
@@ -57,6 +57,9 @@
     if (!Checked.Errors.empty())
       return makeError(ErrorCode::InvalidInput,
                        formatSettingsError(Path, Checked.Errors.front()));
+    for (const SettingsError &Warning : Checked.Warnings)
+      logEvent(LogLevel::Warning, "node", "setting-limited",
+               {{"key", Warning.Key}, {"cause", Warning.Message}});
     return std::optional<NodeSettings>(std::move(Checked.Settings));
   }
 
@@ -67,8 +70,8 @@
   std::string LastText;
 };
 
-/// Reads the settings file and stores its content in \p Text. Prints the errors
-/// and returns nullopt if the file cannot be read or is invalid.
+/// Reads the settings file and stores its content in \p Text. Prints errors and
+/// warnings. Returns nullopt if the file cannot be read or is invalid.
 std::optional<NodeSettings> loadSettings(const std::string &Path,
                                          std::optional<std::string> &Text) {
   Text = readFile(Path);
@@ -79,6 +82,8 @@
   CheckedSettings Checked = checkSettings(*Text);
   for (const SettingsError &Fault : Checked.Errors)
     std::cerr << formatSettingsError(Path, Fault) << '\n';
+  for (const SettingsError &Warning : Checked.Warnings)
+    std::cerr << "warning: " << formatSettingsError(Path, Warning) << '\n';
   if (!Checked.Errors.empty())
     return std::nullopt;
   return Checked.Settings;
