--- a/include/teaselhitch/Integration/BackendProtocol.h
+++ b/include/teaselhitch/Integration/BackendProtocol.h
@@ -89,6 +89,11 @@
   virtual AnswerKind classify(const HeaderList &Sent,
                               const HttpAnswer &Answer) const = 0;
 
+  /// Returns true if the answer names the request that it belongs to. Without
+  /// this, an answer on a connection that was used before may be a late copy of
+  /// an earlier one.
+  virtual bool namesRequest(const HttpAnswer &Answer) const = 0;
+
   /// Returns the load that is reported in the headers of an answer, if any.
   virtual std::optional<ReportedLoad> load(const HttpAnswer &Answer) const = 0;
 };
--- a/include/teaselhitch/Support/Clock.h
+++ b/include/teaselhitch/Support/Clock.h
@@ -65,7 +65,8 @@
 };
 
 /// The monotonic clock of the operating system, which is unaffected by
-/// adjustments of the wall clock.
+/// adjustments of the wall clock and also counts the time during which the
+/// machine is suspended.
 class SteadyClock final : public Clock {
 public:
   Time now() const override;
--- a/lib/Guard/AnnouncementCheck.cpp
+++ b/lib/Guard/AnnouncementCheck.cpp
@@ -12,6 +12,8 @@
 
 /// A higher number of slots is treated as a configuration mistake.
 constexpr std::uint32_t MaxSlots = 1024;
+/// Longest accepted time for which a server is still slow after its start.
+constexpr Duration MaxColdTime = Duration::seconds(3600);
 /// Labels are sent in datagrams, which limits their size.
 constexpr std::size_t MaxLabelBytes = 64;
 
@@ -65,6 +67,10 @@
     return invalidField("label", "contains a character that is not printable");
   if (A.Load && !(std::isfinite(*A.Load) && *A.Load >= 0))
     return invalidField("load", "must be a number of 0 or more");
+  // The negated comparison also refuses NaN.
+  if (A.ColdRemaining &&
+      !(*A.ColdRemaining >= Duration() && *A.ColdRemaining <= MaxColdTime))
+    return invalidField("cold time", "must be in 0 to 3600 s");
   return {};
 }
 
--- a/lib/Integration/NativeBackendProtocol.cpp
+++ b/lib/Integration/NativeBackendProtocol.cpp
@@ -62,6 +62,10 @@
     return IsShed ? AnswerKind::NotRun : AnswerKind::Valid;
   }
 
+  bool namesRequest(const HttpAnswer &Answer) const override {
+    return !headerValue(Answer.Headers, RequestIdHeader).empty();
+  }
+
   std::optional<ReportedLoad> load(const HttpAnswer &) const override {
     return std::nullopt;
   }
--- a/lib/Net/Asio.h
+++ b/lib/Net/Asio.h
@@ -13,6 +13,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/signal_set.hpp>
 
+#include <algorithm>
 #include <chrono>
 #include <optional>
 
@@ -33,8 +34,12 @@
   return Loop.impl().Context;
 }
 
+/// Converts a duration of any size; longer ones count as a year, because the
+/// number of microseconds must not overflow.
 inline std::chrono::microseconds toChrono(Duration D) {
-  return std::chrono::microseconds(static_cast<std::int64_t>(D.ms() * 1000));
+  constexpr double YearMs = 365.0 * 24 * 3600 * 1000;
+  double Ms = std::clamp(D.ms(), -YearMs, YearMs);
+  return std::chrono::microseconds(static_cast<std::int64_t>(Ms * 1000));
 }
 
 /// Converts to a TCP endpoint; nothing if the address is not an IP address.
--- a/lib/Net/BackendClient.cpp
+++ b/lib/Net/BackendClient.cpp
@@ -15,6 +15,7 @@
 #include <charconv>
 #include <map>
 #include <optional>
+#include <utility>
 #include <vector>
 
 namespace teaselhitch {
@@ -39,6 +40,12 @@
 constexpr Duration NonIdempotentIdleLimit = Duration::seconds(3);
 /// Maximum number of idle connections kept per backend server.
 constexpr std::size_t MaxIdleConnections = 16;
+/// Maximum number of interim (1xx) responses and of responses to other requests
+/// before the response to a request. A server that sends more is faulty.
+constexpr int MaxSkippedResponses = 8;
+/// Maximum number of received bytes that are not parsed yet. It bounds parts of
+/// a response that have no limit of their own, such as chunk extensions.
+constexpr std::size_t MaxUnparsedBytes = 64UL * 1024;
 
 /// The idle limit that follows from a `Keep-Alive` header such as "timeout=5".
 Duration keepAliveLimit(const std::string &KeepAlive) {
@@ -58,7 +65,7 @@
   explicit Connection(asio::io_context &Context) : Stream(Context) {}
 
   beast::tcp_stream Stream;
-  beast::flat_buffer Buffer;
+  beast::flat_buffer Buffer{MaxUnparsedBytes};
   Time IdleSince;
   /// Longest idle time after which the connection is still reused.
   Duration MaxIdleTime = DefaultIdleLimit;
@@ -85,7 +92,12 @@
   void connect();
   void write();
   void read();
+  void readSome();
+  void onSome(ErrorCodeT EC);
   void onRead(ErrorCodeT EC);
+  /// Reads the next response, because the last one does not belong to the
+  /// request.
+  void skipResponse();
   void finish(AnswerKind Kind, HttpAnswer Answer);
   void endConnectionLost();
   void probeServer();
@@ -110,6 +122,9 @@
   bool IsWritten = false;
   /// A response to another request arrived on the connection.
   bool HasForeignAnswer = false;
+  int SkippedResponses = 0;
+  /// Bytes of the body that are counted in the total of the client.
+  std::uint64_t CountedBytes = 0;
   bool Ended = false;
 };
 
@@ -169,6 +184,8 @@
 
   asio::io_context &Context;
   std::uint64_t MaxAnswerBytes;
+  /// Bytes of all response bodies that are being received.
+  std::uint64_t AnswerBytes = 0;
   const BackendProtocol &Protocol;
   SteadyClock Monotonic;
 
@@ -269,16 +286,42 @@
   Parser.emplace();
   Parser->body_limit(Client.MaxAnswerBytes);
   Parser->skip(IsHead);
-  http::async_read(Conn->Stream, Conn->Buffer, *Parser,
-                   [Self = shared_from_this(), KeptConn = Conn](
-                       ErrorCodeT EC, std::size_t) { Self->onRead(EC); });
+  readSome();
+}
+
+void Exchange::readSome() {
+  http::async_read_some(Conn->Stream, Conn->Buffer, *Parser,
+                        [Self = shared_from_this(), KeptConn = Conn](
+                            ErrorCodeT EC, std::size_t) { Self->onSome(EC); });
+}
+
+void Exchange::onSome(ErrorCodeT EC) {
+  if (Ended)
+    return;
+  std::uint64_t Bytes = Parser->get().body().size();
+  Client.AnswerBytes += Bytes - std::exchange(CountedBytes, Bytes);
+  if (EC || Parser->is_done())
+    return onRead(EC);
+  // A faulty server may send bytes without end. The limit holds for all
+  // responses together, because several of them would fill the memory.
+  if (Client.AnswerBytes > Client.MaxAnswerBytes)
+    return onRead(http::error::body_limit);
+  readSome();
+}
+
+void Exchange::skipResponse() {
+  if (++SkippedResponses > MaxSkippedResponses)
+    return endConnectionLost();
+  read();
 }
 
 void Exchange::onRead(ErrorCodeT EC) {
   if (Ended)
     return;
-  if (EC == http::error::body_limit)
+  if (EC == http::error::body_limit) {
+    Conn->Stream.close();
     return end(RunEnd::TooLarge);
+  }
   // HTTP defines no status codes outside this range, and the frame codec
   // rejects them.
   constexpr unsigned FirstStatus = 100, LastStatus = 599;
@@ -293,7 +336,7 @@
   constexpr unsigned FirstFinal = 200;
   // An interim (1xx) response precedes the final one.
   if (Parser->get().result_int() < FirstFinal)
-    return read();
+    return skipResponse();
   bool Reusable = Parser->get().keep_alive() && !Parser->need_eof();
   std::string KeepAlive(Parser->get()[http::field::keep_alive]);
   HttpAnswer Answer = toAnswer(Parser->release());
@@ -303,13 +346,18 @@
     // follows.
     HasForeignAnswer = true;
     if (Reusable)
-      return read();
+      return skipResponse();
     return endConnectionLost();
   }
+  // On a connection that was used before, a response that names no request may
+  // be a copy of an earlier one.
+  bool NamesRequest = Client.Protocol.namesRequest(Answer);
+  if (ReuseIdleTime && !NamesRequest)
+    return endConnectionLost();
   // Bytes after the response belong to no request, so a connection that has
   // received any is not reused.
-  if (Reusable && IsWritten && !HasForeignAnswer && Conn->Buffer.size() == 0 &&
-      Kind != AnswerKind::OtherServer) {
+  if (Reusable && NamesRequest && IsWritten && !HasForeignAnswer &&
+      Conn->Buffer.size() == 0 && Kind != AnswerKind::OtherServer) {
     Conn->MaxIdleTime = keepAliveLimit(KeepAlive);
     Client.keepIdle(Server, std::move(Conn));
   } else {
@@ -386,6 +434,7 @@
   if (Ended)
     return;
   Ended = true;
+  Client.AnswerBytes -= std::exchange(CountedBytes, 0);
   // Keeps this object alive while the client removes its reference.
   auto Self = shared_from_this();
   RunResult Result;
--- a/lib/Net/EventLoop.cpp
+++ b/lib/Net/EventLoop.cpp
@@ -1,11 +1,13 @@
 #include "teaselhitch/Net/EventLoop.h"
 
 #include "Asio.h"
+#include "teaselhitch/Support/Log.h"
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 
 #include <csignal>
+#include <exception>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
@@ -38,7 +40,13 @@
     Timer.async_wait([Self = shared_from_this()](ErrorCodeT EC) {
       if (EC)
         return;
-      Self->Function();
+      // An error does not end the repetition.
+      try {
+        Self->Function();
+      } catch (...) {
+        Self->start();
+        throw;
+      }
       Self->start();
     });
   }
@@ -90,7 +98,19 @@
   waitForSignal(*State->Signals, std::move(Function));
 }
 
-void EventLoop::run() { State->Context.run(); }
+// An error in the handler of one event, such as a message that needs more
+// memory than there is, must not end the process and with it all other
+// requests.
+void EventLoop::run() {
+  for (;;) {
+    try {
+      State->Context.run();
+      return;
+    } catch (const std::exception &E) {
+      logEvent(LogLevel::Error, "net", "handler-failed", {{"error", E.what()}});
+    }
+  }
+}
 void EventLoop::stop() { State->Context.stop(); }
 
 ErrorCodeT listenOn(Tcp::acceptor &Acceptor, const Tcp::endpoint &Address) {
--- a/lib/Wire/MessageSerialize.h
+++ b/lib/Wire/MessageSerialize.h
@@ -37,8 +37,19 @@
 void serializeText(ArchiveT &Ar, std::string &Text) {
   std::uint64_t Size = Text.size();
   serializeSize(Ar, Size, MaxTextBytes);
-  Text.resize(Size);
-  Ar(cereal::binary_data(Text.data(), Size));
+  if constexpr (IsLoadingArchive<ArchiveT>) {
+    // A malformed size must not allocate more memory than bytes have arrived.
+    constexpr std::uint64_t BlockBytes = 64ULL * 1024;
+    Text.clear();
+    while (Text.size() != Size) {
+      std::uint64_t Loaded = Text.size();
+      std::uint64_t Block = std::min(BlockBytes, Size - Loaded);
+      Text.resize(Loaded + Block);
+      Ar(cereal::binary_data(Text.data() + Loaded, Block));
+    }
+  } else {
+    Ar(cereal::binary_data(Text.data(), Size));
+  }
 }
 
 template <typename ArchiveT, typename Tag>
@@ -152,6 +163,7 @@
   serializeName(Ar, I.Organisation);
   serializeFlag(Ar, I.Idempotent);
   serializeFlag(Ar, I.Paid);
+  serializeFlag(Ar, I.IsRepeat);
   wire::serializeVarint(Ar, I.Priority);
   serializeFlag(Ar, I.Strict);
   serializeFlag(Ar, I.AvoidsRisk);
--- a/tools/teaselhitch-standin/BackendServer.cpp
+++ b/tools/teaselhitch-standin/BackendServer.cpp
@@ -178,7 +178,10 @@
   unsigned Status = Job->Expires ? 504 : Job->Effect.Fails ? 500 : 200;
   Expired += Status == 504;
   Failed += Status == 500;
-  Job->Current->answer(makeResponse(Status, boost::json::serialize(Body)));
+  HttpResponse Response = makeResponse(Status, boost::json::serialize(Body));
+  Response.set("Teaselhitch-Request-Id",
+               headerOf(Request, "Teaselhitch-Request-Id"));
+  Job->Current->answer(std::move(Response));
   releaseSlot();
 }
 
--- a/unittests/Net/BackendClientTest.cpp
+++ b/unittests/Net/BackendClientTest.cpp
@@ -8,9 +8,11 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <array>
+#include <mutex>
 #include <optional>
 #include <string>
 #include <thread>
+#include <vector>
 
 using namespace teaselhitch;
 
@@ -77,8 +79,9 @@
 /// is set, after the next request has been received.
 class DuplicatingServer {
 public:
-  explicit DuplicatingServer(bool IsLate)
-      : Acceptor(Context, {asio::ip::make_address("127.0.0.1"), 0}),
+  explicit DuplicatingServer(bool IsLate, bool NamesRequest = true)
+      : NamesRequest(NamesRequest),
+        Acceptor(Context, {asio::ip::make_address("127.0.0.1"), 0}),
         Thread([this, IsLate] { serve(IsLate); }) {}
   ~DuplicatingServer() { Thread.join(); }
   DuplicatingServer(const DuplicatingServer &) = delete;
@@ -87,9 +90,10 @@
   Endpoint address() const { return Address; }
 
 private:
-  static std::string responseFor(const std::string &Id) {
-    return "HTTP/1.1 200 OK\r\nTeaselhitch-Request-Id: " + Id +
-           "\r\nContent-Length: 1\r\n\r\n" + Id;
+  std::string responseFor(const std::string &Id) const {
+    std::string Header =
+        NamesRequest ? "Teaselhitch-Request-Id: " + Id + "\r\n" : "";
+    return "HTTP/1.1 200 OK\r\n" + Header + "Content-Length: 1\r\n\r\n" + Id;
   }
 
   /// The id of the next request, or an empty string when the connection ends.
@@ -123,6 +127,7 @@
     }
   }
 
+  bool NamesRequest;
   asio::io_context Context;
   tcp::acceptor Acceptor;
   Endpoint Address{"127.0.0.1", Acceptor.local_endpoint().port()};
@@ -157,11 +162,77 @@
   return Bodies;
 }
 
+/// Answers each request with Start and then Repeated without end, until the
+/// client closes the connection.
+class EndlessServer {
+public:
+  EndlessServer(std::string Start, std::string Repeated, int Connections)
+      : Acceptor(Context, {asio::ip::make_address("127.0.0.1"), 0}) {
+    for (int I = 0; I != Connections; ++I)
+      Threads.emplace_back([this, Start, Repeated] { serve(Start, Repeated); });
+  }
+  ~EndlessServer() {
+    for (std::thread &T : Threads)
+      T.join();
+  }
+  EndlessServer(const EndlessServer &) = delete;
+  EndlessServer &operator=(const EndlessServer &) = delete;
+
+  Endpoint address() const { return Address; }
+
+private:
+  void serve(const std::string &Start, const std::string &Repeated) {
+    std::array<char, 4096> Bytes{};
+    boost::system::error_code EC;
+    tcp::socket Connection(Context);
+    {
+      std::lock_guard<std::mutex> Lock(AcceptorMutex);
+      Connection = Acceptor.accept();
+    }
+    Connection.read_some(asio::buffer(Bytes), EC);
+    asio::write(Connection, asio::buffer(Start), EC);
+    std::string Block;
+    while (Block.size() < 4096)
+      Block += Repeated;
+    while (!EC)
+      asio::write(Connection, asio::buffer(Block), EC);
+  }
+
+  asio::io_context Context;
+  std::mutex AcceptorMutex;
+  tcp::acceptor Acceptor;
+  Endpoint Address{"127.0.0.1", Acceptor.local_endpoint().port()};
+  std::vector<std::thread> Threads;
+};
+
+/// Starts requests at the same time and returns how they end.
+std::vector<RunEnd> endsOfRequests(const Endpoint &Server, int Requests,
+                                   std::uint64_t MaxAnswerBytes) {
+  EventLoop Loop;
+  std::vector<RunEnd> Ends;
+  std::unique_ptr<BackendProtocol> Protocol = createNativeBackendProtocol();
+  std::unique_ptr<BackendClient> Client = BackendClient::create(
+      Loop, MaxAnswerBytes, *Protocol,
+      [&](const AttemptId &, const RunResult &Result, const HttpAnswer &) {
+        Ends.push_back(Result.End);
+        if (Ends.size() == static_cast<std::size_t>(Requests))
+          Loop.stop();
+      });
+  for (int I = 1; I <= Requests; ++I)
+    Client->start({{NodeName("n"), 1, static_cast<std::uint64_t>(I)}, 1},
+                  Server, HttpRequest{"GET", "/", {}, ""}, true);
+  Loop.run();
+  return Ends;
+}
+
 class BackendClientTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(BackendClientTest);
   CPPUNIT_TEST(processExitIsACrash);
   CPPUNIT_TEST(closedConnectionIsNoCrash);
   CPPUNIT_TEST(duplicateResponsesAreDiscarded);
+  CPPUNIT_TEST(unattributableCopyIsNotDelivered);
+  CPPUNIT_TEST(endlessBytesEndTheAttempt);
+  CPPUNIT_TEST(endlessBodiesShareOneLimit);
   CPPUNIT_TEST_SUITE_END();
 
   /// Guards against a crash that is classified as a lost connection because the
@@ -187,6 +258,59 @@
       CPPUNIT_ASSERT_EQUAL(std::string("12"), responseBodies(Server));
     }
   }
+
+  /// Guards against a copy without a request id, for example of a server that
+  /// does not repeat ids, that is delivered to the caller of the next request
+  /// on the same connection.
+  void unattributableCopyIsNotDelivered() {
+    DuplicatingServer Server(true, false);
+    CPPUNIT_ASSERT_EQUAL(std::string("12"), responseBodies(Server));
+  }
+
+  /// Guards against a faulty server that holds an attempt and fills the memory
+  /// with bytes that are no response and do not end. The test hangs if the
+  /// client waits for the end.
+  void endlessBytesEndTheAttempt() {
+    struct Case {
+      const char *Start;
+      const char *Repeated;
+      RunEnd Expected;
+    };
+    const std::string Ok = "HTTP/1.1 200 OK\r\n";
+    const std::string Chunked = Ok + "Transfer-Encoding: chunked\r\n\r\n";
+    const Case Cases[] = {
+        {"", "x", RunEnd::ConnectionLost},
+        {"HTTP/1.1 200 ", "x", RunEnd::ConnectionLost},
+        {Ok.c_str(), "A: b\r\n", RunEnd::ConnectionLost},
+        {"", "HTTP/1.1 100 Continue\r\n\r\n", RunEnd::ConnectionLost},
+        {"", "\r\n", RunEnd::ConnectionLost},
+        {"HTTP/1.1 200 OK\r\n\r\n", "x", RunEnd::TooLarge},
+        {Chunked.c_str(), "1\r\nx\r\n", RunEnd::TooLarge},
+        {Chunked.c_str(), "x", RunEnd::ConnectionLost},
+        {Chunked.c_str(), "1", RunEnd::ConnectionLost},
+        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;", "x",
+         RunEnd::ConnectionLost},
+        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+         "A: b\r\n", RunEnd::ConnectionLost},
+    };
+    for (const Case &C : Cases) {
+      EndlessServer Server(C.Start, C.Repeated, 1);
+      std::vector<RunEnd> Ends =
+          endsOfRequests(Server.address(), 1, 64UL * 1024);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(std::string(C.Start) + C.Repeated,
+                                   std::string(runEndName(C.Expected)),
+                                   std::string(runEndName(Ends.at(0))));
+    }
+  }
+
+  /// Guards against several endless bodies that each stay below the limit but
+  /// together fill the memory of the instance.
+  void endlessBodiesShareOneLimit() {
+    constexpr int Requests = 4;
+    EndlessServer Server("HTTP/1.1 200 OK\r\n\r\n", "x", Requests);
+    for (RunEnd End : endsOfRequests(Server.address(), Requests, 1024UL * 1024))
+      CPPUNIT_ASSERT(End == RunEnd::TooLarge);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(BackendClientTest);
--- a/unittests/RowStorePlatform/RowStoreTest.cpp
+++ b/unittests/RowStorePlatform/RowStoreTest.cpp
@@ -99,6 +99,8 @@
   CPPUNIT_TEST(sourceReturnsEachChangeOnce);
   CPPUNIT_TEST(sourceRereadsWhenHistoryIsGone);
   CPPUNIT_TEST(sourceRecoversFromEachFault);
+  CPPUNIT_TEST(invalidRowsAreSkipped);
+  CPPUNIT_TEST(invalidAddressesAreSkipped);
   CPPUNIT_TEST_SUITE_END();
 
   /// Guards against two conditional writes of the same version that both
@@ -240,6 +242,54 @@
       CPPUNIT_ASSERT_EQUAL(std::uint64_t(4), nextVersion(*Source));
     }
   }
+
+  /// Guards against a table that cannot be read or watched for as long as
+  /// another writer keeps one invalid row in it.
+  void invalidRowsAreSkipped() {
+    const std::string InvalidRows[] = {
+        R"(7)",
+        R"({"Key":7,"Value":"dg==","RowVersion":3})",
+        R"({"Key":"k","RowVersion":3})",
+        R"({"Key":"k","Value":"%%","RowVersion":3})",
+        R"({"Key":"k","Value":"dg==","RowVersion":99999999999999999999999})",
+        R"({"Key":"k","Value":"dg==","RowVersion":-1})",
+        R"({"Key":"k","Value":"dg==","RowVersion":1e400})",
+        R"({"Key":"k","Value":[[[[[["dg=="]]]]]],"RowVersion":3})",
+    };
+    for (const std::string &Row : InvalidRows) {
+      Result<RowPage> Page = parseRowPage(
+          R"({"Rows":[)" + Row +
+          R"(,{"Key":"valid","Value":"dg==","RowVersion":4}],"RowVersion":5})");
+      CPPUNIT_ASSERT_MESSAGE(Row.substr(0, 60), bool(Page));
+      CPPUNIT_ASSERT_EQUAL(std::size_t(1), Page.value().Rows.size());
+      CPPUNIT_ASSERT_EQUAL(std::string("valid"), Page.value().Rows[0].Key);
+      CPPUNIT_ASSERT_EQUAL(std::size_t(1), Page.value().SkippedRows);
+    }
+  }
+
+  /// Guards against one odd row among those of the nodes that hides the others,
+  /// and against an address to which no datagram can be sent.
+  void invalidAddressesAreSkipped() {
+    StoreFixture F;
+    RowStoreClient Client = F.client();
+    const std::string InvalidValues[] = {"",
+                                         "10.0.0.1",
+                                         "10.0.0.1:0",
+                                         "10.0.0.1:70000",
+                                         "10.0.0.1:-1",
+                                         "host:80",
+                                         "10.0.0.1:80 ",
+                                         std::string("\xff\x00", 2),
+                                         std::string(60000, '[')};
+    int Number = 0;
+    for (const std::string &Value : InvalidValues)
+      Client
+          .write({"nodes", "k" + std::to_string(Number++), Value, std::nullopt})
+          .value();
+    Client.write({"nodes", "valid", "10.0.0.1:7001", std::nullopt}).value();
+    CPPUNIT_ASSERT(createNodeTable(F.client())->read().value() ==
+                   (std::vector<Endpoint>{{"10.0.0.1", 7001}}));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RowStoreTest);
