--- a/include/teaselhitch/Entry/Entry.h
+++ b/include/teaselhitch/Entry/Entry.h
@@ -43,6 +43,9 @@
   std::string ParentId;
   /// Queue priority of the parent request, if known.
   std::optional<std::uint32_t> ParentPriority;
+  /// The parent request runs again after an earlier attempt reached a backend
+  /// server, so this request repeats one of that attempt.
+  bool IsParentRepeated = false;
   /// Time until the caller stops waiting, if the caller stated it.
   std::optional<Duration> Deadline;
   std::uint64_t BodyBytes = 0;
@@ -131,9 +134,9 @@
   std::string Balancer = "two-choices";
   /// Retries that the whole fleet may make for a service in each RetryWindow,
   /// in addition to the percentage in the Limit object of the service. They are
-  /// divided evenly among the nodes. If zero, each node may make one per
+  /// divided among the nodes. If this is not set, each node may make one per
   /// second.
-  std::uint32_t FleetRetries = 0;
+  std::optional<double> FleetRetries;
   Duration RetryWindow = Duration::seconds(10);
   /// Maximum number of requests in progress.
   std::uint32_t MaxRequests = 8192;
--- a/include/teaselhitch/Guard/Guard.h
+++ b/include/teaselhitch/Guard/Guard.h
@@ -244,6 +244,15 @@
   /// True if no attempt is waiting or running.
   virtual bool isIdle() const = 0;
 
+  /// Sets whether servers that look faulty are published as suspected. The
+  /// default is true.
+  virtual void shareRisk(bool IsShared) = 0;
+
+  /// To be called before tick() if this process did not run for the last
+  /// \p Pause. Backend servers could not be heard meanwhile, so they do not
+  /// count as silent.
+  virtual void resume(Duration Pause, Time Now) = 0;
+
   /// Expires announcements, waiting attempts, keys and quarantines, and aborts
   /// attempts past their deadline. Must be called at least every 50 ms.
   virtual GuardActions tick(Time Now) = 0;
--- a/include/teaselhitch/Membership/Membership.h
+++ b/include/teaselhitch/Membership/Membership.h
@@ -97,9 +97,12 @@
   auto operator<=>(const StartSync &) const = default;
 };
 
-/// Notifies the caller that a newer configuration head was received.
+/// Notifies the caller that a newer configuration head than the published one
+/// was received. Heads are forwarded only by nodes that have published them.
 struct ConfigHeadUpdated {
   ConfigHead Head;
+  /// A node that has the configuration; empty if it is not known.
+  NodeName Holder;
 
   auto operator<=>(const ConfigHeadUpdated &) const = default;
 };
@@ -183,7 +186,8 @@
   /// assigned here; a record that differs from the published one only in the
   /// version is not sent again.
   virtual void publish(const BackendServerRecord &Record, Time Now) = 0;
-  /// Disseminates a configuration head if it is newer than the known one.
+  /// Disseminates a configuration head, whose pieces this node has, if it is
+  /// newer than the published one.
   virtual void publishHead(const ConfigHead &Head, Time Now) = 0;
   virtual void publishQuarantine(const QuarantineRecord &Record, Time Now) = 0;
   /// Announces that this node is shutting down.
@@ -194,7 +198,12 @@
   /// deltas of at most MaxRecords node and backend server records each.
   virtual std::vector<Delta> deltasFor(const Digest &Other,
                                        std::size_t MaxRecords) const = 0;
-  virtual MembershipActions apply(const Delta &Changes, Time Now) = 0;
+  /// \param Sender node that sent the changes, or empty if it is not known.
+  virtual MembershipActions apply(const Delta &Changes, const NodeName &Sender,
+                                  Time Now) = 0;
+  MembershipActions apply(const Delta &Changes, Time Now) {
+    return apply(Changes, NodeName(), Now);
+  }
 
   /// Returns the current snapshot. It omits dead nodes and their backend
   /// servers, although their records are retained.
--- a/include/teaselhitch/Model/Messages.h
+++ b/include/teaselhitch/Model/Messages.h
@@ -114,6 +114,10 @@
   bool Idempotent = false;
   /// Paid requests are queued ahead of all others.
   bool Paid = false;
+  /// An earlier attempt has reached a backend server, or the request repeats a
+  /// sub-request of an earlier run. Sub-requests of this attempt are repeats,
+  /// too.
+  bool IsRepeat = false;
   /// Priority in the queue; 0 is the highest.
   std::uint32_t Priority = 0;
   /// The guard refuses the attempt unless a slot is free and the backend server
--- a/include/teaselhitch/Model/Records.h
+++ b/include/teaselhitch/Model/Records.h
@@ -124,6 +124,11 @@
   /// Nodes sorted by name, without dead nodes.
   std::shared_ptr<const std::map<NodeName, NodeRecord>> Nodes;
   std::map<ServiceName, std::shared_ptr<const ServiceView>> Services;
+
+  /// Returns true if guards publish by gossip which of their backend servers
+  /// look faulty. In larger fleets, each entry learns it from the guards that
+  /// it asks.
+  bool sharesRisk() const;
 };
 
 } // namespace teaselhitch
--- a/include/teaselhitch/Routing/LoadTracker.h
+++ b/include/teaselhitch/Routing/LoadTracker.h
@@ -38,6 +38,10 @@
   /// Sets the load, run time, path failures and risk of a candidate.
   void fillCandidate(Candidate &C, Time Now) const;
 
+  /// Sets whether the health that guards publish includes the risk of their
+  /// backend servers. The default is true.
+  void useSharedRisk(bool IsShared) { IsRiskShared = IsShared; }
+
   /// Removes the data of backend servers that are not in the view and have no
   /// attempt in progress.
   void prune(const FleetView &View);
@@ -53,6 +57,7 @@
   };
 
   std::unordered_map<BackendServerId, ServerStats> Servers;
+  bool IsRiskShared = true;
 };
 
 } // namespace teaselhitch
--- a/include/teaselhitch/Wire/FrameCodec.h
+++ b/include/teaselhitch/Wire/FrameCodec.h
@@ -20,7 +20,7 @@
 
 /// Handshake: the first message that each side sends on a link.
 struct Hello {
-  static constexpr std::uint32_t CurrentProtocol = 3;
+  static constexpr std::uint32_t CurrentProtocol = 4;
 
   std::string Fleet;
   NodeName Node;
--- a/lib/Entry/Entry.cpp
+++ b/lib/Entry/Entry.cpp
@@ -39,10 +39,12 @@
 void EntryCore::updateView(std::shared_ptr<const FleetView> NewView) {
   Selector.updateView(std::move(NewView));
   const auto &Nodes = Selector.view().Nodes;
-  if (Settings.FleetRetries == 0 || !Nodes)
+  if (!Settings.FleetRetries || !Nodes)
     return;
-  Allowance = RetryBudget::nodeAllowance(Settings.FleetRetries,
-                                         Settings.RetryWindow, Nodes->size());
+  auto Rank = static_cast<std::size_t>(
+      std::distance(Nodes->begin(), Nodes->lower_bound(Settings.Node)));
+  Allowance = RetryBudget::nodeAllowance(
+      *Settings.FleetRetries, Settings.RetryWindow, Nodes->size(), Rank);
   for (auto &[Service, Budget] : Budgets)
     Budget.setAllowance(Allowance);
 }
@@ -82,6 +84,7 @@
   P.Organisation = Request.Organisation;
   P.CallerId = Request.CallerId;
   P.Priority = requestPriority(Request, R);
+  P.IsRepeat = Request.IsParentRepeated;
   P.ArrivedAt = Now;
   P.Objective = R.Objective.ms() > 0 ? R.Objective : R.Deadline;
   P.Deadline =
@@ -118,7 +121,11 @@
   }
   PendingRequest &P =
       Requests.add(Id, makePendingRequest(Request, Target, Now));
-  budget(P).recordRequest(Target.Dest.ServiceLimit->RetryPercent, Now);
+  // A repeated run of the parent request repeats its sub-requests as well.
+  if (P.IsRepeat)
+    budget(P).recordUnavoidableRetry(Now);
+  else
+    budget(P).recordRequest(Target.Dest.ServiceLimit->RetryPercent, Now);
   if (!P.GuardKey.empty())
     startGuardKeyAttempt(P, Now, Actions);
   else if (!P.ClaimRow.empty())
--- a/lib/Entry/EntryAttempts.cpp
+++ b/lib/Entry/EntryAttempts.cpp
@@ -15,6 +15,14 @@
 /// Maximum number of strict offers, which are made one after the other. Each
 /// costs a round trip; if five guards have no free slot, most have none.
 constexpr std::size_t MaxStrictOffers = 5;
+/// The same for a request that can run again, in a service most of whose guards
+/// have no free slot. A request that must not run twice looks longer for a
+/// backend server with evidence of health.
+constexpr std::size_t MaxStrictOffersWhenBusy = 2;
+/// Share of busy guards from which a service counts as busy.
+constexpr double BusyThreshold = 0.7;
+/// Weight of the newest offer in the share of busy guards.
+constexpr double BusySmoothing = 0.05;
 /// Number of guards at which a request may be queued at the same time. The
 /// first free slot takes the request; more guards gain little and cost
 /// messages.
@@ -77,8 +85,9 @@
   if (!P.ClaimRow.empty() && Now - P.ClaimedAt > Settings.ClaimLifetime)
     return fail(P, Reason::ClaimStoreUnavailable, Now, Actions);
   if (!P.IsQueueable) {
-    Selection Next = P.StrictOffers < MaxStrictOffers ? Selector.choose(P, Now)
-                                                      : Selection();
+    Selection Next = P.StrictOffers < maxStrictOffers(P)
+                         ? Selector.choose(P, Now)
+                         : Selection();
     if (Next.Server) {
       sendOffer(P, Next, Now, Actions);
       ++P.StrictOffers;
@@ -92,6 +101,18 @@
   sendQueueableOffers(P, Now, Actions);
 }
 
+std::size_t EntryCore::maxStrictOffers(const PendingRequest &P) const {
+  auto It = BusyShares.find(P.Target.Dest.TargetService->Name);
+  bool IsBusy = It != BusyShares.end() && It->second > BusyThreshold;
+  return IsBusy && P.Target.MatchedRule->Idempotent ? MaxStrictOffersWhenBusy
+                                                    : MaxStrictOffers;
+}
+
+void EntryCore::recordStrictOffer(const PendingRequest &P, bool WasBusy) {
+  double &Share = BusyShares[P.Target.Dest.TargetService->Name];
+  Share += BusySmoothing * ((WasBusy ? 1 : 0) - Share);
+}
+
 void EntryCore::sendQueueableOffers(PendingRequest &P, Time Now,
                                     EntryActions &Actions) {
   while (P.Running.size() < ParallelOffers &&
@@ -152,6 +173,11 @@
   Info.Organisation = P.Organisation;
   Info.Idempotent = R.Idempotent;
   Info.Paid = R.Paid;
+  Info.IsRepeat = P.IsRepeat || !P.Tried.empty() ||
+                  std::any_of(P.Running.begin(), P.Running.end(),
+                              [&](const RunningAttempt &Other) {
+                                return Other.IsSent && Other.Id != Attempt.Id;
+                              });
   Info.Priority = P.Priority;
   Info.Strict = Attempt.IsStrict;
   Info.AvoidsRisk = P.IsQueueable && !Selector.isMostlyRisky(P, Now);
@@ -173,7 +199,15 @@
   // The slot of a cancelled offer is released by the cancellation.
   if (!Attempt || Attempt->IsSent)
     return Actions;
+  // After a pause of this process, the grant may be handled before the deadline
+  // is noticed.
+  if (P->Deadline <= Now) {
+    expire(*P, Now, Actions);
+    return Actions;
+  }
   Selector.load().recordLoad(Attempt->Server, Granted.Load, Now);
+  if (Attempt->IsStrict)
+    recordStrictOffer(*P, false);
   Attempt->IsSent = true;
   Attempt->PhaseStart = Now;
   DispatchInfo Info = makeDispatchInfo(*P, *Attempt, Now);
@@ -284,6 +318,8 @@
                               EntryActions &Actions) {
   if (!P.hasDeclined(Ended.Server))
     P.Declined.push_back(Ended.Server);
+  if (Ended.IsStrict)
+    recordStrictOffer(P, Failure.Cause == Reason::Busy);
   // The request was queued there until the backend server became suspected.
   // Other backend servers may have a free slot by now.
   bool WasQueued = !Ended.IsStrict && Now - Ended.PhaseStart > OfferTimeout;
--- a/lib/Entry/EntryCore.h
+++ b/lib/Entry/EntryCore.h
@@ -66,6 +66,11 @@
   /// Offers the request to a second backend server while the first attempt
   /// runs. Returns false if the request cannot be hedged.
   bool hedge(PendingRequest &P, Time Now, EntryActions &Actions);
+  /// Returns how many strict offers are worthwhile, given how many of the
+  /// recent ones met a guard without a free slot.
+  std::size_t maxStrictOffers(const PendingRequest &P) const;
+  /// Records the result of a strict offer.
+  void recordStrictOffer(const PendingRequest &P, bool WasBusy);
   /// Cancels the offers whose request was not sent.
   void cancelOffers(PendingRequest &P, EntryActions &Actions);
   void expireOffers(Time Now, EntryActions &Actions);
@@ -104,6 +109,9 @@
   std::unordered_map<ServiceName, RetryBudget> Budgets;
   /// Time from sending an attempt to its answer, by rule.
   std::unordered_map<RuleName, RunTimeModel> RunTimes;
+  /// Share of the recent strict offers of each service that were declined for
+  /// lack of a free slot.
+  std::unordered_map<ServiceName, double> BusyShares;
   RetryBudget::Allowance Allowance;
   RequestTable Requests;
   Claims KeyClaims;
--- a/lib/Entry/RequestTable.h
+++ b/lib/Entry/RequestTable.h
@@ -70,6 +70,8 @@
   /// The request was hedged; its guards may have refused the hedge.
   bool IsHedged = false;
   std::vector<RunningAttempt> Running;
+  /// The request repeats a sub-request of an earlier run of its parent.
+  bool IsRepeat = false;
   /// An attempt ended with an unknown outcome.
   bool MayHaveRun = false;
   std::optional<Reason> LastFailure;
--- a/lib/Entry/ServerSelector.h
+++ b/lib/Entry/ServerSelector.h
@@ -29,6 +29,7 @@
 
   void updateView(std::shared_ptr<const FleetView> NewView) {
     View = std::move(NewView);
+    Load.useSharedRisk(View->sharesRisk());
   }
   const FleetView &view() const { return *View; }
   LoadTracker &load() { return Load; }
--- a/lib/Guard/AdmissionQueue.cpp
+++ b/lib/Guard/AdmissionQueue.cpp
@@ -10,8 +10,8 @@
     return Paid;
   if (Priority != Other.Priority)
     return Priority < Other.Priority;
-  if (Objective != Other.Objective)
-    return Objective < Other.Objective;
+  if (LatestStart != Other.LatestStart)
+    return LatestStart < Other.LatestStart;
   if (Deadline != Other.Deadline)
     return Deadline < Other.Deadline;
   return Order < Other.Order;
--- a/lib/Guard/AdmissionQueue.h
+++ b/lib/Guard/AdmissionQueue.h
@@ -10,14 +10,14 @@
 namespace teaselhitch {
 
 /// An attempt that waits for a slot. Paid work goes first, then the lowest
-/// priority number, then the earliest objective, then the earliest deadline,
-/// then the earliest arrival.
+/// priority number, then the one that has to start first, then the earliest
+/// deadline, then the earliest arrival.
 struct QueuedAttempt {
   AttemptId Attempt;
   bool Paid = false;
   std::uint32_t Priority = 0;
-  /// Latency objective; a later answer is worth less than its full value.
-  Time Objective;
+  /// Time at which the attempt has to start to meet its latency objective.
+  Time LatestStart;
   Time Deadline;
   /// Order of arrival.
   std::uint64_t Order = 0;
--- a/lib/Guard/DependencyLimits.h
+++ b/lib/Guard/DependencyLimits.h
@@ -7,15 +7,15 @@
 ///
 /// A request whose sub-request is refused fails after it has used its own slot
 /// and capacity of the services that it depends on. Under such congestion it is
-/// better to refuse requests before they run. Each refused sub-request
-/// multiplies the admitted share by a factor below 1. The share then grows,
-/// slowly at first and faster later. As a result, the guards of a service
-/// converge to equal shares without communication, and no limit remains after a
-/// burst.
+/// better to refuse requests before they run. The refused share of the requests
+/// is proportional to the refused share of the recent sub-requests. Because the
+/// relation is linear, many guards that each see few sub-requests refuse the
+/// same share together as one guard that sees all of them.
 
-#include "teaselhitch/Model/Names.h"
+#include "teaselhitch/Model/Messages.h"
 #include "teaselhitch/Support/Clock.h"
 
+#include <deque>
 #include <map>
 
 namespace teaselhitch {
@@ -26,23 +26,26 @@
   /// \param Congested no capacity was available for the sub-request.
   void subRequestEnded(const RuleName &Rule, bool Congested, Time Now);
 
-  /// Decides whether one more request of the rule is admitted. Admits the
-  /// current share of the requests, spread evenly.
-  [[nodiscard]] bool admit(const RuleName &Rule, Time Now);
+  /// Decides whether a request of the rule is admitted. Guards with the same
+  /// share admit the same requests: a request is offered to several guards and
+  /// is given up when one of them refuses it, so independent decisions would
+  /// refuse a multiple of the intended share.
+  [[nodiscard]] bool admit(const RuleName &Rule, const RequestId &Request,
+                           Time Now) const;
 
 private:
-  struct Limit {
-    /// Share of the requests that is admitted, as of ChangedAt.
-    double Share = 1;
-    Time ChangedAt;
-    /// Fraction of a request that is carried over to the next decision.
-    double Credit = 0;
+  /// Sub-requests that ended in one interval.
+  struct Slice {
+    Time Start;
+    unsigned Ended = 0;
+    unsigned Congested = 0;
   };
 
-  static double shareAt(const Limit &L, Time Now);
+  /// Returns the share of the requests that is admitted.
+  static double share(const std::deque<Slice> &Slices, Time Now);
 
-  /// Contains no entry for rules that are not limited.
-  std::map<RuleName, Limit> Limits;
+  /// Recent sub-requests of each rule, oldest first.
+  std::map<RuleName, std::deque<Slice>> SubRequests;
 };
 
 } // namespace teaselhitch
--- a/lib/Guard/GuardCore.cpp
+++ b/lib/Guard/GuardCore.cpp
@@ -145,7 +145,7 @@
       continue;
     GuardedServer &Server = *Servers.find(Name);
     bool WasSuspected = Server.Record.Health == BackendServerHealth::Suspected;
-    bool IsSuspected = Risk.isUnproven(Name, Now);
+    bool IsSuspected = SharesRisk && Risk.isUnproven(Name, Now);
     if (IsSuspected != WasSuspected)
       Servers.setHealth(Server,
                         IsSuspected ? BackendServerHealth::Suspected
--- a/lib/Guard/GuardCore.h
+++ b/lib/Guard/GuardCore.h
@@ -48,6 +48,10 @@
   void receiveCrashMark(const CrashMark &Mark, Time Now) override;
   GuardActions drain(Time Now) override;
   bool isIdle() const override;
+  void shareRisk(bool IsShared) override { SharesRisk = IsShared; }
+  void resume(Duration Pause, Time Now) override {
+    Servers.excludePause(Pause, Now);
+  }
   GuardActions tick(Time Now) override;
   std::vector<GuardedServerStatus> status() const override;
 
@@ -57,9 +61,9 @@
   struct Attempt {
     DispatchInfo Info;
     Time Deadline;
-    /// Latency objective; a later answer is worth less than its full value.
-    /// Equals the deadline if the entry sets no objective.
-    Time Objective;
+    /// Time at which the attempt has to start to meet its latency objective, or
+    /// its deadline if the entry sets no objective.
+    Time LatestStart;
     std::uint64_t Order = 0;
     /// Organisation whose share is charged and in whose sub-queue the attempt
     /// waits.
@@ -86,7 +90,7 @@
 
     QueuedAttempt queueEntry() const {
       return {Info.Attempt, Info.Paid, Info.Priority,
-              Objective,    Deadline,  Order};
+              LatestStart,  Deadline,  Order};
     }
   };
 
@@ -174,6 +178,7 @@
   std::map<AttemptId, Attempt> Attempts;
   GuardKeys Keys;
   CrashTable Crashes;
+  bool SharesRisk = true;
   bool SuspectRunning = false;
   std::uint64_t NextOrder = 0;
   bool Draining = false;
--- a/lib/Guard/GuardDispatch.cpp
+++ b/lib/Guard/GuardDispatch.cpp
@@ -12,6 +12,8 @@
 /// Longest accepted time until the deadline. Rules allow less; the bound
 /// prevents a malformed message from holding a slot permanently.
 constexpr Duration MaxRemaining = Duration::seconds(3600);
+/// Factor by which nine in ten requests stay below the mean run time.
+constexpr double RunTimeMargin = 1.5;
 /// Share of an organisation that is not in the configuration. All such
 /// organisations use one account, so that invented names gain nothing.
 constexpr std::uint32_t DefaultShare = 1;
@@ -68,19 +70,21 @@
            Now, Out);
     return Out;
   }
-  if (!Dependencies.admit(Info.Rule, Now)) {
-    refuse(Info, Reason::DependencyBusy, {}, Now, Out);
-    return Out;
-  }
   std::optional<Reason> Declined =
       Info.Strict ? declineStrict(Info, Now) : std::nullopt;
   if (Declined) {
     refuse(Info, *Declined, {}, Now, Out);
     return Out;
   }
+  if (!Dependencies.admit(Info.Rule, Info.Attempt.Request, Now)) {
+    refuse(Info, Reason::DependencyBusy, {}, Now, Out);
+    return Out;
+  }
   A.Info = Info;
   A.Deadline = Now + std::min(Info.Remaining, MaxRemaining);
-  A.Objective = Info.Objective.ms() > 0 ? Now + Info.ObjectiveLeft : A.Deadline;
+  Time Objective =
+      Info.Objective.ms() > 0 ? Now + Info.ObjectiveLeft : A.Deadline;
+  A.LatestStart = Objective - Risk.meanRunTime(Info) * RunTimeMargin;
   A.Order = NextOrder++;
   A.Account = isBlockedSuspect(A) ? SuspectQueue : account(Info.Organisation);
   admit(A, Now, Out);
--- a/lib/Guard/ServerTable.cpp
+++ b/lib/Guard/ServerTable.cpp
@@ -177,6 +177,11 @@
   Server.Record.State = BackendServerState::Gone;
 }
 
+void ServerTable::excludePause(Duration Pause, Time Now) {
+  for (auto &[Name, Server] : Servers)
+    Server.LastHeard = std::min(Now, Server.LastHeard + Pause);
+}
+
 std::vector<BackendServerName> ServerTable::tick(Time Now) {
   std::vector<BackendServerName> SilentServers;
   if (!FirstCallAt)
--- a/lib/Guard/ServerTable.h
+++ b/lib/Guard/ServerTable.h
@@ -85,6 +85,10 @@
   /// arrive late do not undo this.
   void setDeparting(GuardedServer &Server);
 
+  /// Does not count the last \p Pause, in which this process did not run, as
+  /// silence of the servers.
+  void excludePause(Duration Pause, Time Now);
+
   /// Advances slow starts, expires silent servers and removes servers that have
   /// been gone for long. Returns the servers that fell silent without draining.
   std::vector<BackendServerName> tick(Time Now);
--- a/lib/Membership/Membership.cpp
+++ b/lib/Membership/Membership.cpp
@@ -241,9 +241,10 @@
   return Parts;
 }
 
-MembershipActions MembershipCore::apply(const Delta &Changes, Time Now) {
+MembershipActions MembershipCore::apply(const Delta &Changes,
+                                        const NodeName &Sender, Time Now) {
   MembershipActions Out;
-  MergeContext M{ChannelKind::Sync, nullptr, Now, Out, {}};
+  MergeContext M{ChannelKind::Sync, nullptr, Sender, Now, Out, {}};
   merge(Changes, M);
   if (M.NewItems.size() > MaxForwardedItems) {
     NextSync = std::min(NextSync, Now + CatchUpInterval);
--- a/lib/Membership/MembershipCore.cpp
+++ b/lib/Membership/MembershipCore.cpp
@@ -1,6 +1,7 @@
 #include "MembershipCore.h"
 
 #include <algorithm>
+#include <set>
 
 namespace teaselhitch {
 
@@ -24,6 +25,8 @@
 /// Ratio of unreachable to live nodes at which every discovery interval is
 /// used.
 constexpr double PartitionRatio = 0.25;
+/// Share of anti-entropy that is done with a peer of the own failure domain.
+constexpr double SameDomainSyncShare = 0.75;
 /// Time after the start in which a node contacts an unknown seed in every
 /// discovery interval and runs anti-entropy more often. Otherwise nodes that
 /// start together may form groups, each with one or two peers, that find each
@@ -264,10 +267,7 @@
 /// another one.
 std::vector<const NodeEntry *> MembershipCore::gossipTargets() {
   std::vector<const NodeEntry *> Chosen = randomPeers(Settings.GossipTargets);
-  std::vector<const NodeEntry *> SameDomainPeers;
-  for (const NodeEntry *Entry : Records.livePeers())
-    if (Entry->Record.Domain == Self->Record.Domain)
-      SameDomainPeers.push_back(Entry);
+  std::vector<NodeEntry *> SameDomainPeers = sameDomainPeers();
   for (std::size_t I = 1; I < Chosen.size() && !SameDomainPeers.empty(); ++I) {
     std::size_t Index = Random.uniformInt(SameDomainPeers.size());
     if (std::find(Chosen.begin(), Chosen.end(), SameDomainPeers[Index]) ==
@@ -292,6 +292,23 @@
     Out.emplace_back(SendDatagram{Target->Record.Address, Message});
 }
 
+std::vector<NodeEntry *> MembershipCore::sameDomainPeers() const {
+  std::vector<NodeEntry *> Found;
+  for (NodeEntry *Entry : Records.livePeers())
+    if (Entry->Record.Domain == Self->Record.Domain)
+      Found.push_back(Entry);
+  return Found;
+}
+
+/// Chooses mostly peers of the own failure domain, because the records that
+/// anti-entropy transfers would cost more between domains.
+const NodeEntry *MembershipCore::chooseSyncPeer() {
+  std::vector<NodeEntry *> SameDomain = sameDomainPeers();
+  if (!SameDomain.empty() && Random.uniform() < SameDomainSyncShare)
+    return SameDomain[Random.uniformInt(SameDomain.size())];
+  return randomPeers(1).front();
+}
+
 void MembershipCore::startDueSync(Time Now, MembershipActions &Out) {
   if (Records.livePeers().empty() || (HasSynced && Now < NextSync))
     return;
@@ -304,7 +321,7 @@
   const NodeEntry *Preferred = Records.find(PreferredSyncPeer);
   PreferredSyncPeer = NodeName();
   bool UsesPreferred = Preferred != nullptr && Preferred->LiveIndex;
-  const NodeEntry *Peer = UsesPreferred ? Preferred : randomPeers(1).front();
+  const NodeEntry *Peer = UsesPreferred ? Preferred : chooseSyncPeer();
   Out.emplace_back(StartSync{Peer->Record.Name});
 }
 
@@ -328,14 +345,13 @@
   if (!LivePeers.empty() && !isJoining(Now) &&
       Random.uniform() >= IdleDiscoveryShare)
     return;
+  std::set<Endpoint> Known;
+  for (const NodeEntry *Entry : LivePeers)
+    Known.insert(Entry->Record.Address);
   std::vector<Endpoint> Unknown;
-  for (const Endpoint &Seed : Settings.Seeds) {
-    auto HasSeedAddress = [&](const NodeEntry *Entry) {
-      return Entry->Record.Address == Seed;
-    };
-    if (std::none_of(LivePeers.begin(), LivePeers.end(), HasSeedAddress))
+  for (const Endpoint &Seed : Settings.Seeds)
+    if (Known.count(Seed) == 0)
       Unknown.push_back(Seed);
-  }
   std::size_t Contacts =
       std::min(IsIsolated ? IsolatedSeedContacts : 1, Unknown.size());
   for (std::size_t I = 0; I != Contacts; ++I)
--- a/lib/Membership/MembershipCore.h
+++ b/lib/Membership/MembershipCore.h
@@ -41,7 +41,8 @@
   Digest digest() const override;
   std::vector<Delta> deltasFor(const Digest &Other,
                                std::size_t MaxRecords) const override;
-  MembershipActions apply(const Delta &Changes, Time Now) override;
+  MembershipActions apply(const Delta &Changes, const NodeName &Sender,
+                          Time Now) override;
   std::shared_ptr<const FleetView> view() const override;
   const NodeRecord &self() const override { return Self->Record; }
   MembershipCounters counters() const override { return Counters; }
@@ -57,6 +58,8 @@
     /// Address to which the own record is sent if the sender's copy is
     /// outdated; null if no reply is possible.
     const Endpoint *ReplyAddress = nullptr;
+    /// Node that sent the changes, or empty.
+    NodeName Sender;
     Time Now;
     MembershipActions &Out;
     /// Items that were unknown or newer than the known ones.
@@ -102,6 +105,8 @@
   void contact(const Endpoint &To, std::vector<NodeRecord> PriorityRecords,
                Time Now, MembershipActions &Out);
   std::vector<const NodeEntry *> gossipTargets();
+  std::vector<NodeEntry *> sameDomainPeers() const;
+  const NodeEntry *chooseSyncPeer();
   std::vector<const NodeEntry *> randomPeers(std::size_t Count);
 
   // Messages.
--- a/lib/Membership/MembershipMerge.cpp
+++ b/lib/Membership/MembershipMerge.cpp
@@ -271,9 +271,9 @@
       ++Counters.Conflicts;
     return;
   }
-  Head = Received;
-  M.NewItems.push_back(GossipItem::head());
-  M.Out.emplace_back(ConfigHeadUpdated{Head});
+  // Not forwarded yet: the receivers fetch the pieces from the sender of the
+  // head.
+  M.Out.emplace_back(ConfigHeadUpdated{Received, M.Sender});
 }
 
 } // namespace teaselhitch
--- a/lib/Membership/MembershipMessages.cpp
+++ b/lib/Membership/MembershipMessages.cpp
@@ -33,7 +33,7 @@
   NodeEntry *Sender = Records.find(Message.Sender);
   if (Sender != nullptr && Sender->Record.State == NodeState::Leaving)
     Sender->SuspicionDeadline.reset();
-  MergeContext M{ChannelKind::Gossip, &From, Now, Out, {}};
+  MergeContext M{ChannelKind::Gossip, &From, Message.Sender, Now, Out, {}};
   merge(Message.Changes, M);
   for (const GossipItem &Item : M.NewItems)
     Queue.add(Item);
--- a/lib/Model/Records.cpp
+++ b/lib/Model/Records.cpp
@@ -46,4 +46,16 @@
   return "ejected";
 }
 
+bool FleetView::sharesRisk() const {
+  // At any moment up to a third of the backend servers have a gray failure, and
+  // most of these failures last for seconds. Each change is sent to all nodes:
+  // with this number of backend servers, that takes up to the 4 KB/s that a
+  // node may use for control, and it grows linearly.
+  constexpr std::size_t MaxServers = 128;
+  std::size_t Servers = 0;
+  for (const auto &[Name, Service] : this->Services)
+    Servers += Service->size();
+  return Servers <= MaxServers;
+}
+
 } // namespace teaselhitch
--- a/lib/Node/BackendsThread.cpp
+++ b/lib/Node/BackendsThread.cpp
@@ -13,9 +13,8 @@
 namespace {
 
 constexpr Duration TickInterval = Duration(20);
-/// How long a granted slot is held for its request. This covers a round trip
-/// between failure domains and a node that is short of processor time.
-constexpr Duration GrantTimeout = Duration(250);
+/// A longer time between two ticks means that the process did not run.
+constexpr Duration PauseThreshold = Duration(500);
 constexpr Duration StatusInterval = Duration(200);
 constexpr Duration IdleInterval = Duration::seconds(1);
 
@@ -96,6 +95,7 @@
       });
   Self->Loop.schedulePeriodic(TickInterval, [Self] {
     Self->refresh();
+    Self->detectPause();
     Self->execute(Self->Core->tick(Self->now()));
     Self->expireGrants();
     Self->execute(Self->Control->tick(Self->now()));
@@ -108,6 +108,17 @@
   return NewThread;
 }
 
+void BackendsThread::detectPause() {
+  Time Now = now();
+  Duration Pause = LastTickAt > Time() ? Now - LastTickAt : Duration();
+  LastTickAt = Now;
+  if (Pause < PauseThreshold)
+    return;
+  logEvent(LogLevel::Warning, "backends", "paused",
+           {{"duration_ms", Pause.ms()}});
+  Core->resume(Pause, Now);
+}
+
 void BackendsThread::drain() {
   Loop.post([this] { execute(Core->drain(now())); });
 }
@@ -135,6 +146,7 @@
     return;
   ViewGeneration = NewView;
   View = Shared.View.current();
+  Core->shareRisk(View->sharesRisk());
   execute(Control->view(*View, now()));
 }
 
@@ -215,16 +227,23 @@
     return;
   }
   ActiveAttempt &R = It->second;
+  Duration Remaining = R.Slot.remaining(Info.Remaining, now());
+  if (Remaining <= Duration()) {
+    R.IsSettled = true;
+    reply(EntryLink, makeNotRunFailure(Info.Attempt, Reason::GrantExpired));
+    return withdraw(Info.Attempt);
+  }
   R.IsSent = true;
   HttpRequest Request = std::move(Message.Request);
+  R.IsRepeat = Info.IsRepeat;
   R.CallerId = Protocol->callerId(Request);
   sendRunChange(R, true);
   Protocol->prepare(Request,
-                    RunContext{R.Server, Info.Attempt.Request, Info.Remaining});
+                    RunContext{R.Server, Info.Attempt.Request, Remaining});
   logEvent(LogLevel::Info, "guard", "attempt-started",
            {{"attempt", toString(Info.Attempt)},
             {"server", R.Server.str()},
-            {"remaining_ms", Info.Remaining.ms()}});
+            {"remaining_ms", Remaining.ms()}});
   Client->start(Info.Attempt, R.Address, std::move(Request), R.Idempotent);
 }
 
@@ -233,7 +252,7 @@
     return;
   // If the message is dropped, sub-requests get the priority of their own rule.
   if (!Shared.RunsToCallers.trySend(
-          RunChange{R.CallerId, R.Rule, R.Priority, IsRunning}))
+          RunChange{R.CallerId, R.Rule, R.Priority, R.IsRepeat, IsRunning}))
     logEvent(LogLevel::Warning, "backends", "run-change-dropped",
              {{"caller_id", R.CallerId}});
 }
@@ -258,7 +277,7 @@
 void BackendsThread::expireGrants() {
   std::vector<AttemptId> Expired;
   for (const auto &[Attempt, R] : Attempts)
-    if (!R.Server.empty() && !R.IsSent && now() - R.GrantedAt > GrantTimeout)
+    if (!R.Server.empty() && !R.IsSent && R.Slot.isExpired(now()))
       Expired.push_back(Attempt);
   for (const AttemptId &Attempt : Expired)
     withdraw(Attempt);
@@ -306,7 +325,7 @@
   ActiveAttempt &R = It->second;
   R.Server = Action.Server;
   R.Address = Action.Address;
-  R.GrantedAt = now();
+  R.Slot = SlotGrant{now(), now() + Action.Remaining};
   Grant Message{Action.Attempt, Core->load(Action.Server, now())};
   logEvent(LogLevel::Info, "guard", "attempt-granted",
            {{"attempt", toString(Action.Attempt)},
--- a/lib/Node/BackendsThread.h
+++ b/lib/Node/BackendsThread.h
@@ -8,6 +8,7 @@
 
 #include "EventLoopThread.h"
 #include "SharedState.h"
+#include "SlotGrant.h"
 #include "teaselhitch/Detection/GrayFailureControl.h"
 #include "teaselhitch/Guard/Guard.h"
 #include "teaselhitch/Integration/PlatformAdapter.h"
@@ -47,12 +48,14 @@
     /// Empty until a slot is granted.
     BackendServerName Server;
     Endpoint Address;
-    Time GrantedAt;
+    SlotGrant Slot;
     /// Request id that the caller supplied. Empty until the request is sent, or
     /// if the caller supplied none.
     std::string CallerId;
     RuleName Rule;
     std::uint32_t Priority = 0;
+    /// See DispatchInfo::IsRepeat.
+    bool IsRepeat = false;
     /// The request arrived from the entry and was sent to the backend server.
     bool IsSent = false;
     /// The entry expects no more messages: it was answered, cancelled the
@@ -62,6 +65,8 @@
     bool IsOverdue = false;
   };
 
+  /// Tells the guard if the process was paused since the last tick.
+  void detectPause();
   void handleAnnouncement(const std::shared_ptr<HttpExchange> &Exchange);
   void receive(std::optional<LinkId> EntryLink, GuardMessage Message);
   void receive(std::optional<LinkId> EntryLink, Offer &Message);
@@ -115,6 +120,7 @@
   std::map<AttemptId, ActiveAttempt> Attempts;
   /// Services whose backend servers are never ejected.
   std::set<ServiceName> UnmonitoredServices;
+  Time LastTickAt;
   std::uint64_t ConfigGeneration = 0;
   std::uint64_t ViewGeneration = 0;
   std::shared_ptr<const FleetView> View;
--- a/lib/Node/CallersThread.cpp
+++ b/lib/Node/CallersThread.cpp
@@ -197,7 +197,8 @@
              {{"request_id", toString(Id)},
               {"caller_id", It->second.CallerId},
               {"duration_ms", (now() - It->second.ReceivedAt).ms()}});
-    reportSubRequestEnd(It->second);
+    // A parent that gave up says nothing about the capacity.
+    reportSubRequestEnd(It->second, false);
     Requests.erase(It);
   }
   execute(Core->handleCallerGone(Id, now()));
@@ -208,14 +209,16 @@
   if (It == Runs.end())
     return RuleName();
   Request.ParentPriority = It->second.Priority;
+  Request.IsParentRepeated = It->second.IsRepeat;
   notifyBackends(SubRequestSeen{Request.ParentId});
   return It->second.Rule;
 }
 
-void CallersThread::reportSubRequestEnd(const PendingRequest &Ended) {
+void CallersThread::reportSubRequestEnd(const PendingRequest &Ended,
+                                        bool Congested) {
   if (Ended.ParentRule.empty())
     return;
-  notifyBackends(SubRequestEnded{Ended.ParentRule, !Ended.IsSent});
+  notifyBackends(SubRequestEnded{Ended.ParentRule, Congested});
 }
 
 void CallersThread::notifyBackends(SubRequestNotice Notice) {
@@ -421,7 +424,7 @@
     return;
   PendingRequest Done = std::move(It->second);
   Requests.erase(It);
-  reportSubRequestEnd(Done);
+  reportSubRequestEnd(Done, !Done.IsSent);
   Latency.record(now() - Done.ReceivedAt);
   logEvent(LogLevel::Info, "entry", "request-ended",
            {{"request_id", toString(Id)},
--- a/lib/Node/CallersThread.h
+++ b/lib/Node/CallersThread.h
@@ -58,7 +58,7 @@
   /// priority into Request. Returns the rule of the parent, or an empty name.
   RuleName resolveParent(CallerRequest &Request);
   /// Tells the guard of this node whether a sub-request got a slot.
-  void reportSubRequestEnd(const PendingRequest &Ended);
+  void reportSubRequestEnd(const PendingRequest &Ended, bool Congested);
   void notifyBackends(SubRequestNotice Notice);
   /// Ends a request whose caller closed its connection.
   void handleCallerGone(const RequestId &Id);
--- a/lib/Node/ConfigFetcher.cpp
+++ b/lib/Node/ConfigFetcher.cpp
@@ -1,14 +1,34 @@
 #include "ConfigFetcher.h"
 
+#include <algorithm>
+
 namespace teaselhitch {
 
+namespace {
+
+/// Maximum number of nodes that are remembered as holders of a configuration.
+constexpr std::size_t MaxHolders = 8;
+
+} // namespace
+
+void ConfigFetcher::addHolder(const ConfigHead &Head, const NodeName &Holder) {
+  if (Head.Version > NewestVersion) {
+    NewestVersion = Head.Version;
+    Holders.clear();
+  }
+  bool IsUsable = !Holder.empty() && Head.Version == NewestVersion &&
+                  Holders.size() < MaxHolders;
+  if (IsUsable &&
+      std::find(Holders.begin(), Holders.end(), Holder) == Holders.end())
+    Holders.push_back(Holder);
+}
+
 std::vector<PieceFetch> ConfigFetcher::handleHead(const ConfigHead &Head,
-                                                  bool ReceivedFromPeer,
+                                                  const NodeName &Holder,
                                                   const FleetView &View,
                                                   RandomSource &Random,
                                                   Time Now) {
-  if (Head.Version > Adoption.head().Version)
-    PeersHavePieces = ReceivedFromPeer;
+  addHolder(Head, Holder);
   return planFetches(Adoption.handleHead(Head, Now), View, Random);
 }
 
@@ -59,22 +79,36 @@
     Adopted = std::move(Step.Adopted);
     Tries.clear();
   }
-  std::vector<NodeRecord> Others;
-  if (View.Nodes)
-    for (const auto &[Name, Node] : *View.Nodes)
-      if (Name != Self)
-        Others.push_back(Node);
   std::vector<PieceFetch> Fetches;
   for (PieceHash &Hash : Step.Fetch) {
     unsigned Try = Tries[Hash]++;
-    bool UseStore = Others.empty() || (!PeersHavePieces && Try == 0) ||
+    const NodeRecord *Peer = choosePeer(Try, View, Random);
+    bool UseStore = Peer == nullptr || (Holders.empty() && Try == 0) ||
                     Try % TriesPerRound == TriesPerRound - 1;
-    PieceFetch Fetch{std::move(Hash), std::nullopt};
-    if (!UseStore)
-      Fetch.Peer = Others[Random.uniformInt(Others.size())];
-    Fetches.push_back(std::move(Fetch));
+    if (StoreHasPieces && UseStore)
+      Fetches.push_back({std::move(Hash), std::nullopt});
+    else if (Peer)
+      Fetches.push_back({std::move(Hash), *Peer});
   }
   return Fetches;
 }
 
+const NodeRecord *ConfigFetcher::choosePeer(unsigned Try, const FleetView &View,
+                                            RandomSource &Random) const {
+  if (!View.Nodes)
+    return nullptr;
+  std::vector<const NodeRecord *> Known;
+  std::vector<const NodeRecord *> Others;
+  for (const auto &[Name, Node] : *View.Nodes) {
+    if (Name == Self)
+      continue;
+    bool IsHolder =
+        std::find(Holders.begin(), Holders.end(), Name) != Holders.end();
+    (IsHolder ? Known : Others).push_back(&Node);
+  }
+  if (Try < Known.size() || (Others.empty() && !Known.empty()))
+    return Known[Try % Known.size()];
+  return Others.empty() ? nullptr : Others[Random.uniformInt(Others.size())];
+}
+
 } // namespace teaselhitch
--- a/lib/Node/ConfigFetcher.h
+++ b/lib/Node/ConfigFetcher.h
@@ -26,20 +26,23 @@
 /// Adopts configurations and selects a source for each piece. Other nodes are
 /// asked first, because 1,400 nodes that read the same piece at once would use
 /// up the read capacity of the object store. Every third try for a piece goes
-/// to the object store.
+/// to the object store, if it has the pieces.
 class ConfigFetcher {
 public:
   /// The last try of each round goes to the object store.
   static constexpr unsigned TriesPerRound = 3;
 
-  explicit ConfigFetcher(NodeName Self) : Self(std::move(Self)) {}
+  /// \param StoreHasPieces configurations are published to the object store,
+  /// rather than read from an external source.
+  ConfigFetcher(NodeName Self, bool StoreHasPieces)
+      : Self(std::move(Self)), StoreHasPieces(StoreHasPieces) {}
 
   /// Handles a newly learned head of the configuration.
   ///
-  /// \param ReceivedFromPeer the head was received from another node, which has
-  /// the pieces.
+  /// \param Holder a node that has the pieces; empty if the head was read from
+  /// the object store.
   std::vector<PieceFetch> handleHead(const ConfigHead &Head,
-                                     bool ReceivedFromPeer,
+                                     const NodeName &Holder,
                                      const FleetView &View,
                                      RandomSource &Random, Time Now);
   /// Handles a complete configuration that was read from an external source.
@@ -71,12 +74,19 @@
   std::vector<PieceFetch> planFetches(AdoptionStep Step, const FleetView &View,
                                       RandomSource &Random);
 
+  void addHolder(const ConfigHead &Head, const NodeName &Holder);
+  /// Returns the node to ask in the given try, or null if there is none.
+  const NodeRecord *choosePeer(unsigned Try, const FleetView &View,
+                               RandomSource &Random) const;
+
   NodeName Self;
+  bool StoreHasPieces;
   ConfigAdoption Adoption;
   std::map<PieceHash, unsigned> Tries;
-  /// The newest head was received from another node, so other nodes have its
+  /// The newest version whose head was received, and nodes that have its
   /// pieces.
-  bool PeersHavePieces = false;
+  std::uint64_t NewestVersion = 0;
+  std::vector<NodeName> Holders;
   std::shared_ptr<const ActiveConfig> Adopted;
 };
 
--- a/lib/Node/ConfigWatcher.cpp
+++ b/lib/Node/ConfigWatcher.cpp
@@ -1,10 +1,10 @@
 #include "ConfigWatcher.h"
 
-#include "teaselhitch/Config/WatchPlan.h"
 #include "teaselhitch/Support/Log.h"
 
 #include <algorithm>
 #include <chrono>
+#include <random>
 
 namespace teaselhitch {
 
@@ -15,6 +15,12 @@
 
 } // namespace
 
+ConfigWatcher::ConfigWatcher(std::unique_ptr<ConfigSource> Source,
+                             NodeName Self, SharedState &Shared)
+    : Source(std::move(Source)), Self(std::move(Self)), Shared(Shared),
+      Random(std::random_device()()), Jitter(Random.uniform()),
+      StartedAt(SteadyTime.now()) {}
+
 void ConfigWatcher::start() {
   Thread = std::thread([this] { watch(); });
 }
@@ -30,12 +36,31 @@
 void ConfigWatcher::watch() {
   while (!IsStopping) {
     std::shared_ptr<const FleetView> View = Shared.View.current();
-    WatchPlan Plan = planWatch(Self, View.get());
-    if (!readNext(Plan.Wait))
+    WatchPlan Plan = planWatch(Self, View.get(), situation());
+    if (!Plan.Wait) {
+      pause(Plan.RetryDelay);
+      continue;
+    }
+    LastCall = SteadyTime.now();
+    Jitter = Random.uniform();
+    if (!readNext(*Plan.Wait))
       pause(Plan.RetryDelay);
   }
 }
 
+WatchSituation ConfigWatcher::situation() const {
+  Time Now = SteadyTime.now();
+  WatchSituation S;
+  S.Uptime = Now - StartedAt;
+  if (double Contact = Shared.LastPeerContact; Contact > 0)
+    S.SincePeerContact = Now - Time(Contact);
+  if (LastCall)
+    S.SinceLastCall = Now - *LastCall;
+  S.HasConfig = Shared.Config.current() != nullptr;
+  S.Jitter = Jitter;
+  return S;
+}
+
 void ConfigWatcher::pause(Duration Length) {
   for (Duration Remaining = Length; Remaining.ms() > 0 && !IsStopping;
        Remaining = Remaining - PauseStep)
@@ -45,7 +70,22 @@
 
 bool ConfigWatcher::readNext(Duration Wait) {
   std::string Cause;
-  bool Answered = handleError(
+  bool Answered = false;
+  try {
+    Answered = readNextUnchecked(Wait, Cause);
+  } catch (const std::exception &E) {
+    // An entry of the source that cannot be handled must not end the process,
+    // which would read it again at its next start.
+    Cause = E.what();
+    logEvent(LogLevel::Error, "config", "configuration-refused",
+             {{"error", Cause}});
+  }
+  updateSourceState(Answered, Cause);
+  return Answered;
+}
+
+bool ConfigWatcher::readNextUnchecked(Duration Wait, std::string &Cause) {
+  return handleError(
       [&]() -> Result<bool> {
         BOOST_LEAF_AUTO(Next, Source->next(Wait));
         if (Next && !Shared.ConfigToPeers.trySend(std::move(*Next)))
@@ -62,8 +102,6 @@
         }
         return false;
       });
-  updateSourceState(Answered, Cause);
-  return Answered;
 }
 
 void ConfigWatcher::updateSourceState(bool Answered, const std::string &Cause) {
--- a/lib/Node/PeersThread.cpp
+++ b/lib/Node/PeersThread.cpp
@@ -13,6 +13,8 @@
 
 constexpr Duration TickInterval = Duration(20);
 constexpr Duration StatusInterval = Duration(500);
+/// Minimum interval between two views that are passed to the other threads.
+constexpr Duration ViewInterval = Duration(60);
 /// Maximum number of records in one anti-entropy frame; a record takes about
 /// 100 bytes.
 constexpr std::size_t MaxSyncRecords = 500;
@@ -61,10 +63,11 @@
 
 } // namespace
 
-PeersThread::PeersThread(const NodeSettings &Settings, SharedState &Shared)
+PeersThread::PeersThread(const NodeSettings &Settings, bool StoreHasPieces,
+                         SharedState &Shared)
     : Settings(Settings), Shared(Shared),
       Random(std::make_unique<SeededRandom>(std::random_device()())),
-      Config(Settings.Node),
+      Config(Settings.Node, StoreHasPieces),
       BytesSent(Shared.Metrics.counter("teaselhitch_gossip_sent_bytes_total",
                                        "Bytes of datagrams sent.")),
       BytesReceived(
@@ -81,9 +84,10 @@
 }
 
 Result<std::unique_ptr<PeersThread>>
-PeersThread::create(const NodeSettings &Settings, bool PollsHead,
+PeersThread::create(const NodeSettings &Settings, bool UsesObjectStore,
                     std::uint64_t Incarnation, SharedState &Shared) {
-  std::unique_ptr<PeersThread> NewThread(new PeersThread(Settings, Shared));
+  std::unique_ptr<PeersThread> NewThread(
+      new PeersThread(Settings, UsesObjectStore, Shared));
   PeersThread *Self = NewThread.get();
   BOOST_LEAF_ASSIGN(NewThread->Members,
                     Membership::create(membershipSettings(Settings),
@@ -123,7 +127,7 @@
         Self->fetch(Self->Config.handleSet(Sourced, *Self->Members->view(),
                                            *Self->Random, Self->now()));
       });
-  if (PollsHead)
+  if (UsesObjectStore)
     Self->Loop.post([Self] { Self->pollHead(); });
   Self->Loop.schedulePeriodic(TickInterval, [Self] { Self->tick(); });
   Self->Loop.schedulePeriodic(StatusInterval,
@@ -148,7 +152,11 @@
 void PeersThread::tick() {
   execute(Members->tick(now()));
   Links->tick(now());
-  fetch(Config.tick(*Members->view(), *Random, now()));
+  fetch(Config.tick(currentView(), *Random, now()));
+  // Each new view is copied and then evaluated by all threads.
+  if (LastView && now() - LastViewAt < ViewInterval)
+    return;
+  LastViewAt = now();
   std::shared_ptr<const FleetView> View = Members->view();
   if (View == LastView)
     return;
@@ -156,11 +164,18 @@
   Shared.View.publish(std::move(View));
 }
 
+const FleetView &PeersThread::currentView() {
+  if (!LastView)
+    LastView = Members->view();
+  return *LastView;
+}
+
 void PeersThread::handleDatagram(std::string_view Bytes, const Endpoint &From) {
   BytesReceived.add(Bytes.size());
   handleError(
       [&]() -> Result<bool> {
         BOOST_LEAF_AUTO(Message, decodeDatagram(Bytes, Auth));
+        Shared.LastPeerContact = now().ms();
         execute(Members->receive(Message, From, now()));
         return true;
       },
@@ -175,11 +190,11 @@
 void PeersThread::receive(OutboundGuardMessage Message) {
   const auto *Sent = std::get_if<Dispatch>(&Message.Message);
   const auto *Offered = std::get_if<Offer>(&Message.Message);
-  std::shared_ptr<const FleetView> View = Members->view();
-  auto It = View->Nodes->find(Message.Node);
+  const FleetView &View = currentView();
+  auto It = View.Nodes->find(Message.Node);
   PeerMessage Frame =
       std::visit([](const auto &M) { return PeerMessage(M); }, Message.Message);
-  if (It != View->Nodes->end() &&
+  if (It != View.Nodes->end() &&
       Links->send(Message.Node, It->second.Address, Frame)) {
     Outstanding.recordSent(Message.Node, Message.Message);
     return;
@@ -234,7 +249,7 @@
                                   {{"error", E.Message}});
                          return ConfigHead();
                        });
-                   fetch(Config.handleHead(Head, false, *Members->view(),
+                   fetch(Config.handleHead(Head, NodeName(), *Members->view(),
                                            *Random, now()));
                  },
                  [&](PieceReadResult &M) {
@@ -252,9 +267,13 @@
 }
 
 void PeersThread::perform(const SendDatagram &Action) {
-  std::string Bytes = encodeDatagram(Action.Message, Auth);
-  BytesSent.add(Bytes.size());
-  Datagrams->send(Action.Destination, Bytes);
+  // A gossip round sends the same message to several nodes.
+  if (LastEncoded.empty() || LastMessage != Action.Message) {
+    LastEncoded = encodeDatagram(Action.Message, Auth);
+    LastMessage = Action.Message;
+  }
+  BytesSent.add(LastEncoded.size());
+  Datagrams->send(Action.Destination, LastEncoded);
 }
 
 void PeersThread::perform(const StartSync &Action) {
@@ -267,7 +286,8 @@
 }
 
 void PeersThread::perform(const ConfigHeadUpdated &Action) {
-  fetch(Config.handleHead(Action.Head, true, *Members->view(), *Random, now()));
+  fetch(Config.handleHead(Action.Head, Action.Holder, *Members->view(), *Random,
+                          now()));
 }
 
 void PeersThread::perform(const QuarantineReceived &Action) {
@@ -308,28 +328,28 @@
 }
 
 void PeersThread::onGuardMessage(const NodeName &Node, PeerMessage Message) {
-  std::visit(Overloaded{[&](Delta &M) { execute(Members->apply(M, now())); },
-                        [&](Piece &M) { fetch(receivePiece(std::move(M))); },
-                        [&](Grant &M) { sendToCallers(M); },
-                        [&](AttemptFailed &M) {
-                          Outstanding.recordAnswer(Node, M);
-                          sendToCallers(std::move(M));
-                        },
-                        [&](AttemptAnswer &M) {
-                          Outstanding.recordAnswer(Node, M);
-                          sendToCallers(std::move(M));
-                        },
-                        [&](AttemptOverdue &M) { sendToCallers(M); },
-                        [&](KeyMinted &M) {
-                          Outstanding.recordAnswer(Node, M);
-                          sendToCallers(std::move(M));
-                        },
-                        [&](auto &) {
-                          logEvent(LogLevel::Warning, "peers",
-                                   "unexpected-message",
-                                   {{"node", Node.str()}});
-                        }},
-             Message);
+  std::visit(
+      Overloaded{[&](Delta &M) { execute(Members->apply(M, Node, now())); },
+                 [&](Piece &M) { fetch(receivePiece(std::move(M))); },
+                 [&](Grant &M) { sendToCallers(M); },
+                 [&](AttemptFailed &M) {
+                   Outstanding.recordAnswer(Node, M);
+                   sendToCallers(std::move(M));
+                 },
+                 [&](AttemptAnswer &M) {
+                   Outstanding.recordAnswer(Node, M);
+                   sendToCallers(std::move(M));
+                 },
+                 [&](AttemptOverdue &M) { sendToCallers(M); },
+                 [&](KeyMinted &M) {
+                   Outstanding.recordAnswer(Node, M);
+                   sendToCallers(std::move(M));
+                 },
+                 [&](auto &) {
+                   logEvent(LogLevel::Warning, "peers", "unexpected-message",
+                            {{"node", Node.str()}});
+                 }},
+      Message);
 }
 
 std::vector<PieceFetch> PeersThread::receivePiece(Piece Received) {
--- a/lib/Node/PeersThread.h
+++ b/lib/Node/PeersThread.h
@@ -21,17 +21,18 @@
 
 class PeersThread final : public EventLoopThread, private PeerLinksHandler {
 public:
-  /// \param PollsHead the head of the configuration is polled from the table
-  /// store.
+  /// \param UsesObjectStore the head of the configuration is polled from the
+  /// table store.
   static Result<std::unique_ptr<PeersThread>>
-  create(const NodeSettings &Settings, bool PollsHead,
+  create(const NodeSettings &Settings, bool UsesObjectStore,
          std::uint64_t Incarnation, SharedState &Shared);
 
   /// Announces to the other nodes that this node is shutting down.
   void leave();
 
 private:
-  PeersThread(const NodeSettings &Settings, SharedState &Shared);
+  PeersThread(const NodeSettings &Settings, bool StoreHasPieces,
+              SharedState &Shared);
 
   void onGuardMessage(const NodeName &Node, PeerMessage Message) override;
   void onEntryMessage(LinkId Link, const NodeName &Node,
@@ -64,6 +65,8 @@
   /// Requests the head of the configuration and schedules the next poll.
   void pollHead();
   void tick();
+  /// Returns the view that was published last; at most ViewInterval old.
+  const FleetView &currentView();
   void publishStatus();
 
   NodeSettings Settings;
@@ -73,7 +76,12 @@
   std::unique_ptr<Membership> Members;
   ConfigFetcher Config;
   OutstandingAttempts Outstanding;
+  /// The view that was passed to the other threads last.
   std::shared_ptr<const FleetView> LastView;
+  Time LastViewAt;
+  /// The datagram that was sent last, and its encoding.
+  Datagram LastMessage;
+  std::string LastEncoded;
   Counter &BytesSent;
   Counter &BytesReceived;
   Counter &BadDatagrams;
--- a/lib/Node/SharedState.h
+++ b/lib/Node/SharedState.h
@@ -20,6 +20,7 @@
 
 #include <boost/json/value.hpp>
 
+#include <atomic>
 #include <optional>
 #include <string>
 #include <variant>
@@ -97,6 +98,8 @@
   std::string CallerId;
   RuleName Rule;
   std::uint32_t Priority = 0;
+  /// See DispatchInfo::IsRepeat.
+  bool IsRepeat = false;
   bool IsRunning = false;
 };
 
@@ -111,8 +114,7 @@
 struct SubRequestEnded {
   /// Rule of the request that issued the sub-request.
   RuleName ParentRule;
-  /// The sub-request got no slot before it was refused or its caller closed the
-  /// connection.
+  /// The sub-request was refused before it got a slot.
   bool Congested = false;
 };
 
@@ -144,6 +146,10 @@
   PublishedSnapshot<boost::json::value> BackendsStatus;
   PublishedSnapshot<boost::json::value> PeersStatus;
 
+  /// Time of the last datagram from another node, in milliseconds of
+  /// SteadyClock; 0 if there was none.
+  std::atomic<double> LastPeerContact{0};
+
   AuditTrail Audit;
   MetricRegistry Metrics;
 };
--- a/lib/Routing/LeastRiskBalancer.cpp
+++ b/lib/Routing/LeastRiskBalancer.cpp
@@ -22,7 +22,7 @@
 /// three run times.
 constexpr double QueueingCost = 0.3;
 /// Cost of a round trip to another failure domain, in bytes and time.
-constexpr double CrossDomainCost = 0.07;
+constexpr double CrossDomainCost = 0.1;
 /// Cost of sharing a backend server with other requests: they slow each other
 /// down, and a fault of the server affects all of them.
 constexpr double LoadCost = 0.05;
--- a/lib/Routing/LoadTracker.cpp
+++ b/lib/Routing/LoadTracker.cpp
@@ -24,10 +24,10 @@
 constexpr double Percent = 100;
 
 /// Bounds the risk according to the published health.
-void boundRiskByHealth(Candidate &C) {
+void boundRiskByHealth(Candidate &C, bool IsRiskShared) {
   if (C.Server->Health == BackendServerHealth::Suspected)
     C.Risk = std::max(C.Risk, MinSuspectedRisk);
-  else
+  else if (IsRiskShared)
     C.Risk = std::min(C.Risk, MaxHealthyRisk);
 }
 
@@ -72,7 +72,7 @@
 
 void LoadTracker::fillCandidate(Candidate &C, Time Now) const {
   C.Risk = PriorRisk;
-  boundRiskByHealth(C);
+  boundRiskByHealth(C, IsRiskShared);
   auto It = Servers.find(C.Server->Id);
   if (It == Servers.end())
     return;
@@ -90,7 +90,7 @@
                          Now - Stats.ReportedAt);
   // The health that the guard has published is newer than its last reply.
   if (AgeMs > GossipDelayMs)
-    boundRiskByHealth(C);
+    boundRiskByHealth(C, IsRiskShared);
 }
 
 void LoadTracker::prune(const FleetView &View) {
--- a/tools/teaselhitch-bench/MembershipBenchFleet.cpp
+++ b/tools/teaselhitch-bench/MembershipBenchFleet.cpp
@@ -210,6 +210,9 @@
       send(I, *Out);
     if (const auto *Sync = std::get_if<StartSync>(&Action))
       sync(I, indexOf(Sync->Peer));
+    // The simulated nodes fetch the pieces of a configuration at once.
+    if (const auto *Update = std::get_if<ConfigHeadUpdated>(&Action))
+      Nodes[I].Core->publishHead(Update->Head, Now);
     if (const auto *Change = std::get_if<NodeStateChanged>(&Action))
       if (Change->State == NodeState::Dead && isStable(indexOf(Change->Node)))
         ++FalseDeaths;
--- a/unittests/Entry/OfferTest.cpp
+++ b/unittests/Entry/OfferTest.cpp
@@ -69,14 +69,18 @@
 class OfferTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(OfferTest);
   CPPUNIT_TEST(guardsAreAskedOneByOne);
+  CPPUNIT_TEST(busyServiceIsNotSearchedInFull);
   CPPUNIT_TEST(firstGrantCancelsOtherOffers);
   CPPUNIT_TEST(unansweredOfferMovesToAnotherGuard);
   CPPUNIT_TEST(lateGrantIsIgnored);
+  CPPUNIT_TEST(grantAfterPauseRunsNothing);
   CPPUNIT_TEST(overdueIdempotentRequestIsHedged);
   CPPUNIT_TEST(hedgeIsQueuedIfNoSlotIsFree);
   CPPUNIT_TEST(refusedHedgeKeepsFirstAttempt);
   CPPUNIT_TEST(lastAttemptAcceptsOnlyLowRisk);
   CPPUNIT_TEST(subRequestsOutrankTheirParent);
+  CPPUNIT_TEST(repeatedAttemptsAreMarked);
+  CPPUNIT_TEST(subRequestsOfRepeatedRunsUseBudget);
   CPPUNIT_TEST(overduePaidRequestIsNotHedged);
   CPPUNIT_TEST(errorAnswerIsRetriedAndKept);
   CPPUNIT_TEST(errorAnswerOfPaidWorkIsDelivered);
@@ -84,6 +88,7 @@
   CPPUNIT_TEST(allSuspectedServersAreTriedAgain);
   CPPUNIT_TEST(suspectedServersAreTriedWithinSeconds);
   CPPUNIT_TEST(idleServersStillGetRequests);
+  CPPUNIT_TEST(largeFleetLearnsRiskFromReplies);
   CPPUNIT_TEST(paidWorkRaisesItsRiskLimitStepwise);
   CPPUNIT_TEST(oldClaimFailsBeforeQueueableOffers);
   CPPUNIT_TEST_SUITE_END();
@@ -175,6 +180,33 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t(3), collect<SendOffer>(Actions).size());
   }
 
+  /// Pattern: a service that others call is saturated, and each of its
+  /// sub-requests asks guard after guard for a free slot. Guards against a
+  /// search that costs the time and messages of five round trips before each
+  /// queue, and against a search that stays short when slots are free again.
+  void busyServiceIsNotSearchedInFull() {
+    const auto StrictOffers = [this](const char *Path) {
+      int Count = 0;
+      auto Offers = collect<SendOffer>(accept(Path));
+      while (Offers.size() == 1 && Offers.front().Info.Strict) {
+        ++Count;
+        Offers = collect<SendOffer>(decline(Offers.front(), Reason::Busy));
+      }
+      return Count;
+    };
+    CPPUNIT_ASSERT_EQUAL(Servers, StrictOffers("/read"));
+    for (int I = 0; I != 20; ++I)
+      StrictOffers("/read");
+    CPPUNIT_ASSERT_EQUAL(2, StrictOffers("/read"));
+    CPPUNIT_ASSERT_EQUAL(Servers, StrictOffers("/pay"));
+    for (int I = 0; I != 50; ++I) {
+      AttemptId Id = collect<SendOffer>(accept("/read")).at(0).Info.Attempt;
+      grant(Id);
+      Core->handleAnswer(answer(Id, 200), Now);
+    }
+    CPPUNIT_ASSERT_EQUAL(Servers, StrictOffers("/read"));
+  }
+
   /// When all slots are taken, the request is queued at several guards, but it
   /// must run at only one.
   void firstGrantCancelsOtherOffers() {
@@ -199,6 +231,47 @@
     CPPUNIT_ASSERT(collect<SendAttempt>(grant(First.Info.Attempt)).empty());
   }
 
+  /// Pattern: a service with 173 backend servers of which 3 in 10 look faulty,
+  /// in a fleet that does not gossip the risk. Guards against an entry that
+  /// offers requests again and again to servers whose guards have just
+  /// declined, because their published health is good.
+  void largeFleetLearnsRiskFromReplies() {
+    constexpr int Count = 173;
+    auto View = std::make_shared<FleetView>(*makeView());
+    auto List = std::make_shared<ServiceView>();
+    for (int I = 0; I != Count; ++I) {
+      BackendServerRecord Server = View->Services.begin()->second->front();
+      Server.Id.Name = BackendServerName("b" + std::to_string(I));
+      List->push_back(Server);
+    }
+    View->Services[ServiceName("seats")] = List;
+    CPPUNIT_ASSERT(!View->sharesRisk());
+    Core->updateView(View);
+    const auto IsFaulty = [](const SendOffer &Offer) {
+      return std::stoi(Offer.Info.Preferred.str().substr(1)) % 10 < 3;
+    };
+    int Declined = 0;
+    for (int I = 0; I != 1000; ++I) {
+      Now = Now + Duration(3);
+      auto Offers = collect<SendOffer>(accept("/pay"));
+      while (!Offers.empty() && IsFaulty(Offers.front())) {
+        ++Declined;
+        AttemptFailed Failure;
+        Failure.Attempt = Offers.front().Info.Attempt;
+        Failure.Cause = Reason::Suspected;
+        Failure.Result = Outcome::NotRun;
+        Failure.Load = {0, 0, 3, 90};
+        Offers = collect<SendOffer>(Core->handleFailure(Failure, Now));
+      }
+      CPPUNIT_ASSERT(!Offers.empty());
+      AttemptId Attempt = Offers.front().Info.Attempt;
+      grant(Attempt);
+      Core->handleAnswer(answer(Attempt, 200), Now);
+    }
+    // Each faulty server may decline once; 300 would be chance.
+    CPPUNIT_ASSERT(Declined <= 60);
+  }
+
   /// Paid work must not run after its caller was refused.
   void lateGrantIsIgnored() {
     std::vector<SendOffer> Offers = queueableOffers("/pay");
@@ -210,6 +283,19 @@
       CPPUNIT_ASSERT(grant(Offer.Info.Attempt).empty());
   }
 
+  /// Guards against a process that was paused and then acts on a grant whose
+  /// request has expired meanwhile, before its periodic work has run.
+  void grantAfterPauseRunsNothing() {
+    SendOffer Offer = collect<SendOffer>(accept("/pay")).at(0);
+    Now = Now + Duration::seconds(11);
+    EntryActions Actions = grant(Offer.Info.Attempt);
+    CPPUNIT_ASSERT(collect<SendAttempt>(Actions).empty());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), collect<SendCancel>(Actions).size());
+    auto Replies = collect<ReplyFailure>(Actions);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Replies.size());
+    CPPUNIT_ASSERT(Replies.front().Result == Outcome::NotRun);
+  }
+
   /// Three in ten backend servers hang on most of their requests. A hedge must
   /// replace the attempt that hangs.
   void overdueIdempotentRequestIsHedged() {
@@ -296,6 +382,48 @@
     CPPUNIT_ASSERT_EQUAL(0U, subRequestPriority(std::nullopt));
   }
 
+  /// Guards against a repeated run whose sub-requests are counted as new
+  /// requests, because its guard cannot tell it from a first run.
+  void repeatedAttemptsAreMarked() {
+    SendOffer First = collect<SendOffer>(accept("/read")).at(0);
+    CPPUNIT_ASSERT(!First.Info.IsRepeat);
+    auto Sent = collect<SendAttempt>(grant(First.Info.Attempt));
+    CPPUNIT_ASSERT(!Sent.at(0).Info.IsRepeat);
+    auto Hedges = collect<SendOffer>(
+        Core->handleOverdue({First.Info.Attempt, {1, 0, 3, 90}}, Now));
+    CPPUNIT_ASSERT(Hedges.at(0).Info.IsRepeat);
+    SendOffer Paid = collect<SendOffer>(accept("/pay")).at(0);
+    grant(Paid.Info.Attempt);
+    auto Next = collect<SendOffer>(decline(Paid, Reason::Shed));
+    CPPUNIT_ASSERT(Next.at(0).Info.IsRepeat);
+  }
+
+  /// Pattern: a service is called by runs that are repeated elsewhere. Its
+  /// backend servers see each of these calls as a retry, so the entries may add
+  /// fewer retries of their own.
+  void subRequestsOfRepeatedRunsUseBudget() {
+    for (bool IsParentRepeated : {false, true}) {
+      setUp();
+      CallerRequest Call;
+      Call.Method = "GET";
+      Call.Path = "/read";
+      Call.Organisation = OrganisationName("org");
+      Call.ParentId = "parent";
+      Call.IsParentRepeated = IsParentRepeated;
+      EntryActions Actions;
+      for (int I = 0; I != 20; ++I)
+        Core->accept(Call, Now, Actions);
+      int Hedges = 0;
+      for (const SendOffer &Offer : collect<SendOffer>(Actions)) {
+        grant(Offer.Info.Attempt);
+        auto Hedge = collect<SendOffer>(
+            Core->handleOverdue({Offer.Info.Attempt, {1, 0, 3, 90}}, Now));
+        Hedges += Hedge.empty() ? 0 : 1;
+      }
+      CPPUNIT_ASSERT_EQUAL(!IsParentRepeated, Hedges > 1);
+    }
+  }
+
   /// Paid work must not run twice.
   void overduePaidRequestIsNotHedged() {
     AttemptId First = collect<SendOffer>(accept("/pay")).at(0).Info.Attempt;
--- a/unittests/Guard/DependencyLimitsTest.cpp
+++ b/unittests/Guard/DependencyLimitsTest.cpp
@@ -4,6 +4,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
 #include <queue>
 #include <vector>
 
@@ -15,12 +16,15 @@
 const RuleName Booking("booking");
 constexpr std::size_t Slots = 5;
 
-/// Twenty guards whose requests each make one sub-request to a service that has
+/// Guards whose requests each make one sub-request to a service that has
 /// capacity for only some of them.
 class SaturatedFleet {
 public:
-  explicit SaturatedFleet(double CapacityPerSecond)
-      : CapacityPerSecond(CapacityPerSecond) {}
+  /// \param Burst number of sub-requests that the queues of the called service
+  /// can absorb at once.
+  explicit SaturatedFleet(double CapacityPerSecond, std::size_t Count = 20,
+                          double Burst = 5)
+      : CapacityPerSecond(CapacityPerSecond), Burst(Burst), Guards(Count) {}
 
   /// Number of requests started and failed in one second.
   struct Second {
@@ -33,10 +37,12 @@
     Time End = Now + Duration::seconds(1);
     while (Now < End) {
       Now = Now + Duration(1);
-      Capacity = std::min(Capacity + CapacityPerSecond / 1000, 5.0);
+      Capacity = std::min(Capacity + CapacityPerSecond / 1000, Burst);
       endRuns(Result);
-      if (Random.uniform() < RequestsPerSecond / 1000)
-        offer(Result);
+      // At most one request in each tenth of a millisecond.
+      for (int I = 0; I != 10; ++I)
+        if (Random.uniform() < RequestsPerSecond / 10000)
+          offer(Result);
     }
     return Result;
   }
@@ -49,11 +55,12 @@
 
   void offer(Second &Result) {
     constexpr int MaxOffers = 5;
+    RequestId Request{NodeName("e"), 1, ++LastSequence};
     for (int I = 0; I != MaxOffers; ++I) {
       Guard &G = Guards[Random.uniformInt(Guards.size())];
       if (G.Ends.size() >= Slots)
         continue;
-      if (!G.Limits.admit(Booking, Now))
+      if (!G.Limits.admit(Booking, Request, Now))
         return;
       G.Ends.push((Now + RunTime).ms());
       ++Result.Started;
@@ -74,10 +81,12 @@
 
   static constexpr Duration RunTime = Duration(400);
   double CapacityPerSecond;
+  double Burst;
   double Capacity = 0;
+  std::uint64_t LastSequence = 0;
   Time Now;
   SeededRandom Random{Seed};
-  std::vector<Guard> Guards{20};
+  std::vector<Guard> Guards;
 };
 
 class DependencyLimitsTest : public CppUnit::TestFixture {
@@ -86,6 +95,8 @@
   CPPUNIT_TEST(uncongestedServiceIsNotLimited);
   CPPUNIT_TEST(limitEndsAfterBurst);
   CPPUNIT_TEST(minimumShareIsAdmitted);
+  CPPUNIT_TEST(thinEvidenceLimitsLittle);
+  CPPUNIT_TEST(offersDoNotMultiplyTheLimit);
   CPPUNIT_TEST_SUITE_END();
 
   /// Load: requests arrive at twice the rate for which the dependency has
@@ -137,15 +148,66 @@
     CPPUNIT_ASSERT(countAdmitted(100, Limits, Last) >= 5);
   }
 
+  /// Pattern: 173 guards that each see a few sub-requests per second, and a
+  /// called service whose capacity is a tenth too small. Guards against limits
+  /// that each answer a single refusal with a cut and together refuse far more
+  /// requests than the missing capacity.
+  void thinEvidenceLimitsLittle() {
+    constexpr double Capacity = 900;
+    constexpr double Rate = 1000;
+    SaturatedFleet Fleet(Capacity, 173, 200);
+    for (int I = 0; I != 5; ++I)
+      Fleet.runSecond(Rate);
+    SaturatedFleet::Second Sum;
+    constexpr int Seconds = 10;
+    for (int I = 0; I != Seconds; ++I) {
+      SaturatedFleet::Second Each = Fleet.runSecond(Rate);
+      Sum.Started += Each.Started;
+      Sum.Failed += Each.Failed;
+    }
+    std::string Figures = std::to_string(Sum.Started) + " started, " +
+                          std::to_string(Sum.Failed) + " failed";
+    // Nine in ten can be served; nearly all of these are.
+    CPPUNIT_ASSERT_MESSAGE(Figures, Sum.Started - Sum.Failed >=
+                                        0.95 * Capacity * Seconds);
+  }
+
+  /// Pattern: a service with many busy guards, where a request is offered to
+  /// several of them before one has a free slot. Each guard refuses a tenth.
+  /// Guards against a request that has to pass the limit at each guard, so that
+  /// five offers refuse four in ten requests.
+  void offersDoNotMultiplyTheLimit() {
+    std::vector<DependencyLimits> Guards(5);
+    constexpr int Requests = 1000;
+    for (DependencyLimits &Limits : Guards)
+      for (int I = 0; I != 100; ++I)
+        Limits.subRequestEnded(Booking, I % 25 == 0, Time(1000));
+    int Admitted = 0;
+    for (int I = 0; I != Requests; ++I)
+      Admitted +=
+          std::all_of(Guards.begin(), Guards.end(),
+                      [&](DependencyLimits &Limits) {
+                        return Limits.admit(Booking, request(I), Time(1000));
+                      })
+              ? 1
+              : 0;
+    CPPUNIT_ASSERT(Admitted >= 0.85 * Requests);
+    CPPUNIT_ASSERT(Admitted <= 0.95 * Requests);
+  }
+
   static void refuseRepeatedly(DependencyLimits &Limits) {
     for (Time Now; Now <= Last; Now = Now + Duration(300))
       Limits.subRequestEnded(Booking, true, Now);
   }
 
+  static RequestId request(int I) {
+    return {NodeName("e"), 1, static_cast<std::uint64_t>(I)};
+  }
+
   static int countAdmitted(int Requests, DependencyLimits &Limits, Time Now) {
     int Admitted = 0;
     for (int I = 0; I != Requests; ++I)
-      Admitted += Limits.admit(Booking, Now) ? 1 : 0;
+      Admitted += Limits.admit(Booking, request(I), Now) ? 1 : 0;
     return Admitted;
   }
 
--- a/unittests/Guard/GuardTest.cpp
+++ b/unittests/Guard/GuardTest.cpp
@@ -4,6 +4,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <cmath>
 #include <functional>
 #include <map>
 
@@ -27,6 +28,7 @@
   CPPUNIT_TEST(ejectedServersGetTrials);
   CPPUNIT_TEST(ejectedServersGetNoTrialsInHoldTime);
   CPPUNIT_TEST(drainFinishesRunningWork);
+  CPPUNIT_TEST(pauseIsNoSilence);
   CPPUNIT_TEST_SUITE_END();
 
   /// Guards against a malformed announcement that takes slots or reaches other
@@ -49,6 +51,10 @@
         {"label", [](auto &A) { A.Label = S(65, 'x'); }},
         {"label", [](auto &A) { A.Label = "a\nb"; }},
         {"load", [](auto &A) { A.Load = -1; }},
+        {"cold time", [](auto &A) { A.ColdRemaining = Duration(-1); }},
+        {"cold time", [](auto &A) { A.ColdRemaining = Duration(1e300); }},
+        {"cold time",
+         [](auto &A) { A.ColdRemaining = Duration(std::nan("")); }},
         {"service", [](auto &A) { A.Service = ServiceName("other"); }}};
     GuardFixture F;
     F.announce(F.announcement("w1", 3, 5));
@@ -61,6 +67,22 @@
     CPPUNIT_ASSERT_EQUAL(S(), F.refusal(F.announcement("w1", 3, 5)));
   }
 
+  /// Guards against a node that was paused for longer than the announcement
+  /// timeout and then gives up its backend servers, although their
+  /// announcements are waiting to be read.
+  void pauseIsNoSilence() {
+    GuardFixture F;
+    F.announce(F.announcement("w1", 3, 5));
+    const auto State = [&] { return F.G->status().at(0).Record.State; };
+    F.tickAt(100);
+    F.G->resume(Duration(30000), Time(30100));
+    F.tickAt(30100);
+    CPPUNIT_ASSERT(State() == BackendServerState::Ready);
+    // Silence after the pause counts.
+    F.tickAt(40100);
+    CPPUNIT_ASSERT(State() == BackendServerState::Gone);
+  }
+
   /// Guards against gossip traffic from unchanged records, and against changes
   /// that are not published.
   void changesPublishRecords() {
--- a/unittests/Guard/RiskTest.cpp
+++ b/unittests/Guard/RiskTest.cpp
@@ -1,5 +1,8 @@
 #include "GuardFixture.h"
 
+#include <map>
+#include <optional>
+
 using namespace teaselhitch;
 
 namespace {
@@ -49,8 +52,95 @@
   CPPUNIT_TEST(unmeetableDeadlineIsRefusedImmediately);
   CPPUNIT_TEST(addressBelongsToLatestStartedServer);
   CPPUNIT_TEST(lateAnnouncementsAreIgnored);
+  CPPUNIT_TEST(riskIsPublishedOnlyIfShared);
+  CPPUNIT_TEST(longRunsStartInTime);
   CPPUNIT_TEST_SUITE_END();
 
+  /// Pattern: a saturated service gets short lookups with an objective of 300
+  /// ms and payments that run for 210 ms with an objective of 800 ms. Guards
+  /// against payments that wait behind lookups until they can only end late.
+  void longRunsStartInTime() {
+    constexpr double LookupMs = 76, PaymentMs = 210, ObjectiveMs = 800;
+    GuardFixture F;
+    F.announce(F.announcement("w1", 1));
+    std::uint64_t Last = 0;
+    const auto Make = [&](const char *Rule, double Objective) {
+      DispatchInfo Info = lenient(++Last, 0);
+      Info.Rule = RuleName(Rule);
+      Info.Objective = Info.ObjectiveLeft = Duration(Objective);
+      return Info;
+    };
+    const auto Finish = [&](const DispatchInfo &Info, double RunMs) {
+      return F.G->finished(Info.Attempt,
+                           {RunEnd::Answered, 200, Duration(RunMs)}, F.Now);
+    };
+    // The guard learns the run times.
+    for (int I = 0; I != 100; ++I) {
+      F.Now = F.Now + Duration(300);
+      DispatchInfo Lookup = Make("lookup", 300);
+      F.dispatch(Lookup);
+      Finish(Lookup, LookupMs);
+      DispatchInfo Payment = Make("pay", ObjectiveMs);
+      F.dispatch(Payment);
+      Finish(Payment, PaymentMs);
+    }
+    DispatchInfo Running = Make("lookup", 300);
+    F.dispatch(Running);
+    Time Arrival = F.Now;
+    DispatchInfo Payment = Make("pay", ObjectiveMs);
+    F.dispatch(Payment);
+    std::map<AttemptId, DispatchInfo> Waiting;
+    std::optional<Time> Started;
+    while (!Started && F.Now - Arrival < Duration(2000)) {
+      DispatchInfo Next = Make("lookup", 300);
+      Waiting.emplace(Next.Attempt, Next);
+      F.dispatch(Next);
+      F.Now = F.Now + Duration(LookupMs);
+      for (const StartAttempt &S :
+           filterActions<StartAttempt>(Finish(Running, LookupMs))) {
+        if (S.Attempt == Payment.Attempt)
+          Started = F.Now;
+        else
+          Running = Waiting.at(S.Attempt);
+      }
+    }
+    CPPUNIT_ASSERT(Started.has_value());
+    CPPUNIT_ASSERT(*Started - Arrival <=
+                   Duration(ObjectiveMs - 1.5 * PaymentMs));
+  }
+
+  /// Pattern: 354 guards, a third of whose backend servers look faulty in turn.
+  /// Guards against gossip that grows with the number of these changes, and
+  /// against a server that stays suspected after sharing has ended.
+  void riskIsPublishedOnlyIfShared() {
+    GuardFixture F;
+    ActiveConfig Config;
+    Service S1;
+    S1.Name = ServiceName("s");
+    S1.EjectionsEnabled = false;
+    Config.Objects.Services = {S1};
+    F.G->configure(std::make_shared<const ActiveConfig>(Config), F.Now);
+    F.announce(F.announcement("w1", 3));
+    failThree(F);
+    const auto Published = [&](double Ms) {
+      return filterActions<PublishRecord>(F.tickAt(Ms));
+    };
+    F.G->shareRisk(false);
+    for (double Ms = 20; Ms < 2000; Ms += 20)
+      CPPUNIT_ASSERT(Published(Ms).empty());
+    F.G->shareRisk(true);
+    auto Shared = Published(2000);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Shared.size());
+    CPPUNIT_ASSERT(Shared[0].Record.Health == BackendServerHealth::Suspected);
+    F.G->shareRisk(false);
+    auto Ended = Published(2020);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Ended.size());
+    CPPUNIT_ASSERT(Ended[0].Record.Health == BackendServerHealth::Healthy);
+    // The guard itself still knows.
+    CPPUNIT_ASSERT_EQUAL(S("fail 8 suspected not-run"),
+                         text(F.dispatch(strict(8, false))));
+  }
+
   /// Load: a backend server stops answering while its health state is still
   /// good.
   void hangingServerIsDeclined() {
--- a/unittests/Membership/MembershipTest.cpp
+++ b/unittests/Membership/MembershipTest.cpp
@@ -42,6 +42,7 @@
   CPPUNIT_TEST(leavingNodeOffersNoBackendServers);
   CPPUNIT_TEST(startingNodeContactsAllSeeds);
   CPPUNIT_TEST(configHeadNeverReverts);
+  CPPUNIT_TEST(headIsForwardedOnlyWithItsPieces);
   CPPUNIT_TEST(quarantinesReachEveryNode);
   CPPUNIT_TEST(invalidSettingsAreRejected);
   CPPUNIT_TEST_SUITE_END();
@@ -187,6 +188,28 @@
       CPPUNIT_ASSERT_EQUAL(std::uint64_t(7), N.Core->digest().Head.Version);
   }
 
+  /// Guards against nodes that forward a head before they have its pieces: the
+  /// receivers would ask nodes for pieces that these do not have.
+  void headIsForwardedOnlyWithItsPieces() {
+    TestNetwork Net(10, 8);
+    Net.AdoptsHeads = false;
+    const ConfigHead Head{7, std::string(64, 'a')};
+    Net.Nodes[1].Core->publishHead(Head, Net.Now);
+    Net.advance(Duration::seconds(3));
+    for (std::size_t I = 0; I != Net.Nodes.size(); ++I)
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t(I == 1 ? 7 : 0),
+                           Net.Nodes[I].Core->digest().Head.Version);
+    Datagram Message;
+    Message.Sender = NodeName("node-1");
+    Message.SenderIncarnation = 1;
+    Message.Changes.Head = Head;
+    MembershipActions Actions = Net.Nodes[2].Core->receive(
+        Message, Net.Nodes[1].Record.Address, Net.Now);
+    CPPUNIT_ASSERT(std::find(Actions.begin(), Actions.end(),
+                             MembershipAction(ConfigHeadUpdated{
+                                 Head, NodeName("node-1")})) != Actions.end());
+  }
+
   /// Guards against a crashing request that reaches nodes which were started
   /// after its quarantine.
   void quarantinesReachEveryNode() {
--- a/unittests/Membership/TestNetwork.h
+++ b/unittests/Membership/TestNetwork.h
@@ -135,6 +135,9 @@
   std::vector<Node> Nodes;
   /// Share of datagrams that are lost, from 0 to 1.
   double LossRate = 0;
+  /// Whether nodes fetch the pieces of a new configuration, which takes no time
+  /// here.
+  bool AdoptsHeads = true;
   std::function<bool(std::size_t, std::size_t)> IsBlocked =
       [](std::size_t, std::size_t) { return false; };
   std::size_t DatagramBytes = 0;
@@ -173,6 +176,10 @@
         send(I, *Out);
       if (const auto *Sync = std::get_if<StartSync>(&Action))
         sync(I, Sync->Peer);
+      // A node publishes a head once it has fetched the pieces.
+      if (const auto *Update = std::get_if<ConfigHeadUpdated>(&Action))
+        if (AdoptsHeads)
+          Nodes[I].Core->publishHead(Update->Head, Now);
       if (const auto *Change = std::get_if<NodeStateChanged>(&Action)) {
         if (Change->State == NodeState::Dead)
           Deaths.emplace_back(I, Change->Node);
--- a/unittests/Node/NodePartsTest.cpp
+++ b/unittests/Node/NodePartsTest.cpp
@@ -1,6 +1,7 @@
 #include "../../lib/Integration/Announcement.h"
 #include "../../lib/Node/ConfigFetcher.h"
 #include "../../lib/Node/OutstandingAttempts.h"
+#include "../../lib/Node/SlotGrant.h"
 #include "teaselhitch/Integration/Problem.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -51,9 +52,26 @@
   CPPUNIT_TEST(lostLinkFailsOutstandingAttempts);
   CPPUNIT_TEST(piecesAreFetchedFromPeersBeforeStore);
   CPPUNIT_TEST(singleNodeFetchesFromStore);
+  CPPUNIT_TEST(piecesAreFetchedFromHolders);
   CPPUNIT_TEST(problemResponseHasReasonAndOutcome);
+  CPPUNIT_TEST(grantEndsDuringPause);
   CPPUNIT_TEST_SUITE_END();
 
+  /// Guards against a process that was paused between its grant and the arrival
+  /// of the request, and then runs the request although the grant or the
+  /// deadline has expired, or hands the backend server more time than is left.
+  void grantEndsDuringPause() {
+    SlotGrant Slot{Time(1000), Time(3000)};
+    CPPUNIT_ASSERT(Slot.remaining(Duration(1990), Time(1010)) ==
+                   Duration(1990));
+    CPPUNIT_ASSERT(Slot.remaining(Duration(1990), Time(1200)) ==
+                   Duration(1800));
+    CPPUNIT_ASSERT(Slot.remaining(Duration(1990), Time(6000)) == Duration());
+    SlotGrant Short{Time(1000), Time(1100)};
+    CPPUNIT_ASSERT(Short.remaining(Duration(90), Time(1150)) == Duration());
+    CPPUNIT_ASSERT(Slot.remaining(Duration(-5), Time(1010)) == Duration());
+  }
+
   /// Guards against announcements that are accepted although a field is
   /// invalid, and against errors that do not name the field.
   void announcementErrorsNameField() {
@@ -113,12 +131,12 @@
   void piecesAreFetchedFromPeersBeforeStore() {
     SeededRandom Random(Seed);
     FleetView View = makeView(5);
-    ConfigFetcher Fetcher(NodeName("n0"));
+    ConfigFetcher Fetcher(NodeName("n0"), true);
     PieceHash Hash(64, 'a');
-    std::vector<PieceFetch> First =
-        Fetcher.handleHead(ConfigHead{1, Hash}, true, View, Random, Time(0));
+    std::vector<PieceFetch> First = Fetcher.handleHead(
+        ConfigHead{1, Hash}, NodeName("n3"), View, Random, Time(0));
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), First.size());
-    CPPUNIT_ASSERT(First[0].Peer && First[0].Peer->Name != NodeName("n0"));
+    CPPUNIT_ASSERT(First[0].Peer && First[0].Peer->Name == NodeName("n3"));
     std::vector<PieceFetch> Second =
         Fetcher.handleMissingPiece(Hash, View, Random);
     CPPUNIT_ASSERT(Second.size() == 1 && Second[0].Peer);
@@ -135,12 +153,36 @@
   /// nodes.
   void singleNodeFetchesFromStore() {
     SeededRandom Random(Seed);
-    ConfigFetcher Fetcher(NodeName("n0"));
-    std::vector<PieceFetch> Fetches = Fetcher.handleHead(
-        ConfigHead{1, PieceHash(64, 'a')}, false, makeView(0), Random, Time(0));
+    ConfigFetcher Fetcher(NodeName("n0"), true);
+    std::vector<PieceFetch> Fetches =
+        Fetcher.handleHead(ConfigHead{1, PieceHash(64, 'a')}, NodeName(),
+                           makeView(0), Random, Time(0));
     CPPUNIT_ASSERT(Fetches.size() == 1 && !Fetches[0].Peer);
   }
 
+  /// Pattern: a configuration reaches most nodes by gossip, and the object
+  /// store does not have its pieces. Guards against fetches from nodes that do
+  /// not have them yet, and from the store.
+  void piecesAreFetchedFromHolders() {
+    SeededRandom Random(Seed);
+    FleetView View = makeView(50);
+    ConfigFetcher Fetcher(NodeName("n0"), false);
+    ConfigHead Head{4, PieceHash(64, 'a')};
+    auto First = Fetcher.handleHead(Head, NodeName("n7"), View, Random, Time());
+    CPPUNIT_ASSERT(First.at(0).Peer->Name == NodeName("n7"));
+    CPPUNIT_ASSERT(
+        Fetcher.handleHead(Head, NodeName("n9"), View, Random, Time()).empty());
+    // An older version says nothing about the pieces of the newest one.
+    Fetcher.handleHead({3, PieceHash(64, 'b')}, NodeName("n8"), View, Random,
+                       Time());
+    auto Second = Fetcher.handleMissingPiece(Head.ManifestHash, View, Random);
+    CPPUNIT_ASSERT(Second.at(0).Peer->Name == NodeName("n9"));
+    for (int I = 0; I != 20; ++I)
+      for (const PieceFetch &Next :
+           Fetcher.tick(View, Random, Time(1000 + 1000 * I)))
+        CPPUNIT_ASSERT(Next.Peer && Next.Peer->Name != NodeName("n0"));
+  }
+
   /// Guards against refusals without a status, outcome and reason that callers
   /// can interpret.
   void problemResponseHasReasonAndOutcome() {
