--- a/unittests/Guard/RiskTest.cpp
+++ b/unittests/Guard/RiskTest.cpp
@@ -126,7 +126,7 @@
       return filterActions<PublishRecord>(F.tickAt(Ms));
     };
     F.G->shareRisk(false);
-    for (double Ms = 20; Ms < 2000; Ms += 20)
+    for (int Ms = 20; Ms < 2000; Ms += 20)
       CPPUNIT_ASSERT(Published(Ms).empty());
     F.G->shareRisk(true);
     auto Shared = Published(2000);
--- a/unittests/Net/BackendClientTest.cpp
+++ b/unittests/Net/BackendClientTest.cpp
@@ -166,7 +166,8 @@
 /// client closes the connection.
 class EndlessServer {
 public:
-  EndlessServer(std::string Start, std::string Repeated, int Connections)
+  EndlessServer(const std::string &Start, const std::string &Repeated,
+                int Connections)
       : Acceptor(Context, {asio::ip::make_address("127.0.0.1"), 0}) {
     for (int I = 0; I != Connections; ++I)
       Threads.emplace_back([this, Start, Repeated] { serve(Start, Repeated); });
