--- a/lib/Guard/GuardDispatch.cpp
+++ b/lib/Guard/GuardDispatch.cpp
@@ -12,7 +12,7 @@
 /// Longest accepted time until the deadline. Rules allow less; the bound
 /// prevents a malformed message from holding a slot permanently.
 constexpr Duration MaxRemaining = Duration::seconds(3600);
-/// Factor by which nine in ten requests stay below the mean run time.
+/// Nine in ten requests run for less than this multiple of the mean run time.
 constexpr double RunTimeMargin = 1.5;
 /// Share of an organisation that is not in the configuration. All such
 /// organisations use one account, so that invented names gain nothing.
