Keep departures of backend servers for the next process of a node

Cause: a departure was known to one process only. After a restart of the node, a check-in that arrived late was taken for the first one of an unknown server. A departure of a server that the process did not know was acknowledged and forgotten, with the same effect.

Change: the guard reports each departure, and a log writes it to a row of the node in the table `departures`; the acknowledgement waits for the write, 0.5 s at most. The next process reads the row and applies it, whether the late check-in comes before or after it. The row is conditional on its version, so a delayed write of an earlier process cannot drop an entry. A fleet that starts for the first time reads nothing (`platform.first_start`).

Ruled out: taking the state from the peers. They drop the records of the former process when they hear of the new one, and none is left if all are killed.

EndToEndTest::departureOutlivesRestart fails on (the server is "ready" after the late check-in) and passes now. Open: a store that does not answer when the server leaves or the node starts.

--- /dev/null
+++ b/include/teaselhitch/Guard/DepartureLog.h
@@ -0,0 +1,84 @@
+#ifndef TEASELHITCH_GUARD_DEPARTURELOG_H
+#define TEASELHITCH_GUARD_DEPARTURELOG_H
+
+/// \file
+/// Keeps the acknowledged departures of the backend servers of one node in the
+/// platform's table, so that the next process of the node still knows them.
+
+#include "teaselhitch/Model/Names.h"
+#include "teaselhitch/Platform/TableRequests.h"
+#include "teaselhitch/Support/Clock.h"
+
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+namespace teaselhitch {
+
+/// A process of a backend server that accepts no more work.
+struct DepartedServer {
+  BackendServerName Name;
+  /// Unset if neither the departure nor an announcement named it.
+  std::optional<std::uint64_t> Incarnation;
+
+  auto operator<=>(const DepartedServer &) const = default;
+};
+
+/// Decides which table requests read and write the row of the node. Does no
+/// I/O: the owner sends the requests and passes on the replies.
+///
+/// The row has the name of the node as its key in the table `departures`. Only
+/// the processes of this node write it.
+class DepartureLog {
+public:
+  /// \param IsFirstStart there is no earlier process of the node, so the row
+  /// need not be read.
+  DepartureLog(NodeName Node, bool IsFirstStart) : Node(std::move(Node)) {
+    if (IsFirstStart)
+      RowVersion = 0;
+  }
+
+  /// Adds a departure; a later one of the same backend server replaces it.
+  void record(const DepartedServer &Server);
+
+  /// Returns true if \p Server has a recorded departure that is not known to be
+  /// in the table.
+  bool isUnsaved(const BackendServerName &Server) const;
+
+  /// Returns the next request, if one is due.
+  std::optional<TableRequest> tick(Time Now);
+
+  /// Handles a reply; replies to requests of others are ignored. Returns the
+  /// departures that earlier processes of the node recorded.
+  std::vector<DepartedServer> reply(const TableReply &Reply, Time Now);
+
+private:
+  struct Entry {
+    DepartedServer Server;
+    bool IsSaved = false;
+  };
+  struct Request {
+    std::uint64_t Token = 0;
+    Time SentAt;
+    TableOperation Operation = TableOperation::Read;
+    /// The departures that a write contains.
+    std::vector<DepartedServer> Servers;
+  };
+
+  std::vector<DepartedServer> merge(const std::string &Row);
+  bool hasUnsaved() const;
+
+  NodeName Node;
+  /// Oldest first.
+  std::vector<Entry> Entries;
+  /// Version of the row; 0 if there is no row, nullopt if this is not known.
+  std::optional<std::uint64_t> RowVersion;
+  std::optional<Request> InFlight;
+  std::uint64_t LastToken = 0;
+  Time NextTryAt;
+};
+
+} // namespace teaselhitch
+
+#endif
--- a/include/teaselhitch/Guard/Guard.h
+++ b/include/teaselhitch/Guard/Guard.h
@@ -8,6 +8,7 @@
 /// actions.
 
 #include "teaselhitch/Config/Objects.h"
+#include "teaselhitch/Guard/DepartureLog.h"
 #include "teaselhitch/Model/Messages.h"
 #include "teaselhitch/Model/Records.h"
 #include "teaselhitch/Support/Result.h"
@@ -134,11 +135,18 @@
   auto operator<=>(const CrashMark &) const = default;
 };
 
+/// Action: keep this departure for the next process of the node.
+struct KeepDeparture {
+  DepartedServer Server;
+
+  auto operator<=>(const KeepDeparture &) const = default;
+};
+
 /// AttemptFailed and AttemptOverdue are sent to the entry of the attempt;
 /// Quarantine and CrashMark are sent to all other guards.
 using GuardAction =
     std::variant<StartAttempt, AbortAttempt, AttemptFailed, AttemptOverdue,
-                 PublishRecord, Quarantine, CrashMark>;
+                 PublishRecord, Quarantine, CrashMark, KeepDeparture>;
 using GuardActions = std::vector<GuardAction>;
 
 struct GuardSettings {
@@ -214,12 +222,17 @@
   virtual ServerLoad load(const BackendServerName &Server, Time Now) const = 0;
 
   /// Stops new work for a backend server, as an announcement with the state
-  /// Draining does. Has no effect if Incarnation is set and is not the current
-  /// incarnation.
+  /// Draining does. Announcements of the same process that arrive later do not
+  /// undo this, even if the backend server was not known before. A departure of
+  /// an earlier incarnation has no effect.
   virtual GuardActions drainServer(const BackendServerName &Server,
                                    std::optional<std::uint64_t> Incarnation,
                                    Time Now) = 0;
 
+  /// Applies departures that an earlier process of this node acknowledged.
+  virtual GuardActions
+  restoreDepartures(const std::vector<DepartedServer> &Departed, Time Now) = 0;
+
   /// Issues a guard-bound key. The key is empty if no backend server of the
   /// service is usable here, if the guard is draining, or if MaxKeys keys have
   /// not expired.
--- a/include/teaselhitch/Settings/NodeSettings.h
+++ b/include/teaselhitch/Settings/NodeSettings.h
@@ -51,6 +51,9 @@
   /// small fleets read the head more often.
   Duration HeadPollInterval = Duration::seconds(10);
 
+  /// The whole fleet starts for the first time, so the platform has no state of
+  /// an earlier process of this node.
+  bool IsFirstStart = false;
   /// Whether audit events are uploaded to the object store.
   bool UploadsAudit = true;
 
--- a/lib/Guard/GuardCore.cpp
+++ b/lib/Guard/GuardCore.cpp
@@ -30,6 +30,8 @@
   if (!Change)
     return Change.error();
   GuardActions Out;
+  if (Change->Departed)
+    Out.emplace_back(KeepDeparture{{A.Name, A.Incarnation}});
   if (Change->Restarted) {
     bool Crashed = Change->PreviousState != BackendServerState::Draining;
     if (Crashed)
@@ -65,15 +67,32 @@
                                     std::optional<std::uint64_t> Incarnation,
                                     Time Now) {
   GuardActions Out;
-  GuardedServer *Server = Servers.find(Name);
-  if (Server == nullptr || (Incarnation && *Incarnation != Server->Incarnation))
+  std::optional<DepartedServer> Departed =
+      Servers.depart({Name, Incarnation}, Now);
+  if (!Departed)
     return Out;
-  Servers.setDeparting(*Server);
-  updateQueue(Server->Record.Service, Now, Out);
-  Servers.publish(Out);
+  Out.emplace_back(KeepDeparture{std::move(*Departed)});
+  updateDeparted(Name, Now, Out);
+  return Out;
+}
+
+GuardActions
+GuardCore::restoreDepartures(const std::vector<DepartedServer> &Departed,
+                             Time Now) {
+  GuardActions Out;
+  for (const DepartedServer &D : Departed)
+    if (Servers.depart(D, Now))
+      updateDeparted(D.Name, Now, Out);
   return Out;
 }
 
+void GuardCore::updateDeparted(const BackendServerName &Name, Time Now,
+                               GuardActions &Out) {
+  if (const GuardedServer *Server = Servers.find(Name))
+    updateQueue(Server->Record.Service, Now, Out);
+  Servers.publish(Out);
+}
+
 KeyMinted GuardCore::mintKey(const MintKey &Request, Time Now) {
   KeyMinted Reply{Request.Token, {}, {}};
   if (Draining || !Servers.isServed(Request.Service))
--- a/lib/Guard/GuardCore.h
+++ b/lib/Guard/GuardCore.h
@@ -40,6 +40,8 @@
   GuardActions drainServer(const BackendServerName &Server,
                            std::optional<std::uint64_t> Incarnation,
                            Time Now) override;
+  GuardActions restoreDepartures(const std::vector<DepartedServer> &Departed,
+                                 Time Now) override;
   KeyMinted mintKey(const MintKey &Request, Time Now) override;
   GuardActions setHealth(const BackendServerName &Server,
                          BackendServerHealth Health, std::uint32_t Weight,
@@ -135,6 +137,9 @@
   /// attempts that no server can run and starts those that can run.
   void updateQueue(const ServiceName &Service, Time Now, GuardActions &Out);
   void updateAllQueues(Time Now, GuardActions &Out);
+  /// Updates the queue and the published record of a server that departed.
+  void updateDeparted(const BackendServerName &Name, Time Now,
+                      GuardActions &Out);
   void refuseExpired(Time Now, GuardActions &Out);
   Reason unservedReason(const ServiceName &Service) const;
   OrganisationName account(const OrganisationName &Organisation) const;
--- a/lib/Guard/ServerTable.cpp
+++ b/lib/Guard/ServerTable.cpp
@@ -15,6 +15,9 @@
 /// Gone servers are kept for this time, so that a late announcement of an older
 /// incarnation is still refused.
 constexpr Duration GoneRetention = Duration::seconds(600);
+/// An announcement that arrives later than this after a departure that named no
+/// incarnation is one of a new process.
+constexpr Duration LateAnnouncementLimit = Duration::seconds(30);
 /// Time between trial requests to an ejected server.
 constexpr Duration TrialInterval = Duration(500);
 /// Weight of an ejected server that receives no trial requests; equals
@@ -113,7 +116,7 @@
     Server.HealthWeight = FullPercent;
     Server.PausedUntil = Time();
     Server.SlowStartAt.reset();
-    Server.IsDeparting = false;
+    Server.IsDeparting = hasDeparted(A, Now);
     // A server that is ready shortly after the start of the guard was most
     // likely running before.
     bool Warm = !Known && A.State != BackendServerState::Starting &&
@@ -127,8 +130,10 @@
   Server.Record.Slots = A.Slots;
   Server.Record.State =
       Server.IsDeparting ? BackendServerState::Draining : A.State;
-  if (A.State == BackendServerState::Draining)
+  if (A.State == BackendServerState::Draining) {
+    Change.Departed = A.Sequence != 0 && !Server.IsDeparting;
     Server.IsDeparting = A.Sequence != 0;
+  }
   Server.Sequence = A.Sequence;
   Server.Address = A.Address;
   Server.Incarnation = A.Incarnation;
@@ -167,10 +172,39 @@
       setGone(Other);
 }
 
-void ServerTable::setDeparting(GuardedServer &Server) {
-  Server.IsDeparting = true;
-  if (Server.Record.State != BackendServerState::Gone)
-    Server.Record.State = BackendServerState::Draining;
+std::optional<DepartedServer> ServerTable::depart(DepartedServer Departed,
+                                                  Time Now) {
+  GuardedServer *Server = find(Departed.Name);
+  if (Server == nullptr ||
+      (Departed.Incarnation && *Departed.Incarnation > Server->Incarnation)) {
+    if (UnknownDepartures.size() >= MaxServers)
+      return std::nullopt;
+    bool IsNew =
+        UnknownDepartures
+            .try_emplace(Departed.Name, Departure{Departed.Incarnation, Now})
+            .second;
+    return IsNew ? std::optional(std::move(Departed)) : std::nullopt;
+  }
+  bool IsEarlier =
+      Departed.Incarnation && *Departed.Incarnation < Server->Incarnation;
+  if (IsEarlier || Server->IsDeparting)
+    return std::nullopt;
+  Server->IsDeparting = true;
+  if (Server->Record.State != BackendServerState::Gone)
+    Server->Record.State = BackendServerState::Draining;
+  Departed.Incarnation = Server->Incarnation;
+  return Departed;
+}
+
+bool ServerTable::hasDeparted(const Announcement &A, Time Now) {
+  auto It = UnknownDepartures.find(A.Name);
+  if (It == UnknownDepartures.end())
+    return false;
+  const Departure &D = It->second;
+  // Without an incarnation, a late announcement cannot be told from one of a
+  // new process.
+  return D.Incarnation ? A.Incarnation <= *D.Incarnation
+                       : Now - D.KnownSince <= LateAnnouncementLimit;
 }
 
 void ServerTable::setGone(GuardedServer &Server) {
@@ -183,6 +217,9 @@
 }
 
 std::vector<BackendServerName> ServerTable::tick(Time Now) {
+  std::erase_if(UnknownDepartures, [&](const auto &Entry) {
+    return Now - Entry.second.KnownSince > GoneRetention;
+  });
   std::vector<BackendServerName> SilentServers;
   if (!FirstCallAt)
     FirstCallAt = Now;
--- a/lib/Guard/ServerTable.h
+++ b/lib/Guard/ServerTable.h
@@ -63,6 +63,8 @@
     BackendServerState PreviousState = BackendServerState::Gone;
     std::uint64_t PreviousIncarnation = 0;
     ServiceName PreviousService;
+    /// True for the first announcement that the server is leaving.
+    bool Departed = false;
   };
 
   /// Marks servers gone whose address is now used by a server that started
@@ -81,9 +83,10 @@
   /// Marks a server gone until its next announcement.
   void setGone(GuardedServer &Server);
 
-  /// Marks a server draining. Earlier announcements of this incarnation that
-  /// arrive late do not undo this.
-  void setDeparting(GuardedServer &Server);
+  /// Marks a server draining, also one that has not been announced yet. Other
+  /// announcements of this incarnation do not undo this. Returns the departure
+  /// with the incarnation, if it is known, or nullopt if it changes nothing.
+  std::optional<DepartedServer> depart(DepartedServer Departed, Time Now);
 
   /// Does not count the last \p Pause, in which this process did not run, as
   /// silence of the servers.
@@ -125,10 +128,18 @@
   void beginSlowStart(GuardedServer &Server, Time Now);
   void updateWeight(GuardedServer &Server, Time Now);
   bool isRecentlyStarted(Time Now) const;
+  /// Returns true if this process of a server that was unknown has departed.
+  bool hasDeparted(const Announcement &A, Time Now);
 
   const GuardSettings &Settings;
   std::map<BackendServerName, GuardedServer> Servers;
   std::map<BackendServerName, BackendServerRecord> LastPublished;
+  struct Departure {
+    std::optional<std::uint64_t> Incarnation;
+    Time KnownSince;
+  };
+  /// Departures of servers that were not known when they departed.
+  std::map<BackendServerName, Departure> UnknownDepartures;
   /// Sequence number of the last published record. It is shared by all servers,
   /// so that a removed server that returns still publishes a higher version.
   std::uint64_t Sequence = 0;
--- a/lib/Node/BackendsThread.cpp
+++ b/lib/Node/BackendsThread.cpp
@@ -17,6 +17,9 @@
 constexpr Duration PauseThreshold = Duration(500);
 constexpr Duration StatusInterval = Duration(200);
 constexpr Duration IdleInterval = Duration::seconds(1);
+/// Longest wait of a backend server for the reply to its departure while the
+/// departure is being saved. Backend servers wait one second for a reply.
+constexpr Duration MaxReplyDelay = Duration(500);
 
 void countRun(MetricRegistry &Metrics, const RunResult &Result) {
   Metrics
@@ -36,7 +39,8 @@
 
 BackendsThread::BackendsThread(const NodeSettings &Settings,
                                SharedState &Shared)
-    : Settings(Settings), Shared(Shared) {}
+    : Settings(Settings), Shared(Shared),
+      Departures(Settings.Node, Settings.IsFirstStart) {}
 
 Result<std::unique_ptr<BackendsThread>>
 BackendsThread::create(const NodeSettings &Settings,
@@ -90,14 +94,14 @@
         std::visit([Self](const auto &M) { Self->receive(M); }, Notice);
       });
   Self->EventLoopThread::subscribe(
-      Shared.PlatformToBackends, [Self](TableReply &&Reply) {
-        Self->execute(Self->Control->reply(Reply, Self->now()));
-      });
+      Shared.PlatformToBackends,
+      [Self](TableReply &&Reply) { Self->receive(Reply); });
   Self->Loop.schedulePeriodic(TickInterval, [Self] {
     Self->refresh();
     Self->detectPause();
     Self->execute(Self->Core->tick(Self->now()));
     Self->expireGrants();
+    Self->saveDepartures();
     Self->execute(Self->Control->tick(Self->now()));
     Self->Idle = Self->Core->isIdle();
   });
@@ -153,10 +157,16 @@
 void BackendsThread::handleAnnouncement(
     const std::shared_ptr<HttpExchange> &Exchange) {
   std::optional<Error> RequestError;
+  BackendServerName Server;
   GuardActions Actions = handleError(
       [&]() -> Result<GuardActions> {
         BOOST_LEAF_AUTO(Message, Protocol->read(Exchange->request()));
-        return std::visit([&](const auto &M) { return accept(M); }, Message);
+        return std::visit(
+            [&](const auto &M) {
+              Server = M.Name;
+              return accept(M);
+            },
+            Message);
       },
       [&](const Error &E) {
         RequestError = E;
@@ -169,9 +179,38 @@
     return Exchange->reply(Protocol->refused(*RequestError));
   }
   execute(Actions);
+  if (Departures.isUnsaved(Server)) {
+    WaitingReplies.push_back({Exchange, Server, now() + MaxReplyDelay});
+    return saveDepartures();
+  }
   Exchange->reply(Protocol->accepted(Settings.Node));
 }
 
+void BackendsThread::saveDepartures() {
+  if (std::optional<TableRequest> Request = Departures.tick(now()))
+    perform(*Request);
+  std::erase_if(WaitingReplies, [&](const WaitingReply &W) {
+    bool IsSaved = !Departures.isUnsaved(W.Server);
+    if (!IsSaved && now() < W.Deadline)
+      return false;
+    if (!IsSaved)
+      logEvent(LogLevel::Warning, "backends", "departure-not-saved",
+               {{"server", W.Server.str()}});
+    W.Exchange->reply(Protocol->accepted(Settings.Node));
+    return true;
+  });
+}
+
+void BackendsThread::receive(const TableReply &Reply) {
+  std::vector<DepartedServer> Restored = Departures.reply(Reply, now());
+  for (const DepartedServer &D : Restored)
+    logEvent(LogLevel::Info, "backends", "departure-restored",
+             {{"server", D.Name.str()}});
+  execute(Core->restoreDepartures(Restored, now()));
+  saveDepartures();
+  execute(Control->reply(Reply, now()));
+}
+
 Result<GuardActions> BackendsThread::accept(const Announcement &A) {
   BOOST_LEAF_AUTO(Actions, Core->announce(A, now()));
   if (isMonitored(A.Service))
@@ -403,6 +442,7 @@
   TableReply Refused;
   Refused.Token = Action.Token;
   Refused.Status = TableStatus::Unavailable;
+  (void)Departures.reply(Refused, now());
   execute(Control->reply(Refused, now()));
 }
 
@@ -462,6 +502,10 @@
              {{"fingerprint", Action.Fingerprint}});
 }
 
+void BackendsThread::perform(const KeepDeparture &Action) {
+  Departures.record(Action.Server);
+}
+
 void BackendsThread::handleRunEnd(const AttemptId &Attempt,
                                   const RunResult &Result, HttpAnswer Answer) {
   auto It = Attempts.find(Attempt);
--- a/lib/Node/BackendsThread.h
+++ b/lib/Node/BackendsThread.h
@@ -92,6 +92,7 @@
   void perform(const PublishRecord &Action);
   void perform(const Quarantine &Action);
   void perform(const CrashMark &Action);
+  void perform(const KeepDeparture &Action);
   void execute(const ControlActions &Actions);
   void perform(const SetHealth &Action);
   void perform(const TableRequest &Action);
@@ -102,6 +103,10 @@
   bool isMonitored(const ServiceName &Service) const {
     return UnmonitoredServices.count(Service) == 0;
   }
+  /// Sends the next table request for the departures, if one is due, and the
+  /// replies that waited for it.
+  void saveDepartures();
+  void receive(const TableReply &Reply);
   Result<GuardActions> accept(const Announcement &A);
   Result<GuardActions> accept(const Departure &D);
   void handleRunEnd(const AttemptId &Attempt, const RunResult &Result,
@@ -118,6 +123,15 @@
   std::unique_ptr<Guard> Core;
   std::unique_ptr<GrayFailureControl> Control;
   std::map<AttemptId, ActiveAttempt> Attempts;
+  DepartureLog Departures;
+  /// A message about a departure whose reply waits until the departure is
+  /// saved.
+  struct WaitingReply {
+    std::shared_ptr<HttpExchange> Exchange;
+    BackendServerName Server;
+    Time Deadline;
+  };
+  std::vector<WaitingReply> WaitingReplies;
   /// Services whose backend servers are never ejected.
   std::set<ServiceName> UnmonitoredServices;
   Time LastTickAt;
--- a/lib/Settings/NodeSettings.cpp
+++ b/lib/Settings/NodeSettings.cpp
@@ -56,6 +56,7 @@
   S.Platform = Reader.endpoint("address");
   S.PlatformTimeout =
       Reader.duration("timeout_ms", S.PlatformTimeout, 10, 60000);
+  S.IsFirstStart = Reader.choice("first_start", "no", {"yes", "no"}) == "yes";
   S.UploadsAudit = Reader.choice("upload_audit", "yes", {"yes", "no"}) == "yes";
   S.HeadPollInterval =
       Reader.duration("head_poll_ms", S.HeadPollInterval, 100, 3600000);
--- /dev/null
+++ b/unittests/Guard/DepartureTest.cpp
@@ -0,0 +1,227 @@
+#include "GuardFixture.h"
+#include "teaselhitch/Platform/MemoryStores.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <string>
+#include <utility>
+
+using namespace teaselhitch;
+
+namespace {
+
+using S = std::string;
+
+/// A guard and its log, as in one process of a node.
+struct Process {
+  GuardFixture F;
+  explicit Process(bool IsFirstStart = false)
+      : Log(NodeName("n1"), IsFirstStart) {}
+
+  DepartureLog Log;
+
+  void depart(const S &Name, std::optional<std::uint64_t> Incarnation = {}) {
+    keep(F.G->drainServer(BackendServerName(Name), Incarnation, F.Now));
+  }
+  void announce(const Announcement &A) { keep(F.announce(A)); }
+  void keep(const GuardActions &Actions) {
+    for (const KeepDeparture &K : filterActions<KeepDeparture>(Actions))
+      Log.record(K.Server);
+  }
+
+  /// Runs all requests that are due.
+  void sync(TableStore &Store) {
+    while (std::optional<TableRequest> Next = Log.tick(F.Now))
+      F.G->restoreDepartures(Log.reply(runTableRequest(Store, *Next), F.Now),
+                             F.Now);
+  }
+  /// Sends the requests that are due, and gets a reply with this status.
+  void fail(TableStatus Status) {
+    while (std::optional<TableRequest> Next = Log.tick(F.Now))
+      Log.reply({Next->Token, Status, {}}, F.Now);
+  }
+  bool runs(std::uint64_t Sequence) {
+    return text(F.dispatch(F.info(Sequence))).rfind("start", 0) == 0;
+  }
+};
+
+Announcement numbered(const S &Name, std::uint64_t Sequence,
+                      std::uint64_t Incarnation = 5) {
+  Announcement A = GuardFixture::announcement(Name, 3, Incarnation);
+  A.Sequence = Sequence;
+  return A;
+}
+
+class DepartureTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(DepartureTest);
+  CPPUNIT_TEST(nextProcessKnowsDepartures);
+  CPPUNIT_TEST(announcedDeparturesAreKept);
+  CPPUNIT_TEST(unknownServersCanDepart);
+  CPPUNIT_TEST(newIncarnationsAreUsed);
+  CPPUNIT_TEST(lostAnswersAreRepeated);
+  CPPUNIT_TEST(laterProcessesKeepEarlierDepartures);
+  CPPUNIT_TEST(invalidRowsAreIgnored);
+  CPPUNIT_TEST(firstStartReadsNothing);
+  CPPUNIT_TEST_SUITE_END();
+
+  /// Guards against a late announcement that puts a departed server into use
+  /// again, because the node was restarted after it acknowledged the departure.
+  void nextProcessKnowsDepartures() {
+    MemoryTableStore Store;
+    {
+      Process First;
+      First.announce(numbered("w1", 5));
+      First.depart("w1");
+      CPPUNIT_ASSERT(First.Log.isUnsaved(BackendServerName("w1")));
+      First.sync(Store);
+      CPPUNIT_ASSERT(!First.Log.isUnsaved(BackendServerName("w1")));
+    }
+    // The row arrives before or after the late announcement.
+    for (bool ReadsFirst : {true, false}) {
+      Process Next;
+      if (ReadsFirst)
+        Next.sync(Store);
+      Next.announce(numbered("w1", 6));
+      Next.sync(Store);
+      CPPUNIT_ASSERT(!Next.runs(1));
+    }
+  }
+
+  /// Guards against a late announcement after a restart of the node that undoes
+  /// the announced state Draining.
+  void announcedDeparturesAreKept() {
+    MemoryTableStore Store;
+    Announcement Leaving = numbered("w1", 7);
+    Leaving.State = BackendServerState::Draining;
+    Process First;
+    First.announce(Leaving);
+    First.sync(Store);
+    Process Next;
+    Next.sync(Store);
+    Next.announce(numbered("w1", 6));
+    CPPUNIT_ASSERT(!Next.runs(1));
+  }
+
+  /// Guards against a departure that is acknowledged and forgotten, because the
+  /// node was restarted before it and has not heard of the server.
+  void unknownServersCanDepart() {
+    for (std::optional<std::uint64_t> Incarnation :
+         {std::optional<std::uint64_t>(), std::optional<std::uint64_t>(5)}) {
+      Process P;
+      P.depart("w1", Incarnation);
+      CPPUNIT_ASSERT(P.Log.isUnsaved(BackendServerName("w1")));
+      P.announce(numbered("w1", 6));
+      CPPUNIT_ASSERT(!P.runs(1));
+    }
+  }
+
+  /// Guards against a departure that locks out a server which starts again
+  /// under the same name.
+  void newIncarnationsAreUsed() {
+    MemoryTableStore Store;
+    Process First;
+    First.announce(numbered("w1", 5));
+    First.depart("w1");
+    First.sync(Store);
+    First.announce(numbered("w1", 1, 6));
+    CPPUNIT_ASSERT(First.runs(1));
+    Process Next;
+    Next.sync(Store);
+    Next.announce(numbered("w1", 1, 6));
+    CPPUNIT_ASSERT(Next.runs(1));
+
+    Process Unnamed;
+    Unnamed.depart("w1");
+    Unnamed.F.Now = Time(60000);
+    Unnamed.announce(numbered("w1", 1));
+    CPPUNIT_ASSERT(Unnamed.runs(1));
+  }
+
+  /// Guards against a departure that is never saved after an outage of the
+  /// store or a lost answer to the write.
+  void lostAnswersAreRepeated() {
+    MemoryTableStore Store;
+    Process First;
+    First.sync(Store);
+    First.announce(numbered("w1", 5));
+    First.depart("w1");
+    for (TableStatus Status : {TableStatus::Unavailable, TableStatus::Unknown,
+                               TableStatus::Conflict}) {
+      First.fail(Status);
+      CPPUNIT_ASSERT(First.Log.isUnsaved(BackendServerName("w1")));
+      First.F.Now = First.F.Now + Duration::seconds(2);
+    }
+    // The write takes effect, but its answer is lost.
+    std::optional<TableRequest> Read = First.Log.tick(First.F.Now);
+    First.Log.reply(runTableRequest(Store, *Read), First.F.Now);
+    std::optional<TableRequest> Write = First.Log.tick(First.F.Now);
+    runTableRequest(Store, *Write);
+    First.Log.reply({Write->Token, TableStatus::Unknown, {}}, First.F.Now);
+    First.F.Now = First.F.Now + Duration::seconds(2);
+    First.sync(Store);
+    CPPUNIT_ASSERT(!First.Log.isUnsaved(BackendServerName("w1")));
+  }
+
+  /// Guards against a write of one process that drops what an earlier one
+  /// wrote.
+  void laterProcessesKeepEarlierDepartures() {
+    MemoryTableStore Store;
+    for (const char *Name : {"w1", "w2"}) {
+      Process P;
+      P.announce(numbered(Name, 5));
+      P.depart(Name);
+      P.sync(Store);
+    }
+    Process Next;
+    Next.sync(Store);
+    Next.announce(numbered("w1", 6));
+    Next.announce(numbered("w2", 6));
+    CPPUNIT_ASSERT(!Next.runs(1));
+  }
+
+  /// Guards against a read of the store by each node of a fleet that starts for
+  /// the first time, and against a departure that is lost because there is a
+  /// row all the same.
+  void firstStartReadsNothing() {
+    MemoryTableStore Store;
+    Process First(true);
+    CPPUNIT_ASSERT(!First.Log.tick(First.F.Now));
+    First.announce(numbered("w1", 5));
+    First.depart("w1");
+    First.sync(Store);
+    Process Again(true);
+    Again.announce(numbered("w2", 5));
+    Again.depart("w2");
+    Again.sync(Store);
+    CPPUNIT_ASSERT(!Again.Log.isUnsaved(BackendServerName("w2")));
+    Again.announce(numbered("w1", 6));
+    CPPUNIT_ASSERT(!Again.runs(1));
+  }
+
+  /// Guards against a row of another writer that ends the process or hides the
+  /// other entries.
+  void invalidRowsAreIgnored() {
+    for (const char *Row : {"[]", "7", R"({"servers":{}})",
+                            R"({"servers":[7,{"server":"../w"},{"server":"w1",)"
+                            R"("incarnation":-1}]})"}) {
+      MemoryTableStore Store;
+      CPPUNIT_ASSERT(Store.insert("departures", "n1", Row));
+      Process P;
+      P.sync(Store);
+      P.announce(numbered("w1", 6));
+      CPPUNIT_ASSERT(P.runs(1));
+    }
+    MemoryTableStore Store;
+    CPPUNIT_ASSERT(Store.insert(
+        "departures", "n1",
+        R"({"servers":[{},{"server":"w1","incarnation":5},null]})"));
+    Process P;
+    P.sync(Store);
+    P.announce(numbered("w1", 6));
+    CPPUNIT_ASSERT(!P.runs(1));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(DepartureTest);
+
+} // namespace
--- a/unittests/RowStorePlatform/EndToEndTest.cpp
+++ b/unittests/RowStorePlatform/EndToEndTest.cpp
@@ -168,10 +168,20 @@
       "body"};
 }
 
+/// Returns the body of an announcement of the backend server.
+std::string announcement(const PlatformFixture &Platform, int Sequence) {
+  return R"({"Address":")" + toString(Platform.BackendAddress) +
+         R"(","born":17,"Info":{"Service":"s","Version":"v1",)"
+         R"("Zone":"d","Slots":2},"Status":{"State":"ready",)"
+         R"("Seq":)" +
+         std::to_string(Sequence) + "}}";
+}
+
 class EndToEndTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(EndToEndTest);
   CPPUNIT_TEST(requestRunsOnOtherNode);
   CPPUNIT_TEST(firstViewIsPublished);
+  CPPUNIT_TEST(departureOutlivesRestart);
   CPPUNIT_TEST_SUITE_END();
 
   /// Guards against faults between components, which the tests of single
@@ -185,11 +195,8 @@
     RunningFleet Fleet(Platform);
     const std::vector<NodeSettings> &Settings = Fleet.Settings;
 
-    std::string Body = R"({"Address":")" + toString(Platform.BackendAddress) +
-                       R"(","born":17,"Info":{"Service":"s","Version":"v1",)"
-                       R"("Zone":"d","Slots":2},"Status":{"State":"ready",)"
-                       R"("Seq":1}})";
-    HttpRequest Announcement{"POST", "/Instances.Heartbeat/i-1", {}, Body};
+    HttpRequest Announcement{
+        "POST", "/Instances.Heartbeat/i-1", {}, announcement(Platform, 1)};
     CPPUNIT_ASSERT_EQUAL(
         200U, callUntil(200, Settings[1].BackendServers, Announcement).Status);
     CPPUNIT_ASSERT_EQUAL(
@@ -226,6 +233,38 @@
     }
     CPPUNIT_ASSERT(Status.find("\"name\":\"n0\"") != std::string::npos);
   }
+
+  /// Guards against a late announcement that puts a departed backend server
+  /// into use again after a restart of its node.
+  void departureOutlivesRestart() {
+    PlatformFixture Platform;
+    Platform.publish("3");
+    HttpRequest Announcement{
+        "POST", "/Instances.Heartbeat/i-1", {}, announcement(Platform, 1)};
+    {
+      RunningFleet Fleet(Platform, 1);
+      const Endpoint &Listener = Fleet.Settings[0].BackendServers;
+      CPPUNIT_ASSERT_EQUAL(200U, callUntil(200, Listener, Announcement).Status);
+      CPPUNIT_ASSERT_EQUAL(
+          200U,
+          call(Listener, {"POST", "/Instances.Leave/i-1", {}, ""}).Status);
+    }
+    RunningFleet Fleet(Platform, 1);
+    Announcement.Body = announcement(Platform, 2);
+    CPPUNIT_ASSERT_EQUAL(
+        200U,
+        callUntil(200, Fleet.Settings[0].BackendServers, Announcement).Status);
+    std::string Status;
+    for (int I = 0; I != MaxTries / 4 &&
+                    Status.find("\"state\":\"draining\"") == std::string::npos;
+         ++I) {
+      Status =
+          call(Fleet.Settings[0].Operators, {"GET", "/v1/status", {}, ""}).Body;
+      std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    }
+    CPPUNIT_ASSERT_MESSAGE(Status, Status.find("\"state\":\"draining\"") !=
+                                       std::string::npos);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(EndToEndTest);
