Get a new configuration in time although some paths are cut

What callers saw: 404 on routes that were added more than ConfigApplyMs before, and requests run by the old service or on dropped routes, at nodes in touch.

Cause: nodes that do not watch the store fetch the manifest, the index and the pieces one after the other, and began each time with the first node from which they had heard of the version. If the path there is cut, each step waited 500 ms. That the node had not answered was forgotten, a series of changes started the fetch anew, and a late node did not read the store.

Change: nodes that did not answer are avoided for 5 s and the last one that answered is preferred; requests are repeated after 250 ms; a node that has known of a newer version for 300 ms reads the store itself; suspected nodes do not count as watchers.

Ruled out: a watch of the store by all nodes, for its calls at 354 nodes.

--- a/include/teaselhitch/Config/Adoption.h
+++ b/include/teaselhitch/Config/Adoption.h
@@ -34,7 +34,7 @@
 class ConfigAdoption {
 public:
   /// Time after which an unanswered request for a piece is repeated.
-  static constexpr Duration RefetchInterval = Duration(500);
+  static constexpr Duration RefetchInterval = Duration(250);
   /// Maximum number of outstanding piece requests. The limit splits a large
   /// initial set into several rounds; without it, pieces that are still in
   /// transit would be requested again.
@@ -59,6 +59,9 @@
   /// Repeats the requests that are older than RefetchInterval.
   AdoptionStep tick(Time Now);
 
+  /// True if a newer configuration is known whose pieces are not complete.
+  bool isFetching() const;
+
   /// The active configuration, or null.
   std::shared_ptr<const ActiveConfig> active() const;
   /// The head of the active configuration; version 0 if there is none.
--- a/include/teaselhitch/Config/WatchPlan.h
+++ b/include/teaselhitch/Config/WatchPlan.h
@@ -40,6 +40,9 @@
   std::optional<Duration> SinceLastCall;
   /// The node has adopted a configuration.
   bool HasConfig = false;
+  /// The node knows of a newer configuration and did not get it from the other
+  /// nodes in time.
+  bool IsOverdue = false;
   /// Number from 0 to 1 that spreads the calls of all nodes over time.
   double Jitter = 0;
 
--- a/lib/Config/Adoption.cpp
+++ b/lib/Config/Adoption.cpp
@@ -202,6 +202,8 @@
   return Step;
 }
 
+bool ConfigAdoption::isFetching() const { return State->Target.has_value(); }
+
 std::shared_ptr<const ActiveConfig> ConfigAdoption::active() const {
   return State->Active;
 }
--- a/lib/Config/WatchPlan.cpp
+++ b/lib/Config/WatchPlan.cpp
@@ -24,6 +24,11 @@
 /// Interval of calls by nodes that do not watch the source. They find a version
 /// that gossip has missed.
 constexpr Duration CheckInterval = Duration::seconds(60);
+/// A node that knows of a newer configuration reads it at once.
+constexpr WatchPlan ReadNow = {Duration(), Duration(400)};
+/// Minimum interval between two such reads. The store has the newer
+/// configuration, so the first answer brings it.
+constexpr Duration OverdueInterval = Duration(400);
 /// The same interval while the node has no configuration.
 constexpr Duration NoConfigInterval = Duration::seconds(2);
 
@@ -31,7 +36,7 @@
   std::uint64_t SelfHash = hash64(Self.str());
   std::size_t Rank = 0;
   for (const auto &[Name, Node] : *View.Nodes)
-    Rank += hash64(Name.str()) < SelfHash ? 1 : 0;
+    Rank += Node.State == NodeState::Alive && hash64(Name.str()) < SelfHash;
   return Rank < NumWatchers;
 }
 
@@ -49,6 +54,9 @@
     return S.Uptime < StartupTime ? NoCall : Watch;
   if (isWatcher(Self, *View))
     return Watch;
+  if (S.IsOverdue)
+    return S.SinceLastCall && *S.SinceLastCall < OverdueInterval ? NoCall
+                                                                 : ReadNow;
   if (!S.HasConfig && S.Uptime < StartupTime)
     return NoCall;
   if (!S.HasConfig && !S.SinceLastCall)
--- a/lib/Node/ConfigFetcher.h
+++ b/lib/Node/ConfigFetcher.h
@@ -12,6 +12,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace teaselhitch {
@@ -57,7 +58,7 @@
   /// source is asked at once.
   std::vector<PieceFetch> handleMissingPiece(const PieceHash &Hash,
                                              const FleetView &View,
-                                             RandomSource &Random);
+                                             RandomSource &Random, Time Now);
   /// Repeats overdue fetches.
   std::vector<PieceFetch> tick(const FleetView &View, RandomSource &Random,
                                Time Now);
@@ -65,24 +66,43 @@
   /// Returns the configuration that was adopted since the last call, or null.
   std::shared_ptr<const ActiveConfig> takeAdopted();
 
+  /// Returns true if a newer configuration has been known for so long that it
+  /// should be read from its source instead of from other nodes.
+  bool isOverdue(Time Now) const;
+
   ConfigHead head() const { return Adoption.head(); }
   std::optional<std::string> piece(const PieceHash &Hash) const {
     return Adoption.piece(Hash);
   }
 
 private:
+  /// The tries for one piece.
+  struct PieceTries {
+    unsigned Count = 0;
+    /// Nodes that were asked; the last one has not answered yet.
+    std::vector<NodeName> Asked;
+  };
+
   std::vector<PieceFetch> planFetches(AdoptionStep Step, const FleetView &View,
-                                      RandomSource &Random);
+                                      RandomSource &Random, Time Now);
 
   void addHolder(const ConfigHead &Head, const NodeName &Holder);
-  /// Returns the node to ask in the given try, or null if there is none.
-  const NodeRecord *choosePeer(unsigned Try, const FleetView &View,
-                               RandomSource &Random) const;
+  /// Returns the node to ask next, or null if there is none. Prefers holders
+  /// that have answered before.
+  const NodeRecord *choosePeer(const PieceTries &Tries, const FleetView &View,
+                               RandomSource &Random, Time Now) const;
+  bool isAvoided(const NodeName &Node, Time Now) const;
 
   NodeName Self;
   bool StoreHasPieces;
   ConfigAdoption Adoption;
-  std::map<PieceHash, unsigned> Tries;
+  std::map<PieceHash, PieceTries> Tries;
+  /// Nodes that did not answer in time, and when they may be asked again.
+  std::map<NodeName, Time> AvoidedUntil;
+  /// The node that sent the last piece.
+  NodeName LastAnswered;
+  /// Since when a newer configuration is known but not adopted.
+  std::optional<Time> BehindSince;
   /// The newest version whose head was received, and nodes that have its
   /// pieces.
   std::uint64_t NewestVersion = 0;
--- a/lib/Node/ConfigWatcher.cpp
+++ b/lib/Node/ConfigWatcher.cpp
@@ -57,6 +57,7 @@
   if (LastCall)
     S.SinceLastCall = Now - *LastCall;
   S.HasConfig = Shared.Config.current() != nullptr;
+  S.IsOverdue = Shared.IsConfigOverdue;
   S.Jitter = Jitter;
   return S;
 }
--- a/lib/Node/PeersThread.cpp
+++ b/lib/Node/PeersThread.cpp
@@ -154,6 +154,7 @@
   execute(Members->tick(now()));
   Links->tick(now());
   fetch(Config.tick(*currentView(), *Random, now()));
+  Shared.IsConfigOverdue = Config.isOverdue(now());
   // Each new view is copied and then evaluated by all threads.
   if (LastView && now() - LastViewAt < ViewInterval)
     return;
@@ -354,7 +355,7 @@
 std::vector<PieceFetch> PeersThread::receivePiece(Piece Received) {
   std::shared_ptr<const FleetView> View = Members->view();
   if (Received.Bytes.empty())
-    return Config.handleMissingPiece(Received.Hash, *View, *Random);
+    return Config.handleMissingPiece(Received.Hash, *View, *Random, now());
   return Config.handlePiece(Received.Hash, std::move(Received.Bytes), *View,
                             *Random, now());
 }
--- a/lib/Node/SharedState.h
+++ b/lib/Node/SharedState.h
@@ -149,6 +149,8 @@
   /// Time of the last datagram from another node, in milliseconds of
   /// SteadyClock; 0 if there was none.
   std::atomic<double> LastPeerContact{0};
+  /// A newer configuration is known, and other nodes did not supply it in time.
+  std::atomic<bool> IsConfigOverdue{false};
 
   AuditTrail Audit;
   MetricRegistry Metrics;
--- a/unittests/Config/WatchPlanTest.cpp
+++ b/unittests/Config/WatchPlanTest.cpp
@@ -48,6 +48,8 @@
   CPPUNIT_TEST(silentPeersMeanIsolation);
   CPPUNIT_TEST(fleetMakesFewCalls);
   CPPUNIT_TEST(startedNodesWaitForTheirPeers);
+  CPPUNIT_TEST(overdueConfigurationIsReadAtOnce);
+  CPPUNIT_TEST(failedWatchersAreReplaced);
   CPPUNIT_TEST_SUITE_END();
 
   /// Guards against a number of frequent callers of the store that grows with
@@ -151,6 +153,36 @@
     }
     CPPUNIT_ASSERT_EQUAL(8, Calls);
   }
+
+  /// Guards against a node that knows of a newer configuration, cannot get it
+  /// from the other nodes, and does not read it from the source either.
+  void overdueConfigurationIsReadAtOnce() {
+    FleetView View = makeFleet(0, 105);
+    WatchSituation S = steadyState();
+    for (int I = 0; I != 105; ++I) {
+      S.IsOverdue = true;
+      S.SinceLastCall = Duration::seconds(10);
+      CPPUNIT_ASSERT(planWatch(nodeName(I), &View, S).Wait);
+      S.SinceLastCall = std::nullopt;
+      CPPUNIT_ASSERT(planWatch(nodeName(I), &View, S).Wait);
+    }
+  }
+
+  /// Pattern: many nodes are killed at the same moment. Guards against changes
+  /// that no remaining node reads until the killed ones are declared dead.
+  void failedWatchersAreReplaced() {
+    FleetView View = makeFleet(0, 27);
+    auto Nodes = std::make_shared<std::map<NodeName, NodeRecord>>(*View.Nodes);
+    for (int I = 0; I != 27; ++I)
+      if (watchesFrequently(I, View))
+        Nodes->at(nodeName(I)).State = NodeState::Suspected;
+    View.Nodes = Nodes;
+    int FrequentCount = 0;
+    for (int I = 0; I != 27; ++I)
+      if (Nodes->at(nodeName(I)).State == NodeState::Alive)
+        FrequentCount += watchesFrequently(I, View) ? 1 : 0;
+    CPPUNIT_ASSERT_EQUAL(8, FrequentCount);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(WatchPlanTest);
--- a/unittests/Node/NodePartsTest.cpp
+++ b/unittests/Node/NodePartsTest.cpp
@@ -53,6 +53,8 @@
   CPPUNIT_TEST(piecesAreFetchedFromPeersBeforeStore);
   CPPUNIT_TEST(singleNodeFetchesFromStore);
   CPPUNIT_TEST(piecesAreFetchedFromHolders);
+  CPPUNIT_TEST(unreachableHoldersAreAvoided);
+  CPPUNIT_TEST(seriesOfChangesBecomesOverdue);
   CPPUNIT_TEST(problemResponseHasReasonAndOutcome);
   CPPUNIT_TEST(grantEndsDuringPause);
   CPPUNIT_TEST_SUITE_END();
@@ -138,13 +140,14 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), First.size());
     CPPUNIT_ASSERT(First[0].Peer && First[0].Peer->Name == NodeName("n3"));
     std::vector<PieceFetch> Second =
-        Fetcher.handleMissingPiece(Hash, View, Random);
+        Fetcher.handleMissingPiece(Hash, View, Random, Time(0));
     CPPUNIT_ASSERT(Second.size() == 1 && Second[0].Peer);
     std::vector<PieceFetch> Third =
-        Fetcher.handleMissingPiece(Hash, View, Random);
+        Fetcher.handleMissingPiece(Hash, View, Random, Time(0));
     CPPUNIT_ASSERT(Third.size() == 1 && !Third[0].Peer);
     // A complete round failed; the next try follows after the retry interval.
-    CPPUNIT_ASSERT(Fetcher.handleMissingPiece(Hash, View, Random).empty());
+    CPPUNIT_ASSERT(
+        Fetcher.handleMissingPiece(Hash, View, Random, Time(0)).empty());
     CPPUNIT_ASSERT_EQUAL(std::size_t(1),
                          Fetcher.tick(View, Random, Time(1000)).size());
   }
@@ -175,7 +178,8 @@
     // An older version says nothing about the pieces of the newest one.
     Fetcher.handleHead({3, PieceHash(64, 'b')}, NodeName("n8"), View, Random,
                        Time());
-    auto Second = Fetcher.handleMissingPiece(Head.ManifestHash, View, Random);
+    auto Second =
+        Fetcher.handleMissingPiece(Head.ManifestHash, View, Random, Time());
     CPPUNIT_ASSERT(Second.at(0).Peer->Name == NodeName("n9"));
     for (int I = 0; I != 20; ++I)
       for (const PieceFetch &Next :
@@ -183,6 +187,59 @@
         CPPUNIT_ASSERT(Next.Peer && Next.Peer->Name != NodeName("n0"));
   }
 
+  /// Pattern: the path to a node is cut in one direction, so its gossip arrives
+  /// and requests to it get no answer. Guards against a configuration that is
+  /// late because each of its pieces is first requested from that node.
+  void unreachableHoldersAreAvoided() {
+    SeededRandom Random(Seed);
+    FleetView View = makeView(50);
+    ConfigFetcher Fetcher(NodeName("n0"), false);
+    ObjectSet Objects;
+    Objects.Organisations = {{OrganisationName("o"), 1}};
+    PieceSet Set = splitIntoPieces(Objects);
+    ConfigHead Head{4, Set.ManifestHash};
+    auto First = Fetcher.handleHead(Head, NodeName("n7"), View, Random, Time());
+    CPPUNIT_ASSERT(First.at(0).Peer->Name == NodeName("n7"));
+    Fetcher.handleHead(Head, NodeName("n9"), View, Random, Time());
+    Time Now = Time() + ConfigAdoption::RefetchInterval;
+    std::vector<PieceFetch> Next = Fetcher.tick(View, Random, Now);
+    std::size_t Steps = 0;
+    while (!Next.empty()) {
+      CPPUNIT_ASSERT(Next.front().Peer->Name == NodeName("n9"));
+      PieceHash Hash = Next.front().Hash;
+      Next = Fetcher.handlePiece(Hash, Set.Pieces.at(Hash), View, Random, Now);
+      ++Steps;
+    }
+    CPPUNIT_ASSERT_EQUAL(Set.Pieces.size(), Steps);
+    CPPUNIT_ASSERT_EQUAL(Head.Version, Fetcher.head().Version);
+    CPPUNIT_ASSERT(!Fetcher.isOverdue(Now + Duration::seconds(9)));
+
+    // The next version starts with the node that answered.
+    Objects.Organisations.front().Share = 2;
+    Set = splitIntoPieces(Objects);
+    for (const char *Holder : {"n7", "n9"})
+      Next = Fetcher.handleHead({5, Set.ManifestHash}, NodeName(Holder), View,
+                                Random, Now);
+    for (const PieceFetch &Fetch : Next)
+      CPPUNIT_ASSERT(Fetch.Peer->Name != NodeName("n7"));
+  }
+
+  /// Pattern: changes in quick succession, each of which arrives before the
+  /// pieces of the one before. Guards against a node that falls behind for as
+  /// long as the series lasts.
+  void seriesOfChangesBecomesOverdue() {
+    SeededRandom Random(Seed);
+    FleetView View = makeView(5);
+    ConfigFetcher Fetcher(NodeName("n0"), false);
+    CPPUNIT_ASSERT(!Fetcher.isOverdue(Time(5000)));
+    for (int I = 0; I != 10; ++I)
+      Fetcher.handleHead({static_cast<std::uint64_t>(I + 1),
+                          PieceHash(64, static_cast<char>('a' + I))},
+                         NodeName("n3"), View, Random, Time(100.0 * I));
+    CPPUNIT_ASSERT(!Fetcher.isOverdue(Time(200)));
+    CPPUNIT_ASSERT(Fetcher.isOverdue(Time(900)));
+  }
+
   /// Guards against refusals without a status, outcome and reason that callers
   /// can interpret.
   void problemResponseHasReasonAndOutcome() {
