Repeat a read of departures that got a conflict after a delay

A test with a table that answers each request with a conflict did not end, because the log sent the next request at once. A store that answers so would get as many calls as it can take. GuardTests: lostAnswersAreRepeated ends now.

--- a/lib/Guard/DepartureLog.cpp
+++ b/lib/Guard/DepartureLog.cpp
@@ -136,7 +136,7 @@
   if (Reply.Status != TableStatus::Ok) {
     // A write that failed may have taken effect, so the row is read again.
     RowVersion.reset();
-    if (Reply.Status != TableStatus::Conflict)
+    if (IsRead || Reply.Status != TableStatus::Conflict)
       NextTryAt = Now + RetryDelay;
     return {};
   }
