--- a/unittests/RowStorePlatform/ConfigReaderTest.cpp
+++ b/unittests/RowStorePlatform/ConfigReaderTest.cpp
@@ -1,5 +1,6 @@
 #include "../../platform/ConfigReader.h"
 
+#include "teaselhitch/Config/Pieces.h"
 #include "teaselhitch/Routing/RuleTable.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -41,6 +42,7 @@
   CPPUNIT_TEST(routesByHostAndLongestPrefix);
   CPPUNIT_TEST(splitsByWeight);
   CPPUNIT_TEST(refusesInvalidConfig);
+  CPPUNIT_TEST(rulesOfTwoHostsMayShareAName);
   CPPUNIT_TEST_SUITE_END();
 
   /// Guards against fields that are dropped or swapped in the translation.
@@ -64,6 +66,29 @@
                    L.IdleTimeout == Duration(15000));
   }
 
+  /// Guards against a valid configuration that every node refuses, so that its
+  /// new routes are never served, because two hosts have a rule of one name.
+  void rulesOfTwoHostsMayShareAName() {
+    const std::string Rule =
+        R"({"Name":"r1","Kind":"safe","Match":{"Prefix":"/x/"},)"
+        R"("Action":{"Service":"s","TimeoutMs":1000}})";
+    std::string Text = R"({"Version":"r3","Clusters":[{"Name":"s"}],)"
+                       R"("Listeners":[{"Host":"a.example","Rules":[)" +
+                       Rule + R"(]},{"Host":"b.example","Rules":[)" + Rule +
+                       "]}]}";
+    PieceSet Set = splitIntoPieces(read(Text).Objects);
+    auto Active = std::make_shared<ActiveConfig>();
+    Active->Objects =
+        handleError([&] { return joinPieces(Set.ManifestHash, Set.Pieces); },
+                    [](const Error &E) {
+                      CPPUNIT_FAIL(E.Message);
+                      return ObjectSet();
+                    });
+    RuleTable Table(Active);
+    for (const char *Host : {"a.example", "b.example"})
+      CPPUNIT_ASSERT(Table.match("GET", Host, "/x/1"));
+  }
+
   /// Guards against requests that are routed to the service of another rule.
   void routesByHostAndLongestPrefix() {
     auto Active = std::make_shared<ActiveConfig>();
