Do not believe a repeated refusal on a kept connection

What callers could see: "not run, try again" for a request that a server runs, or a second run of it, if a faulty server writes an earlier refusal once more.

Cause: the next attempt of a refused request carries the same request id and may go to the same server on the same connection, so a copy of the refusal passes for its answer.

Change: no further attempt of a request is sent on a connection on which one was refused.

Also looked at: a server that stops in the middle of the header of its answer. That does not happen here; truncatedHeadIsNoAnswer shows it and passes on, too.

Measured: BackendClientTest::repeatedRefusalIsNotBelieved fails on (the second attempt ends as refused) and passes now.

--- a/lib/Net/BackendClient.cpp
+++ b/lib/Net/BackendClient.cpp
@@ -13,8 +13,10 @@
 
 #include <algorithm>
 #include <charconv>
+#include <iterator>
 #include <map>
 #include <optional>
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -40,6 +42,9 @@
 constexpr Duration NonIdempotentIdleLimit = Duration::seconds(3);
 /// Maximum number of idle connections kept per backend server.
 constexpr std::size_t MaxIdleConnections = 16;
+/// Maximum number of refused requests that are remembered for a connection. A
+/// connection with more is closed.
+constexpr std::size_t MaxRefusedRequests = 64;
 /// Maximum number of interim (1xx) responses and of responses to other requests
 /// before the response to a request. A server that sends more is faulty.
 constexpr int MaxSkippedResponses = 8;
@@ -69,6 +74,10 @@
   Time IdleSince;
   /// Longest idle time after which the connection is still reused.
   Duration MaxIdleTime = DefaultIdleLimit;
+  /// Requests that the server refused on this connection. A late copy of such
+  /// a refusal could not be told from the response to another attempt of the
+  /// same request, so none is sent on this connection.
+  std::set<RequestId> RefusedRequests;
   /// Set while the connection is in the pool of idle connections.
   bool IsIdle = false;
 };
@@ -141,7 +150,7 @@
     auto E =
         std::make_shared<Exchange>(*this, Attempt, Server, std::move(Request));
     Running.emplace(Attempt, E);
-    E->run(takeIdle(Server, Idempotent));
+    E->run(takeIdle(Server, Attempt.Request, Idempotent));
   }
 
   void abort(const AttemptId &Attempt) override {
@@ -173,7 +182,8 @@
 
   void keepIdle(const Endpoint &Server, ConnectionPtr C) {
     std::vector<ConnectionPtr> &Idle = Pool[Server];
-    if (Idle.size() >= MaxIdleConnections)
+    if (Idle.size() >= MaxIdleConnections ||
+        C->RefusedRequests.size() > MaxRefusedRequests)
       return;
     C->IdleSince = Monotonic.now();
     C->IsIdle = true;
@@ -190,21 +200,28 @@
   SteadyClock Monotonic;
 
 private:
-  /// Returns the most recently used idle connection if it may be reused, else
-  /// null.
-  ConnectionPtr takeIdle(const Endpoint &Server, bool Idempotent) {
+  /// Returns the most recently used idle connection on which the request was
+  /// not refused, if it may be reused, else null.
+  ConnectionPtr takeIdle(const Endpoint &Server, const RequestId &Request,
+                         bool Idempotent) {
     auto It = Pool.find(Server);
-    if (It == Pool.end() || It->second.empty())
+    if (It == Pool.end())
+      return nullptr;
+    std::vector<ConnectionPtr> &Idle = It->second;
+    auto Last =
+        std::find_if(Idle.rbegin(), Idle.rend(), [&](const ConnectionPtr &C) {
+          return C->RefusedRequests.count(Request) == 0;
+        });
+    if (Last == Idle.rend())
       return nullptr;
-    ConnectionPtr &Last = It->second.back();
     Time Now = Monotonic.now();
-    Duration Limit = std::min(Last->MaxIdleTime, Limits.limit(Server, Now));
+    Duration Limit = std::min((*Last)->MaxIdleTime, Limits.limit(Server, Now));
     if (!Idempotent)
       Limit = std::min(Limit, NonIdempotentIdleLimit);
-    if (Now - Last->IdleSince > Limit || isReadable(*Last))
+    if (Now - (*Last)->IdleSince > Limit || isReadable(**Last))
       return nullptr;
-    ConnectionPtr C = std::move(Last);
-    It->second.pop_back();
+    ConnectionPtr C = std::move(*Last);
+    Idle.erase(std::next(Last).base());
     C->IsIdle = false;
     return C;
   }
@@ -359,6 +376,8 @@
   if (Reusable && NamesRequest && IsWritten && !HasForeignAnswer &&
       Conn->Buffer.size() == 0 && Kind != AnswerKind::OtherServer) {
     Conn->MaxIdleTime = keepAliveLimit(KeepAlive);
+    if (Kind == AnswerKind::NotRun)
+      Conn->RefusedRequests.insert(Attempt.Request);
     Client.keepIdle(Server, std::move(Conn));
   } else {
     Conn->Stream.close();
--- a/unittests/Net/BackendClientTest.cpp
+++ b/unittests/Net/BackendClientTest.cpp
@@ -8,6 +8,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <array>
+#include <chrono>
 #include <mutex>
 #include <optional>
 #include <string>
@@ -226,12 +227,116 @@
   return Ends;
 }
 
+/// Refuses each request on a connection as not run until it has answered a
+/// request on another connection. Sends the refusal once more in front of the
+/// response to the next request on the same connection, which it runs.
+class RepeatedRefusalServer {
+public:
+  RepeatedRefusalServer()
+      : Acceptor(Context, {asio::ip::make_address("127.0.0.1"), 0}),
+        Thread([this] { serve(); }) {}
+  ~RepeatedRefusalServer() { Thread.join(); }
+  RepeatedRefusalServer(const RepeatedRefusalServer &) = delete;
+  RepeatedRefusalServer &operator=(const RepeatedRefusalServer &) = delete;
+
+  Endpoint address() const { return Address; }
+
+private:
+  static bool readRequest(tcp::socket &Socket) {
+    std::array<char, 4096> Bytes{};
+    boost::system::error_code EC;
+    return Socket.read_some(asio::buffer(Bytes), EC) != 0 && !EC;
+  }
+
+  void serve() {
+    const std::string Refusal =
+        "HTTP/1.1 503 X\r\nTeaselhitch-Request-Id: 1\r\n"
+        "Teaselhitch-Outcome: not-run\r\n"
+        "Content-Length: 0\r\n\r\n";
+    const std::string Answer =
+        "HTTP/1.1 200 OK\r\nTeaselhitch-Request-Id: 1\r\n"
+        "Content-Length: 0\r\n\r\n";
+    boost::system::error_code Ignored;
+    tcp::socket First = Acceptor.accept();
+    readRequest(First);
+    asio::write(First, asio::buffer(Refusal), Ignored);
+    // The next request comes on this connection or on a new one.
+    Acceptor.non_blocking(true);
+    First.non_blocking(true);
+    std::array<char, 1> Byte{};
+    for (;;) {
+      boost::system::error_code EC;
+      tcp::socket Second = Acceptor.accept(EC);
+      if (!EC) {
+        Second.non_blocking(false);
+        readRequest(Second);
+        asio::write(Second, asio::buffer(Answer), Ignored);
+        return;
+      }
+      First.receive(asio::buffer(Byte), tcp::socket::message_peek, EC);
+      if (EC == asio::error::would_block) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+        continue;
+      }
+      asio::write(First, asio::buffer(Refusal + Answer), Ignored);
+      return;
+    }
+  }
+
+  asio::io_context Context;
+  tcp::acceptor Acceptor;
+  Endpoint Address{"127.0.0.1", Acceptor.local_endpoint().port()};
+  std::thread Thread;
+};
+
+/// Sends Bytes in place of a response and closes the connection. Then accepts
+/// the probe connection of the client, if there is one.
+class TruncatingServer {
+public:
+  explicit TruncatingServer(std::string Bytes)
+      : Bytes(std::move(Bytes)),
+        Acceptor(Context, {asio::ip::make_address("127.0.0.1"), 0}),
+        Thread([this] { serve(); }) {}
+  ~TruncatingServer() {
+    boost::system::error_code Ignored;
+    // Ends the wait for a probe connection.
+    tcp::socket Socket(Context);
+    Socket.connect({asio::ip::make_address(Address.Address), Address.Port},
+                   Ignored);
+    Thread.join();
+  }
+  TruncatingServer(const TruncatingServer &) = delete;
+  TruncatingServer &operator=(const TruncatingServer &) = delete;
+
+  Endpoint address() const { return Address; }
+
+private:
+  void serve() {
+    std::array<char, 4096> Input{};
+    boost::system::error_code Ignored;
+    tcp::socket Connection = Acceptor.accept();
+    Connection.read_some(asio::buffer(Input), Ignored);
+    asio::write(Connection, asio::buffer(Bytes), Ignored);
+    Connection.close(Ignored);
+    tcp::socket Probe = Acceptor.accept();
+    Probe.read_some(asio::buffer(Input), Ignored);
+  }
+
+  std::string Bytes;
+  asio::io_context Context;
+  tcp::acceptor Acceptor;
+  Endpoint Address{"127.0.0.1", Acceptor.local_endpoint().port()};
+  std::thread Thread;
+};
+
 class BackendClientTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(BackendClientTest);
   CPPUNIT_TEST(processExitIsACrash);
   CPPUNIT_TEST(closedConnectionIsNoCrash);
   CPPUNIT_TEST(duplicateResponsesAreDiscarded);
   CPPUNIT_TEST(unattributableCopyIsNotDelivered);
+  CPPUNIT_TEST(repeatedRefusalIsNotBelieved);
+  CPPUNIT_TEST(truncatedHeadIsNoAnswer);
   CPPUNIT_TEST(endlessBytesEndTheAttempt);
   CPPUNIT_TEST(endlessBodiesShareOneLimit);
   CPPUNIT_TEST_SUITE_END();
@@ -268,6 +373,52 @@
     CPPUNIT_ASSERT_EQUAL(std::string("12"), responseBodies(Server));
   }
 
+  /// Guards against a late copy of a refusal that is taken for the response to
+  /// the next attempt of the same request. The caller would be told that the
+  /// request was not run although the server runs it.
+  void repeatedRefusalIsNotBelieved() {
+    RepeatedRefusalServer Server;
+    EventLoop Loop;
+    std::vector<RunEnd> Ends;
+    std::unique_ptr<BackendProtocol> Protocol = createNativeBackendProtocol();
+    std::unique_ptr<BackendClient> Client;
+    auto Start = [&](std::uint32_t Attempt) {
+      Client->start(
+          {{NodeName("n"), 1, 1}, Attempt}, Server.address(),
+          HttpRequest{"GET", "/", {{"Teaselhitch-Request-Id", "1"}}, ""}, true);
+    };
+    Client = BackendClient::create(
+        Loop, 1024, *Protocol,
+        [&](const AttemptId &, const RunResult &Result, const HttpAnswer &) {
+          Ends.push_back(Result.End);
+          if (Ends.size() == 2)
+            return Loop.stop();
+          Loop.post([&] { Start(2); });
+        });
+    Start(1);
+    Loop.run();
+    CPPUNIT_ASSERT(Ends.at(0) == RunEnd::Shed);
+    CPPUNIT_ASSERT(Ends.at(1) == RunEnd::Answered);
+  }
+
+  /// Guards against a server that stops in the middle of the header of its
+  /// response, which must not become a response with an empty or short body.
+  void truncatedHeadIsNoAnswer() {
+    for (const char *Bytes :
+         {"HTTP/1.1 200", "HTTP/1.1 200 OK\r\n",
+          "HTTP/1.1 200 OK\r\nTeaselhitch-Request-Id: 1\r\nContent-Le",
+          "HTTP/1.1 200 OK\r\nTeaselhitch-Request-Id: 1\r\n",
+          "HTTP/1.1 200 OK\r\nTeaselhitch-Request-Id: 1\r\n\r",
+          "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx",
+          "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nx"}) {
+      TruncatingServer Server(Bytes);
+      std::vector<RunEnd> Ends = endsOfRequests(Server.address(), 1, 1024);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(
+          std::string(Bytes), std::string(runEndName(RunEnd::ConnectionLost)),
+          std::string(runEndName(Ends.at(0))));
+    }
+  }
+
   /// Guards against a faulty server that holds an attempt and fills the memory
   /// with bytes that are no response and do not end. The test hangs if the
   /// client waits for the end.
