Survive an exception in a handler of a channel; refuse TRACE with a body

Cause: Beast throws for TRACE with a body when the request is built for the server. Channel::drain() removed messages only after all handlers had returned, so after an exception the next call handled and freed them again.

Change: each message leaves the queue before it is handled, and another wake-up follows for the rest. TRACE with a body is refused with 400 (RFC 9110, 9.3.8).

--- a/include/teaselhitch/Support/Channel.h
+++ b/include/teaselhitch/Support/Channel.h
@@ -40,25 +40,40 @@
     if (Queue.write_available() == 0)
       return false;
     Queue.push(new T(std::move(Message)));
-    if (Wake && !WakePending.exchange(true))
-      Wake();
+    wake();
     return true;
   }
   [[nodiscard]] bool trySend(T &&Message) { return trySend(Message); }
 
   /// Dequeues all messages and passes them to Function in the order in which
-  /// they were sent. Must be called from the consumer thread only.
+  /// they were sent. Must be called from the consumer thread only. If Function
+  /// throws, the rest of the messages stays, and another wake-up follows.
   template <typename FunctionT> void drain(FunctionT &&Function) {
     // Cleared before the queue is read, so that a message that is sent during
     // or after the read triggers another wake-up.
     WakePending.store(false);
-    Queue.consume_all([&](T *Pointer) {
+    // Each message leaves the queue before it is handled, so that a handler
+    // that throws does not make the next call handle it again.
+    for (std::size_t Left = Queue.read_available(); Left != 0; --Left) {
+      T *Pointer = nullptr;
+      Queue.pop(Pointer);
       std::unique_ptr<T> Message(Pointer);
-      Function(std::move(*Message));
-    });
+      try {
+        Function(std::move(*Message));
+      } catch (...) {
+        if (Left > 1)
+          wake();
+        throw;
+      }
+    }
   }
 
 private:
+  void wake() {
+    if (Wake && !WakePending.exchange(true))
+      Wake();
+  }
+
   /// Stores pointers because spsc_queue copies its elements.
   boost::lockfree::spsc_queue<T *> Queue;
   std::function<void()> Wake;
--- a/lib/Net/Http.cpp
+++ b/lib/Net/Http.cpp
@@ -64,6 +64,9 @@
   std::string Host = headerValue(Request.Headers, "Host");
   Message.set(http::field::host, Host.empty() ? Authority : Host);
   Message.body() = std::move(Request.Body);
+  // prepare_payload() throws for TRACE with a body.
+  if (Message.method() == http::verb::trace)
+    Message.body().clear();
   Message.prepare_payload();
   return Message;
 }
--- a/lib/Net/HttpServer.cpp
+++ b/lib/Net/HttpServer.cpp
@@ -57,12 +57,18 @@
 }
 
 /// False for a request whose end is ambiguous, because the bytes after it could
-/// be parsed as a separate request (request smuggling), and for one without the
-/// single `Host` header that HTTP/1.1 requires.
+/// be parsed as a separate request (request smuggling), for one without the
+/// single `Host` header that HTTP/1.1 requires, and for TRACE with a body.
 bool isWellFramed(const http::request<http::string_body> &Request) {
   constexpr unsigned Http11 = 11;
   if (Request.version() >= Http11 && Request.count(http::field::host) != 1)
     return false;
+  bool HasBody = Request.count(http::field::transfer_encoding) != 0 ||
+                 (Request.has_content_length() &&
+                  Request[http::field::content_length] != "0");
+  // RFC 9110, section 9.3.8.
+  if (Request.method() == http::verb::trace && HasBody)
+    return false;
   if (Request.count(http::field::transfer_encoding) == 0)
     return true;
   return Request.count(http::field::transfer_encoding) == 1 &&
--- a/unittests/Net/HttpServerTest.cpp
+++ b/unittests/Net/HttpServerTest.cpp
@@ -178,6 +178,8 @@
          "chunked\r\n\r\n0\r\n\r\n",
          "400"},
         {"GET / HTTP/1.1\r\n\r\n", "400"},
+        // The conversion of such a request for a backend server failed.
+        {"TRACE / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc", "400"},
         {"GET / HTTP/1.1\r\nHost: h\r\nHost: i\r\n\r\n", "400"},
         {"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 101\r\n\r\n", "413"},
         {"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
--- a/unittests/Support/ChannelTest.cpp
+++ b/unittests/Support/ChannelTest.cpp
@@ -3,6 +3,8 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <memory>
+#include <stdexcept>
+#include <string>
 #include <thread>
 
 using namespace teaselhitch;
@@ -13,6 +15,7 @@
   CPPUNIT_TEST_SUITE(ChannelTest);
   CPPUNIT_TEST(fullRingRefusesAndKeepsMessage);
   CPPUNIT_TEST(wakesOnceUntilDrained);
+  CPPUNIT_TEST(throwingHandlerLosesNothing);
   CPPUNIT_TEST(keepsOrderBetweenThreads);
   CPPUNIT_TEST_SUITE_END();
 
@@ -42,6 +45,26 @@
     CPPUNIT_ASSERT_EQUAL(2, Wakes);
   }
 
+  /// Guards against a handler that throws and thereby leads to a second use of
+  /// a message that is freed already, or to the loss of the messages after it.
+  void throwingHandlerLosesNothing() {
+    Channel<std::string> Ring(8);
+    int Wakes = 0;
+    Ring.setWakeCallback([&] { ++Wakes; });
+    for (const char *Text : {"a", "b", "c"})
+      CPPUNIT_ASSERT(Ring.trySend(Text));
+    std::string Handled;
+    auto Handle = [&](const std::string &Text) {
+      Handled += Text;
+      if (Text == "b")
+        throw std::invalid_argument(Text);
+    };
+    CPPUNIT_ASSERT_THROW(Ring.drain(Handle), std::invalid_argument);
+    CPPUNIT_ASSERT_EQUAL(2, Wakes);
+    Ring.drain(Handle);
+    CPPUNIT_ASSERT_EQUAL(std::string("abc"), Handled);
+  }
+
   /// Guards against messages that are reordered or lost between the producer
   /// thread and the consumer thread.
   void keepsOrderBetweenThreads() {
