Send no body in answers to HEAD

Cause: the server did not regard the method when it wrote an answer of its own.

Change: an answer to HEAD has the header of the answer to GET and no body.

Measured: HttpServerTest::answersToHeadHaveNoBody passes.

--- a/lib/Net/Http.cpp
+++ b/lib/Net/Http.cpp
@@ -72,7 +72,7 @@
 }
 
 http::response<http::string_body> fromAnswer(HttpAnswer &&Answer,
-                                             bool KeepAlive) {
+                                             bool KeepAlive, bool IsHead) {
   http::response<http::string_body> Message;
   Message.version(Http11);
   Message.result(Answer.Status);
@@ -88,6 +88,8 @@
     Message.body().clear();
   else
     Message.prepare_payload();
+  if (IsHead)
+    Message.body().clear();
   return Message;
 }
 
--- a/lib/Net/Http.h
+++ b/lib/Net/Http.h
@@ -24,8 +24,10 @@
 /// has a Host header of its own.
 http::request<http::string_body> fromRequest(HttpRequest &&Request,
                                              const std::string &Authority);
+/// \param IsHead the answer is to a HEAD request: it has the header of the
+/// answer to GET, but no body.
 http::response<http::string_body> fromAnswer(HttpAnswer &&Answer,
-                                             bool KeepAlive);
+                                             bool KeepAlive, bool IsHead);
 
 } // namespace teaselhitch
 
--- a/lib/Net/HttpServer.cpp
+++ b/lib/Net/HttpServer.cpp
@@ -131,6 +131,7 @@
   bool IsIdle = true;
   bool AwaitsReply = false;
   bool KeepAlive = true;
+  bool IsHead = false;
 };
 
 /// The handler's view of one request of a session.
@@ -160,6 +161,7 @@
   IsIdle = true;
   IdleSince = Monotonic.now();
   Parser.emplace();
+  IsHead = false;
   Parser->header_limit(Server->Settings.Limits.MaxHeaderBytes);
   Parser->body_limit(Server->Settings.Limits.MaxBodyBytes);
   // Part of a pipelined request was received already.
@@ -189,6 +191,7 @@
 void Session::onHeader(ErrorCodeT EC) {
   if (EC)
     return refuse(EC);
+  IsHead = Parser->get().method() == http::verb::head;
   if (!isWellFramed(Parser->get()))
     return refuse(http::error::bad_transfer_encoding);
   Stream.expires_after(toChrono(Server->Settings.RequestTimeout));
@@ -257,7 +260,7 @@
   AwaitsReply = false;
   OnDisconnect = nullptr;
   KeepAlive = KeepAlive && !Server->Draining;
-  Response.emplace(fromAnswer(std::move(Answer), KeepAlive));
+  Response.emplace(fromAnswer(std::move(Answer), KeepAlive, IsHead));
   Stream.expires_after(toChrono(Server->Settings.RequestTimeout));
   http::async_write(Stream, *Response,
                     [Self = shared_from_this()](ErrorCodeT EC, std::size_t) {
--- a/unittests/Net/HttpServerTest.cpp
+++ b/unittests/Net/HttpServerTest.cpp
@@ -68,6 +68,7 @@
   CPPUNIT_TEST_SUITE(HttpServerTest);
   CPPUNIT_TEST(answersSeveralRequestsOnOneConnection);
   CPPUNIT_TEST(refusesMalformedRequests);
+  CPPUNIT_TEST(answersToHeadHaveNoBody);
   CPPUNIT_TEST(dropsHopByHopHeaders);
   CPPUNIT_TEST(reportsClientDisconnect);
   CPPUNIT_TEST(drainClosesAfterTheResponse);
@@ -198,6 +199,21 @@
     CPPUNIT_ASSERT_EQUAL(0, Handled.load());
   }
 
+  /// Guards against the body of a refusal of a HEAD request, which the caller
+  /// would read as the start of the answer to its next request.
+  void answersToHeadHaveNoBody() {
+    RawClient Client(Port);
+    Client.send("HEAD /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+    std::string Head = Client.readUntil("\r\n\r\n");
+    CPPUNIT_ASSERT(Head.find("Content-Length: ") != std::string::npos);
+    CPPUNIT_ASSERT(Head.find("Content-Length: 0") == std::string::npos);
+    CPPUNIT_ASSERT_EQUAL(std::string("\r\n\r\n"), Head.substr(Head.size() - 4));
+    Client.send("GET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
+    std::string Next = Client.readUntil(";end");
+    CPPUNIT_ASSERT_EQUAL(std::string("HTTP/1.1 200"), Next.substr(0, 12));
+    CPPUNIT_ASSERT(Next.find("HEAD") == std::string::npos);
+  }
+
   /// Guards against hop-by-hop headers of a caller that are forwarded to a
   /// backend server.
   void dropsHopByHopHeaders() {
