Recognize a crash of a server that has begun to answer

Cause: the server was probed for a crash only if no byte of an answer had come; else the attempt ended as a lost connection, without a record of the crash.

Change: the server is probed whenever the connection ends before the answer. Bytes that are no answer still end the attempt as a lost connection, and a truncated answer is no sign of a short idle limit.

--- a/lib/Net/BackendClient.cpp
+++ b/lib/Net/BackendClient.cpp
@@ -65,6 +65,14 @@
                   Duration::seconds(Seconds * KeepAliveFraction));
 }
 
+/// True if the connection ended, as opposed to bytes that are no response.
+bool isConnectionEnd(ErrorCodeT EC) {
+  return EC == http::error::end_of_stream ||
+         EC == http::error::partial_message ||
+         EC.category() !=
+             http::make_error_code(http::error::end_of_stream).category();
+}
+
 /// A connection to a backend server.
 struct Connection {
   explicit Connection(asio::io_context &Context) : Stream(Context) {}
@@ -342,10 +350,8 @@
   // HTTP defines no status codes outside this range, and the frame codec
   // rejects them.
   constexpr unsigned FirstStatus = 100, LastStatus = 599;
-  // A server is probed for a crash only if no byte of a response arrived: one
-  // that has begun to respond had not crashed before.
-  bool IsSilent = EC && !Parser->got_some();
-  if (IsSilent)
+  // A server may crash before or while it responds.
+  if (EC && isConnectionEnd(EC))
     return probeServer();
   if (EC || Parser->get().result_int() < FirstStatus ||
       Parser->get().result_int() > LastStatus)
@@ -433,7 +439,7 @@
         if (Self->Ended)
           return;
         bool StaysOpen = !EC || EC == beast::error::timeout;
-        if (StaysOpen && Self->ReuseIdleTime)
+        if (StaysOpen && Self->ReuseIdleTime && !Self->Parser->got_some())
           Self->Client.recordIdleLoss(Self->Server, *Self->ReuseIdleTime);
         Self->end(StaysOpen ? RunEnd::ConnectionLost : RunEnd::Crashed);
       });
--- a/unittests/Net/BackendClientTest.cpp
+++ b/unittests/Net/BackendClientTest.cpp
@@ -22,16 +22,30 @@
 namespace asio = boost::asio;
 using asio::ip::tcp;
 
-/// Reads a request and closes its connection without a response, then accepts
-/// the probe connection by which the client checks whether the server still
-/// works. With StopsListening, closes the probe connection and the listening
-/// socket as an exiting process does.
+/// Connects to a server and closes the connection; ignores errors.
+void connectTo(const Endpoint &Server) {
+  asio::io_context Context;
+  tcp::socket Socket(Context);
+  boost::system::error_code Ignored;
+  Socket.connect({asio::ip::make_address(Server.Address), Server.Port},
+                 Ignored);
+}
+
+/// Reads a request, sends Bytes and closes its connection without the rest of
+/// the response, then accepts the probe connection by which the client checks
+/// whether the server still works. With StopsListening, closes the probe
+/// connection and the listening socket as an exiting process does.
 class DisconnectingServer {
 public:
-  explicit DisconnectingServer(bool StopsListening)
-      : Acceptor(Context, {asio::ip::make_address("127.0.0.1"), 0}),
+  explicit DisconnectingServer(bool StopsListening, std::string Bytes = "")
+      : Bytes(std::move(Bytes)),
+        Acceptor(Context, {asio::ip::make_address("127.0.0.1"), 0}),
         Thread([this, StopsListening] { serve(StopsListening); }) {}
-  ~DisconnectingServer() { Thread.join(); }
+  ~DisconnectingServer() {
+    // Ends the wait for a probe connection.
+    connectTo(Address);
+    Thread.join();
+  }
   DisconnectingServer(const DisconnectingServer &) = delete;
   DisconnectingServer &operator=(const DisconnectingServer &) = delete;
 
@@ -39,10 +53,11 @@
 
 private:
   void serve(bool StopsListening) {
-    std::array<char, 4096> Bytes{};
+    std::array<char, 4096> Input{};
     boost::system::error_code Ignored;
     tcp::socket Connection = Acceptor.accept();
-    Connection.read_some(asio::buffer(Bytes), Ignored);
+    Connection.read_some(asio::buffer(Input), Ignored);
+    asio::write(Connection, asio::buffer(Bytes), Ignored);
     Connection.close(Ignored);
     tcp::socket Probe = Acceptor.accept();
     if (StopsListening) {
@@ -51,9 +66,10 @@
       return;
     }
     // Returns when the client has reached its result and closes the connection.
-    Probe.read_some(asio::buffer(Bytes), Ignored);
+    Probe.read_some(asio::buffer(Input), Ignored);
   }
 
+  std::string Bytes;
   asio::io_context Context;
   tcp::acceptor Acceptor;
   Endpoint Address{"127.0.0.1", Acceptor.local_endpoint().port()};
@@ -298,11 +314,8 @@
         Acceptor(Context, {asio::ip::make_address("127.0.0.1"), 0}),
         Thread([this] { serve(); }) {}
   ~TruncatingServer() {
-    boost::system::error_code Ignored;
     // Ends the wait for a probe connection.
-    tcp::socket Socket(Context);
-    Socket.connect({asio::ip::make_address(Address.Address), Address.Port},
-                   Ignored);
+    connectTo(Address);
     Thread.join();
   }
   TruncatingServer(const TruncatingServer &) = delete;
@@ -332,6 +345,7 @@
 class BackendClientTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(BackendClientTest);
   CPPUNIT_TEST(processExitIsACrash);
+  CPPUNIT_TEST(exitWhileRespondingIsACrash);
   CPPUNIT_TEST(closedConnectionIsNoCrash);
   CPPUNIT_TEST(duplicateResponsesAreDiscarded);
   CPPUNIT_TEST(unattributableCopyIsNotDelivered);
@@ -349,6 +363,16 @@
     CPPUNIT_ASSERT(requestEnd(Server) == RunEnd::Crashed);
   }
 
+  /// Guards against a crash that is classified as a lost connection because the
+  /// server had begun to respond. The request would never be quarantined.
+  void exitWhileRespondingIsACrash() {
+    for (const char *Bytes :
+         {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nab", "HTTP/1.1 2"}) {
+      DisconnectingServer Server(true, Bytes);
+      CPPUNIT_ASSERT(requestEnd(Server) == RunEnd::Crashed);
+    }
+  }
+
   /// Guards against a lost connection that is classified as a crash although
   /// the backend server still works.
   void closedConnectionIsNoCrash() {
