Let the system choose the ports of PeerLinksTest

Seen: three tests failed with "Address already in use" for a minute after a connection from local port 48732 was closed, which lies in the range from which the system takes ports of clients.

Change: the test listens on port 0, and PeerLinks tells the port.

Measured: NetTests passes; the same connection was not made again on purpose.

--- a/include/teaselhitch/Net/PeerLinks.h
+++ b/include/teaselhitch/Net/PeerLinks.h
@@ -80,6 +80,9 @@
   virtual void tick(Time Now) = 0;
 
   virtual std::size_t linkCount() const = 0;
+
+  /// The port that is listened on, also if the settings leave it open with 0.
+  virtual std::uint16_t port() const = 0;
 };
 
 } // namespace teaselhitch
--- a/lib/Net/PeerLinks.cpp
+++ b/lib/Net/PeerLinks.cpp
@@ -331,6 +331,11 @@
       L->tick(Now);
   }
 
+  std::uint16_t port() const override {
+    ErrorCodeT Ignored;
+    return Acceptor.local_endpoint(Ignored).port();
+  }
+
   std::size_t linkCount() const override {
     return Outgoing.size() + Incoming.size();
   }
--- a/unittests/Net/PeerLinksTest.cpp
+++ b/unittests/Net/PeerLinksTest.cpp
@@ -11,11 +11,9 @@
 /// One side of a link with its own port; records the events that it receives.
 class TestPeer : public PeerLinksHandler {
 public:
-  TestPeer(EventLoop &Loop, const char *Name, std::uint16_t Port,
-           const char *Fleet = "fleet")
-      : Address{"127.0.0.1", Port} {
+  TestPeer(EventLoop &Loop, const char *Name, const char *Fleet = "fleet") {
     PeerLinksSettings Settings;
-    Settings.Listen = Address;
+    Settings.Listen = {"127.0.0.1", 0};
     Settings.LocalHello.Fleet = Fleet;
     Settings.LocalHello.Node = NodeName(Name);
     handleError(
@@ -27,6 +25,7 @@
           CPPUNIT_FAIL(E.Message);
           return 0;
         });
+    Address = {"127.0.0.1", Links->port()};
   }
 
   void onGuardMessage(const NodeName &, PeerMessage Message) override {
@@ -63,10 +62,6 @@
   std::function<void()> OnChange;
 };
 
-/// Fixed ports of this test; its test cases run sequentially.
-constexpr std::uint16_t PortA = 48731;
-constexpr std::uint16_t PortB = 48732;
-
 class PeerLinksTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(PeerLinksTest);
   CPPUNIT_TEST(repliesUseTheSameLink);
@@ -78,8 +73,8 @@
   /// Guards against replies that are sent on another link than their request.
   void repliesUseTheSameLink() {
     EventLoop Loop;
-    TestPeer A(Loop, "a", PortA);
-    TestPeer B(Loop, "b", PortB);
+    TestPeer A(Loop, "a");
+    TestPeer B(Loop, "b");
     B.OnChange = [&] {
       if (!B.Requests.empty())
         B.Links->reply(B.LastLink, KeyMinted{5, "key", Duration(1)});
@@ -98,10 +93,10 @@
   /// never left the node.
   void disconnectTellsWhetherTheLinkWasOpen() {
     EventLoop Loop;
-    TestPeer A(Loop, "a", PortA);
+    TestPeer A(Loop, "a");
+    Endpoint Closed = TestPeer(Loop, "b").Address;
     A.OnChange = [&] { Loop.stop(); };
-    CPPUNIT_ASSERT(A.Links->send(NodeName("b"), Endpoint{"127.0.0.1", PortB},
-                                 Heartbeat{1, false}));
+    CPPUNIT_ASSERT(A.Links->send(NodeName("b"), Closed, Heartbeat{1, false}));
     Loop.run();
     CPPUNIT_ASSERT_EQUAL(1, A.GuardDisconnects);
     CPPUNIT_ASSERT(!A.LastWasOpen);
@@ -110,8 +105,8 @@
   /// Guards against requests that are exchanged between two fleets.
   void refusesOtherFleets() {
     EventLoop Loop;
-    TestPeer A(Loop, "a", PortA);
-    TestPeer B(Loop, "b", PortB, "other");
+    TestPeer A(Loop, "a");
+    TestPeer B(Loop, "b", "other");
     A.OnChange = [&] { Loop.stop(); };
     CPPUNIT_ASSERT(
         A.Links->send(NodeName("b"), B.Address, MintKey{5, ServiceName("s")}));
@@ -125,8 +120,8 @@
   /// it passes to tick().
   void silentLinkCloses() {
     EventLoop Loop;
-    TestPeer A(Loop, "a", PortA);
-    TestPeer B(Loop, "b", PortB);
+    TestPeer A(Loop, "a");
+    TestPeer B(Loop, "b");
     B.OnChange = [&] { Loop.stop(); };
     CPPUNIT_ASSERT(
         A.Links->send(NodeName("b"), B.Address, MintKey{5, ServiceName("s")}));
