Link the socket calls of the soak into a program of its own

SoakNode is the node program with the socket calls of SilentPaths.cpp in front of those of the C library, so the soak cuts paths with sanitizers, too. The soak also checks that a planned stop of a calm node cuts no request that was passed on, with requests that take 1.5 s among the others.

--- a/unittests/Soak/SilentPaths.cpp
+++ b/unittests/Soak/SilentPaths.cpp
@@ -1,5 +1,6 @@
 /// \file
-/// Library that the soak preloads into its nodes. It cuts the path from the own
+/// The socket calls of the program SoakNode, which is the node program with
+/// these in front of those of the C library. They cut the path from the own
 /// node to others in one direction: datagrams are dropped, connections are not
 /// established and bytes on open connections stay unsent.
 ///
@@ -15,27 +16,26 @@
 #include <dlfcn.h>
 #include <fcntl.h>
 #include <netinet/in.h>
-#include <sys/mman.h>
 #include <sys/socket.h>
 #include <sys/uio.h>
+#include <unistd.h>
 
 namespace {
 
-constexpr std::size_t AddressCount = 256;
+constexpr std::uint32_t AddressCount = 256;
 constexpr std::uint32_t NodeNetwork = 0x7F010000; // 127.1.0.0
 constexpr std::uint32_t NetworkMask = 0xFFFF0000;
 
-const std::uint8_t *cuts() {
-  static const std::uint8_t *Cuts = [] {
+/// Returns true if the path to an address is cut at the moment.
+bool isCut(std::uint32_t Ip) {
+  static const int File = [] {
     const char *Path = std::getenv("SOAK_CUTS");
-    int File = Path ? ::open(Path, O_RDONLY | O_CLOEXEC) : -1;
-    void *Mapped = File < 0 ? MAP_FAILED
-                            : ::mmap(nullptr, AddressCount, PROT_READ,
-                                     MAP_SHARED, File, 0);
-    return Mapped == MAP_FAILED ? nullptr
-                                : static_cast<const std::uint8_t *>(Mapped);
+    return Path ? ::open(Path, O_RDONLY | O_CLOEXEC) : -1;
   }();
-  return Cuts;
+  char Cut = 0;
+  return File >= 0 &&
+         ::pread(File, &Cut, 1, static_cast<off_t>(Ip % AddressCount)) == 1 &&
+         Cut != 0;
 }
 
 bool isNode(const sockaddr *Address) {
@@ -47,11 +47,9 @@
 }
 
 bool isCut(const sockaddr *Address) {
-  if (!isNode(Address) || !cuts())
-    return false;
-  auto Ip =
-      ntohl(reinterpret_cast<const sockaddr_in *>(Address)->sin_addr.s_addr);
-  return cuts()[Ip % AddressCount] != 0;
+  return isNode(Address) &&
+         isCut(ntohl(
+             reinterpret_cast<const sockaddr_in *>(Address)->sin_addr.s_addr));
 }
 
 bool isPeerCut(int Socket) {
--- a/unittests/Soak/fleet.py
+++ b/unittests/Soak/fleet.py
@@ -4,7 +4,6 @@
 import asyncio
 import base64
 import json
-import mmap
 import os
 import re
 import signal
@@ -17,6 +16,9 @@
 HEARTBEAT_S = 1.5
 STORE_DELAY_S = 0.004
 WORK_S = 0.02
+# Part of the requests that take longer, and for how long.
+SLOW_SHARE = 0.1
+SLOW_WORK_S = 1.5
 SLOTS = 10
 PORTS = {"Inbound": 8300, "Outbound": 8304, "Ready": 8302, "Control": 8306}
 WORKER_PORT = 8301
@@ -208,7 +210,7 @@
             return
         self.fleet.on_run(request, self)
         self.running += 1
-        await asyncio.sleep(WORK_S)
+        await asyncio.sleep(SLOW_WORK_S if headers.get("soak-slow") else WORK_S)
         self.running -= 1
         writer.write(message("HTTP/1.1 200 OK", {
             **echo, "Server-Seal": f"seal.{request}",
@@ -233,6 +235,8 @@
         self.name, self.address = f"node-{index}", address_of(fleet.network, index)
         self.process, self.keeper, self.boot = None, None, 0
         self.is_stopping, self.is_expected = False, False
+        # When SIGTERM was sent to a calm process, unless another signal was.
+        self.stopped_at = None
         self.restart_delay_s = 0.3
         # End of the latest disturbance of this node; infinite during one.
         self.calm_since = float("inf")
@@ -241,10 +245,8 @@
 
     async def start(self):
         path = os.path.join(self.fleet.folder, self.name + ".cuts")
-        with open(path, "wb") as file:
-            file.write(bytes(256))
-        with open(path, "r+b") as file:
-            self.cuts = mmap.mmap(file.fileno(), 256)
+        self.cuts = open(path, "w+b", buffering=0)
+        self.cuts.write(bytes(256))
         self.keeper = asyncio.create_task(self._keep())
 
     async def _keep(self):
@@ -261,14 +263,12 @@
         env = {"PATH": os.environ["PATH"], "TEASELHITCH_CONFIG": base + ".toml",
                "SOAK_ADDRESS": self.address, "SOAK_CUTS": base + ".cuts",
                "SOAK_SINK": str(self.fleet.sink_port)}
-        if self.fleet.preload:
-            env["LD_PRELOAD"] = self.fleet.preload
         while not self.is_stopping:
             with open(base + ".log", "ab") as log:
                 self.process = await asyncio.create_subprocess_exec(
                     *self.fleet.command, cwd=ROOT, stdout=log, stderr=log, env=env)
             self.boot += 1
-            self.is_expected = False
+            self.is_expected, self.stopped_at = False, None
             self.calm_since = time.monotonic()
             code = await self.process.wait()
             self.calm_since = float("inf")
@@ -277,9 +277,20 @@
                     self.fleet.fail(f"{self.name} ended by itself with {code}")
                 await asyncio.sleep(self.restart_delay_s)
 
+    def cut(self, index, is_cut):
+        """Cuts or restores the path to the node with this index."""
+        self.cuts.seek(index)
+        self.cuts.write(bytes([is_cut]))
+
     def send(self, number):
         """Sends a signal that disturbs or ends the process."""
         if self.process and self.process.returncode is None:
+            is_calm = time.monotonic() - self.calm_since >= \
+                self.fleet.bounds["ContactMs"] / 1000
+            if number != signal.SIGTERM:
+                self.stopped_at = None
+            elif is_calm:
+                self.stopped_at = time.monotonic()
             self.calm_since = float("inf")
             self.is_expected = self.is_expected or number != signal.SIGSTOP
             self.process.send_signal(number)
@@ -295,13 +306,14 @@
         if self.process and self.process.returncode is None:
             self.process.kill()
         await self.keeper
+        self.cuts.close()
 
 
 class Fleet:
     """The store, the nodes and their backend servers."""
 
-    def __init__(self, folder, command, preload, bounds, count, network):
-        self.folder, self.command, self.preload = folder, command, preload
+    def __init__(self, folder, command, bounds, count, network):
+        self.folder, self.command = folder, command
         self.bounds, self.network, self.store = bounds, network, Store()
         with open(os.path.join(ROOT, "deploy/system.toml"), "rb") as file:
             role = tomllib.load(file)["roles"]["node"]
--- a/unittests/Soak/soak.py
+++ b/unittests/Soak/soak.py
@@ -18,7 +18,7 @@
 import tempfile
 import time
 
-from fleet import PORTS, ROOT, Fleet, message, read_message
+from fleet import PORTS, ROOT, SLOW_SHARE, Fleet, message, read_message
 
 # Bounds of the deployments: up to 32 nodes, and above.
 SMALL = {"ContactMs": 3000, "GraceS": 6, "ConfigApplyMs": 2000,
@@ -137,10 +137,10 @@
             others = [o.index for o in self.fleet.nodes if o is not node]
             targets = self.random.sample(others, max(1, int(len(others) * 0.3)))
             for index in targets:
-                node.cuts[index] = 1
+                node.cut(index, True)
             await asyncio.sleep(length)
             for index in targets:
-                node.cuts[index] = 0
+                node.cut(index, False)
 
     # --- Callers --------------------------------------------------------------
 
@@ -166,9 +166,10 @@
                     reader, writer = await asyncio.wait_for(
                         asyncio.open_connection(node.address, PORTS["Outbound"]), 1)
                 sent = time.monotonic()
+                slow = {"Soak-Slow": 1} if self.random.random() < SLOW_SHARE else {}
                 writer.write(message(f"POST {prefix}x HTTP/1.1", {
                     "Host": HOST, "Request-Id": request,
-                    "Deadline-Ms": TIMEOUT_MS}))
+                    "Deadline-Ms": TIMEOUT_MS, **slow}))
                 line, headers, body = await asyncio.wait_for(
                     read_message(reader), TIMEOUT_MS / 1000 + 1)
             except (OSError, ValueError, asyncio.IncompleteReadError,
@@ -176,6 +177,7 @@
                 if writer:
                     writer.close()
                 reader = writer = None
+                self.check_lost(node, request, boot)
                 continue
             if headers.get("connection", "").lower() == "close":
                 writer.close()
@@ -186,6 +188,13 @@
             self.judge(node, request, prefix, sent, int(line.split(" ")[1]),
                        body.decode(), is_in_touch)
 
+    def check_lost(self, node, request, boot):
+        """A planned stop must not cut a request that was passed on. The work
+        and the deadline end well before the grace time does."""
+        if request in self.runs and node.stopped_at and node.boot == boot:
+            self.fleet.fail(f"LOST {request} at {node.name}, which was stopped "
+                            f"{time.monotonic() - node.stopped_at:.3f} s before")
+
     def judge(self, node, request, prefix, sent, status, body, is_in_touch):
         if status in (408, 421, 429, 503) and request in self.runs:
             self.fleet.fail(f"REFUSED {request} at {node.name}: {status}, has run")
@@ -284,9 +293,8 @@
     parser.add_argument("--network", type=int, default=0,
                         help="addresses are 127.1.NETWORK.*; runs at the same "
                              "time need different ones")
-    parser.add_argument("--program", default="target/bin/teaselhitch")
-    parser.add_argument("--preload", default="",
-                        help="the library SilentPaths; without it, paths are never cut")
+    parser.add_argument("--program", default="build/bin/SoakNode",
+                        help="paths are cut only with the program SoakNode")
     options = parser.parse_args()
     options.faults = options.faults.split(",")
     if not set(options.faults) <= set(FAULTS):
@@ -299,9 +307,7 @@
     folder = tempfile.mkdtemp(prefix="soak-")
     bounds = SMALL if options.nodes <= MAX_SMALL else GROWN
     command = [os.path.join(ROOT, options.program), "node"]
-    fleet = Fleet(folder, command, os.path.abspath(options.preload)
-                  if options.preload else "", bounds, options.nodes,
-                  options.network)
+    fleet = Fleet(folder, command, bounds, options.nodes, options.network)
     soak = Soak(fleet, options)
     burners = [multiprocessing.Process(target=burn, daemon=True)
                for _ in range(options.busy)]
