--- a/unittests/Soak/soak.py
+++ b/unittests/Soak/soak.py
@@ -154,6 +154,15 @@
         return f"/add{max(1, number - self.random.randint(0, ROUTE_LIFE + 2))}/"
 
     async def call(self, node):
+        """Sends requests on a connection that is kept until the node ends it."""
+        connection = []
+        try:
+            await self.send_requests(node, connection)
+        finally:
+            for writer in connection:
+                writer.close()
+
+    async def send_requests(self, node, connection):
         reader = writer = None
         number = 0
         while self.busy:
@@ -165,6 +174,7 @@
                 if writer is None:
                     reader, writer = await asyncio.wait_for(
                         asyncio.open_connection(node.address, PORTS["Outbound"]), 1)
+                    connection[:] = [writer]
                 sent = time.monotonic()
                 slow = {"Soak-Slow": 1} if self.random.random() < SLOW_SHARE else {}
                 writer.write(message(f"POST {prefix}x HTTP/1.1", {
