Read-through: one server of a test less, clearer words

Cause: TruncatingServer did what DisconnectingServer does since that sends bytes; banners in the soak; a method that changes nothing was not const.

Change: truncatedHeadIsNoAnswer uses DisconnectingServer, with the same bytes and the same expected end. No behaviour of the node changes.

NetTests passes with this change.

--- a/lib/Guard/ServerTable.cpp
+++ b/lib/Guard/ServerTable.cpp
@@ -196,7 +196,7 @@
   return Departed;
 }
 
-bool ServerTable::hasDeparted(const Announcement &A, Time Now) {
+bool ServerTable::hasDeparted(const Announcement &A, Time Now) const {
   auto It = UnknownDepartures.find(A.Name);
   if (It == UnknownDepartures.end())
     return false;
--- a/lib/Guard/ServerTable.h
+++ b/lib/Guard/ServerTable.h
@@ -128,8 +128,8 @@
   void beginSlowStart(GuardedServer &Server, Time Now);
   void updateWeight(GuardedServer &Server, Time Now);
   bool isRecentlyStarted(Time Now) const;
-  /// Returns true if this process of a server that was unknown has departed.
-  bool hasDeparted(const Announcement &A, Time Now);
+  /// Returns true if the announcing process departed before it was known here.
+  bool hasDeparted(const Announcement &A, Time Now) const;
 
   const GuardSettings &Settings;
   std::map<BackendServerName, GuardedServer> Servers;
--- a/unittests/Net/BackendClientTest.cpp
+++ b/unittests/Net/BackendClientTest.cpp
@@ -305,43 +305,6 @@
   std::thread Thread;
 };
 
-/// Sends Bytes in place of a response and closes the connection. Then accepts
-/// the probe connection of the client, if there is one.
-class TruncatingServer {
-public:
-  explicit TruncatingServer(std::string Bytes)
-      : Bytes(std::move(Bytes)),
-        Acceptor(Context, {asio::ip::make_address("127.0.0.1"), 0}),
-        Thread([this] { serve(); }) {}
-  ~TruncatingServer() {
-    // Ends the wait for a probe connection.
-    connectTo(Address);
-    Thread.join();
-  }
-  TruncatingServer(const TruncatingServer &) = delete;
-  TruncatingServer &operator=(const TruncatingServer &) = delete;
-
-  Endpoint address() const { return Address; }
-
-private:
-  void serve() {
-    std::array<char, 4096> Input{};
-    boost::system::error_code Ignored;
-    tcp::socket Connection = Acceptor.accept();
-    Connection.read_some(asio::buffer(Input), Ignored);
-    asio::write(Connection, asio::buffer(Bytes), Ignored);
-    Connection.close(Ignored);
-    tcp::socket Probe = Acceptor.accept();
-    Probe.read_some(asio::buffer(Input), Ignored);
-  }
-
-  std::string Bytes;
-  asio::io_context Context;
-  tcp::acceptor Acceptor;
-  Endpoint Address{"127.0.0.1", Acceptor.local_endpoint().port()};
-  std::thread Thread;
-};
-
 class BackendClientTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(BackendClientTest);
   CPPUNIT_TEST(processExitIsACrash);
@@ -435,11 +398,11 @@
           "HTTP/1.1 200 OK\r\nTeaselhitch-Request-Id: 1\r\n\r",
           "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx",
           "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nx"}) {
-      TruncatingServer Server(Bytes);
-      std::vector<RunEnd> Ends = endsOfRequests(Server.address(), 1, 1024);
+      DisconnectingServer Server(false, Bytes);
+      std::optional<RunEnd> End = requestEnd(Server);
       CPPUNIT_ASSERT_EQUAL_MESSAGE(
           std::string(Bytes), std::string(runEndName(RunEnd::ConnectionLost)),
-          std::string(runEndName(Ends.at(0))));
+          std::string(runEndName(End.value())));
     }
   }
 
--- a/unittests/Soak/soak.py
+++ b/unittests/Soak/soak.py
@@ -99,8 +99,6 @@
         self.fleet.store.put("op", "config", self.versions.body(number))
         self.versions.times.append(time.monotonic())
 
-    # --- Disturbances ---------------------------------------------------------
-
     async def change(self):
         """Publishes in series of different density."""
         while self.busy:
@@ -142,8 +140,6 @@
             for index in targets:
                 node.cut(index, False)
 
-    # --- Callers --------------------------------------------------------------
-
     def choose_prefix(self):
         number = self.versions.newest()
         draw = self.random.random()
