--- a/include/teaselhitch/Model/Messages.h
+++ b/include/teaselhitch/Model/Messages.h
@@ -244,6 +244,31 @@
   auto operator<=>(const KeyMinted &) const = default;
 };
 
+/// Entry to the owner of an organisation's rate: asks for credits, each of
+/// which permits one request.
+struct CreditRequest {
+  OrganisationName Organisation;
+  /// Number of credits wanted; 0 if the message only returns some.
+  std::uint32_t Amount = 0;
+  /// Number of lent credits that the entry will not use.
+  std::uint32_t Returned = 0;
+
+  auto operator<=>(const CreditRequest &) const = default;
+};
+
+/// Owner to entry: lends credits.
+struct CreditReply {
+  OrganisationName Organisation;
+  std::uint32_t Amount = 0;
+  /// How long the credits are valid, counted from the sending of the request.
+  Duration Lifetime;
+  /// Time until there is a credit again; zero if all that was asked for was
+  /// lent.
+  Duration RetryAfter;
+
+  auto operator<=>(const CreditReply &) const = default;
+};
+
 /// Messages from an entry to a guard.
 using GuardMessage = std::variant<Offer, Dispatch, Cancel, MintKey>;
 /// Messages from a guard to an entry.
--- /dev/null
+++ b/lib/RateLimit/CreditFleet.cpp
@@ -0,0 +1,107 @@
+#include "teaselhitch/RateLimit/CreditFleet.h"
+
+#include "teaselhitch/Support/Hash.h"
+
+#include <algorithm>
+
+namespace teaselhitch {
+
+namespace {
+
+/// How long a departed node counts as known. A partition may last this long
+/// before its sides together accrue more than the rate.
+constexpr Duration KnownPeriod = Duration::seconds(120);
+
+/// Returns the score of a node for an organisation. The finalizer of SplitMix64
+/// makes the order of the nodes independent between organisations.
+std::uint64_t score(std::uint64_t NodeHash, std::uint64_t OrganisationHash) {
+  std::uint64_t X = NodeHash ^ OrganisationHash;
+  X = (X ^ (X >> 30)) * 0xbf58476d1ce4e5b9ULL;
+  X = (X ^ (X >> 27)) * 0x94d049bb133111ebULL;
+  return X ^ (X >> 31);
+}
+
+} // namespace
+
+double RateLimit::capacity() const {
+  return std::max(1.0, Burst > 0 ? Burst : RatePerS);
+}
+
+CreditFleet::CreditFleet(NodeName SelfName)
+    : Self(std::move(SelfName)), SelfHash(hash64(Self.str())) {}
+
+void CreditFleet::update(const FleetView &View, Time Now) {
+  if (!View.Nodes)
+    return;
+  std::erase_if(Gone, [&](const auto &Item) {
+    return Now - Item.second.At > KnownPeriod &&
+           View.Nodes->count(Item.first) == 0;
+  });
+  if (Nodes)
+    for (const auto &[Name, Record] : *Nodes)
+      if (View.Nodes->count(Name) == 0)
+        Gone.try_emplace(Name, Departed{hash64(Name.str()), Now, true});
+  for (const auto &[Name, Record] : *View.Nodes) {
+    // A node that starts to leave hands over its organisations at once.
+    if (Record.State == NodeState::Leaving)
+      Gone.try_emplace(Name, Departed{hash64(Name.str()), Now, false});
+    else
+      Gone.erase(Name);
+  }
+  Nodes = View.Nodes;
+  Candidates.clear();
+  Live = 0;
+  for (const auto &[Name, Record] : *Nodes) {
+    if (Record.State == NodeState::Leaving)
+      continue;
+    Candidates.emplace_back(hash64(Name.str()), Name);
+    if (Record.State == NodeState::Alive || Name == Self)
+      ++Live;
+  }
+}
+
+CreditOwners CreditFleet::owners(const OrganisationName &Organisation) const {
+  std::uint64_t Hash = hash64(Organisation.str());
+  const NodeName *First = nullptr;
+  const NodeName *Second = nullptr;
+  std::uint64_t FirstScore = 0;
+  std::uint64_t SecondScore = 0;
+  for (const auto &[NodeHash, Name] : Candidates) {
+    std::uint64_t Score = score(NodeHash, Hash);
+    if (!First || Score > FirstScore) {
+      Second = First;
+      SecondScore = FirstScore;
+      First = &Name;
+      FirstScore = Score;
+    } else if (!Second || Score > SecondScore) {
+      Second = &Name;
+      SecondScore = Score;
+    }
+  }
+  return {First ? *First : Self, Second ? *Second : NodeName()};
+}
+
+Time CreditFleet::ownedSince(const OrganisationName &Organisation) const {
+  std::uint64_t Hash = hash64(Organisation.str());
+  std::uint64_t Own = score(SelfHash, Hash);
+  Time Since;
+  for (const auto &[Name, Departure] : Gone)
+    if (score(Departure.Hash, Hash) > Own)
+      Since = std::max(Since, Departure.At);
+  return Since;
+}
+
+std::size_t CreditFleet::knownNodes(Time Now) const {
+  std::size_t Known = Candidates.size();
+  for (const auto &[Name, Departure] : Gone)
+    if (Departure.CountsAsKnown && Now - Departure.At <= KnownPeriod)
+      ++Known;
+  return std::max<std::size_t>(Known, 1);
+}
+
+double CreditFleet::liveShare(Time Now) const {
+  return static_cast<double>(std::max<std::size_t>(Live, 1)) /
+         static_cast<double>(std::max(knownNodes(Now), Live));
+}
+
+} // namespace teaselhitch
--- a/lib/Wire/MessageSerialize.h
+++ b/lib/Wire/MessageSerialize.h
@@ -12,6 +12,7 @@
 #include <cereal/types/string.hpp>
 #include <cereal/types/vector.hpp>
 
+#include <cmath>
 #include <string_view>
 #include <type_traits>
 
@@ -73,6 +74,19 @@
   D = Duration(Ms);
 }
 
+/// Serializes a non-negative duration as whole milliseconds, rounded up, in
+/// fewer bytes than serializeDuration().
+template <typename ArchiveT>
+void serializeMilliseconds(ArchiveT &Ar, Duration &D) {
+  constexpr double MaxMs = 1e9;
+  if (!(D.ms() >= 0 && D.ms() <= MaxMs))
+    throw cereal::Exception("duration out of range");
+  auto Ms = static_cast<std::uint64_t>(std::ceil(D.ms()));
+  serializeSize(Ar, Ms, static_cast<std::uint64_t>(MaxMs));
+  if constexpr (IsLoadingArchive<ArchiveT>)
+    D = Duration(static_cast<double>(Ms));
+}
+
 template <typename ArchiveT, typename EnumT>
 void serializeEnum(ArchiveT &Ar, EnumT &Value, EnumT Last) {
   auto Number = static_cast<std::uint8_t>(Value);
@@ -249,6 +263,21 @@
   serializeText(Ar, M.Bytes);
 }
 
+template <typename ArchiveT>
+void serializeFields(ArchiveT &Ar, CreditRequest &M) {
+  serializeName(Ar, M.Organisation);
+  wire::serializeVarint(Ar, M.Amount);
+  wire::serializeVarint(Ar, M.Returned);
+}
+
+template <typename ArchiveT>
+void serializeFields(ArchiveT &Ar, CreditReply &M) {
+  serializeName(Ar, M.Organisation);
+  wire::serializeVarint(Ar, M.Amount);
+  serializeMilliseconds(Ar, M.Lifetime);
+  serializeMilliseconds(Ar, M.RetryAfter);
+}
+
 } // namespace teaselhitch
 
 #endif
--- a/unittests/Wire/FrameCodecTest.cpp
+++ b/unittests/Wire/FrameCodecTest.cpp
@@ -40,21 +40,24 @@
   Answer.Answer = HttpAnswer{200, {{"X", "y"}}, std::string("\0\1", 2)};
   Delta Changes;
   Changes.Head = ConfigHead{4, std::string(64, 'a')};
-  return {Hello{"fleet", NodeName("n1"), 5, FailureDomain("d1"), 1},
-          Heartbeat{9, true},
-          makeDispatch(),
-          Cancel{Failed.Attempt},
-          MintKey{3, ServiceName("seats")},
-          Failed,
-          Answer,
-          KeyMinted{3, "key", Duration(600000)},
-          Digest{},
-          Changes,
-          PieceRequest{"hash"},
-          Piece{"hash", "bytes"},
-          AttemptOverdue{Failed.Attempt, {1, 0, 3, 80}},
-          Offer{makeDispatch().Info},
-          Grant{Failed.Attempt, {2, 0, 3, 5}}};
+  return {
+      Hello{"fleet", NodeName("n1"), 5, FailureDomain("d1"), 1},
+      Heartbeat{9, true},
+      makeDispatch(),
+      Cancel{Failed.Attempt},
+      MintKey{3, ServiceName("seats")},
+      Failed,
+      Answer,
+      KeyMinted{3, "key", Duration(600000)},
+      Digest{},
+      Changes,
+      PieceRequest{"hash"},
+      Piece{"hash", "bytes"},
+      AttemptOverdue{Failed.Attempt, {1, 0, 3, 80}},
+      Offer{makeDispatch().Info},
+      Grant{Failed.Attempt, {2, 0, 3, 5}},
+      CreditRequest{OrganisationName("org"), 20, 3},
+      CreditReply{OrganisationName("org"), 20, Duration(1000), Duration(200)}};
 }
 
 std::string encode(const PeerMessage &Message) {
