--- a/include/teaselhitch/Entry/Entry.h
+++ b/include/teaselhitch/Entry/Entry.h
@@ -174,6 +174,13 @@
   virtual void drain() = 0;
   virtual bool isIdle() const = 0;
 
+  /// Returns true if the configuration requires callers to send a key.
+  virtual bool requiresCredentials() const = 0;
+  /// Returns the organisation that has the key with this digest, or an empty
+  /// name.
+  virtual OrganisationName
+  organisationOf(const std::string &CredentialDigest) const = 0;
+
   /// Handles a new request and returns its id. The actions may already end the
   /// request.
   virtual RequestId accept(const CallerRequest &Request, Time Now,
--- a/include/teaselhitch/Routing/RuleTable.h
+++ b/include/teaselhitch/Routing/RuleTable.h
@@ -61,6 +61,14 @@
   /// lists no organisations, every organisation may.
   bool isKnownOrganisation(const OrganisationName &Name) const;
 
+  /// Returns true if callers must send the key of an organisation, unless the
+  /// rule of the request is public.
+  bool requiresCredentials() const { return RequiresCredentials; }
+
+  /// Returns the organisation that has the key with this SHA-256 digest, or
+  /// null. Returns null for all keys if no credentials are required.
+  const Organisation *findByKeyDigest(std::string_view Digest) const;
+
   const Service *service(const ServiceName &Name) const;
 
   std::uint64_t version() const { return Config->Version; }
@@ -77,6 +85,10 @@
   std::shared_ptr<const ActiveConfig> Config;
   Limit DefaultLimit;
   std::map<ServiceName, const Limit *> Limits;
+  bool RequiresCredentials = false;
+  /// Organisations by the digests of their keys. The digests are stored in
+  /// Config.
+  std::unordered_map<std::string_view, const Organisation *> ByKeyDigest;
   /// Rules by host; rules without a host are stored under the empty string.
   std::map<std::string, PrefixMap, std::less<>> ByHost;
 };
--- a/lib/Entry/Entry.cpp
+++ b/lib/Entry/Entry.cpp
@@ -2,6 +2,7 @@
 #include "teaselhitch/Support/Hash.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace teaselhitch {
 
@@ -19,9 +20,10 @@
 /// Returns the queue priority of a request. A sub-request is one level more
 /// urgent than its parent, which holds a slot while it waits: refusing the
 /// sub-request would waste the work that the parent has done.
-std::uint32_t requestPriority(const CallerRequest &Request, const Rule &R) {
+std::uint32_t requestPriority(const CallerRequest &Request, const Rule &R,
+                              const Organisation *Owner) {
   if (!Request.ParentPriority)
-    return R.Priority;
+    return Owner ? Owner->Priority.value_or(R.Priority) : R.Priority;
   return *Request.ParentPriority == 0 ? 0 : *Request.ParentPriority - 1;
 }
 
@@ -34,6 +36,14 @@
 
 void EntryCore::configure(std::shared_ptr<const ActiveConfig> Config) {
   Rules = std::make_shared<RuleTable>(std::move(Config));
+  IsNewlyConfigured = true;
+}
+
+OrganisationName
+EntryCore::organisationOf(const std::string &CredentialDigest) const {
+  const Organisation *Owner =
+      Rules ? Rules->findByKeyDigest(CredentialDigest) : nullptr;
+  return Owner ? Owner->Name : OrganisationName();
 }
 
 void EntryCore::updateView(std::shared_ptr<const FleetView> NewView) {
@@ -58,14 +68,20 @@
 
 std::optional<Reason>
 EntryCore::refusalReason(const CallerRequest &Request,
-                         const MatchedRule *Matched) const {
+                         const MatchedRule *Matched,
+                         const Organisation *Owner) const {
   if (Draining)
     return Reason::Draining;
   if (!Rules)
     return Reason::NoConfiguration;
+  // Without a known key, a caller does not learn which paths have a rule.
+  bool IsPublic = Matched && Matched->Object->IsPublic;
+  if (Rules->requiresCredentials() && !Owner && !IsPublic)
+    return Reason::UnknownCredential;
   if (!Matched)
     return Reason::NoRule;
-  if (!Rules->isKnownOrganisation(Request.Organisation))
+  if (!Rules->requiresCredentials() &&
+      !Rules->isKnownOrganisation(Request.Organisation))
     return Reason::UnknownOrganisation;
   if (Request.Deadline && Request.Deadline->ms() <= 0)
     return Reason::DeadlineExpired;
@@ -76,14 +92,22 @@
 
 PendingRequest EntryCore::makePendingRequest(const CallerRequest &Request,
                                              const Route &Target,
+                                             const Organisation *Owner,
                                              Time Now) const {
   const Rule &R = *Target.MatchedRule;
   PendingRequest P;
   P.Rules = Rules;
   P.Target = Target;
-  P.Organisation = Request.Organisation;
+  if (!Rules->requiresCredentials())
+    P.Organisation = Request.Organisation;
+  else if (Owner)
+    P.Organisation = Owner->Name;
+  else if (Request.ParentOrganisation)
+    P.Organisation = *Request.ParentOrganisation;
+  if (Owner && !R.IsPublic)
+    P.CredentialDigest = Request.CredentialDigest;
   P.CallerId = Request.CallerId;
-  P.Priority = requestPriority(Request, R);
+  P.Priority = requestPriority(Request, R, Owner);
   P.IsRepeat = Request.IsParentRepeated;
   P.ArrivedAt = Now;
   P.Objective = R.Objective.ms() > 0 ? R.Objective : R.Deadline;
@@ -92,12 +116,11 @@
   if (Request.Key.rfind(GuardKeyPrefix, 0) == 0)
     P.GuardKey = Request.Key;
   else if (!Request.Key.empty() && !R.Idempotent)
-    P.ClaimRow = Claims::rowKey(Request.Organisation, R.Name, Request.Key);
+    P.ClaimRow = Claims::rowKey(P.Organisation, R.Name, Request.Key);
   std::string Identity = Request.Key.empty() ? std::to_string(Request.BodyHash)
                                              : "key " + Request.Key;
-  P.Fingerprint =
-      hash64(Request.Organisation.str() + "\n" + R.Name.str() + "\n" +
-             Request.Method + " " + Request.Path + "\n" + Identity);
+  P.Fingerprint = hash64(P.Organisation.str() + "\n" + R.Name.str() + "\n" +
+                         Request.Method + " " + Request.Path + "\n" + Identity);
   return P;
 }
 
@@ -107,7 +130,9 @@
   const MatchedRule *Matched =
       Rules ? Rules->match(Request.Method, Request.Host, Request.Path)
             : nullptr;
-  std::optional<Reason> Why = refusalReason(Request, Matched);
+  const Organisation *Owner =
+      Rules ? Rules->findByKeyDigest(Request.CredentialDigest) : nullptr;
+  std::optional<Reason> Why = refusalReason(Request, Matched, Owner);
   Route Target;
   if (!Why) {
     Target = Matched->choose(Random.uniform());
@@ -120,7 +145,7 @@
     return Id;
   }
   PendingRequest &P =
-      Requests.add(Id, makePendingRequest(Request, Target, Now));
+      Requests.add(Id, makePendingRequest(Request, Target, Owner, Now));
   // A repeated run of the parent request repeats its sub-requests as well.
   if (P.IsRepeat)
     budget(P).recordUnavoidableRetry(Now);
@@ -194,8 +219,25 @@
        Now, Actions);
 }
 
+void EntryCore::endRevoked(Time Now, EntryActions &Actions) {
+  std::vector<RequestId> Revoked;
+  if (Rules->requiresCredentials())
+    Requests.forEach([&](const PendingRequest &P) {
+      if (!P.CredentialDigest.empty() && !P.isSent() && !P.MayHaveRun &&
+          !Rules->findByKeyDigest(P.CredentialDigest))
+        Revoked.push_back(P.Id);
+    });
+  for (const RequestId &Id : Revoked) {
+    PendingRequest &P = *Requests.find(Id);
+    cancelRunning(P, Actions);
+    fail(P, Reason::UnknownCredential, Now, Actions);
+  }
+}
+
 EntryActions EntryCore::tick(Time Now) {
   EntryActions Actions;
+  if (std::exchange(IsNewlyConfigured, false))
+    endRevoked(Now, Actions);
   for (const RequestId &Id : Requests.takeExpired(Now))
     if (PendingRequest *P = Requests.find(Id))
       expire(*P, Now, Actions);
--- a/lib/Entry/EntryCore.h
+++ b/lib/Entry/EntryCore.h
@@ -28,6 +28,12 @@
     return Requests.isEmpty() && MintDeadlines.empty();
   }
 
+  bool requiresCredentials() const override {
+    return Rules && Rules->requiresCredentials();
+  }
+  OrganisationName
+  organisationOf(const std::string &CredentialDigest) const override;
+
   RequestId accept(const CallerRequest &Request, Time Now,
                    EntryActions &Actions) override;
   EntryActions mintKey(std::uint64_t Token, const ServiceName &Service,
@@ -45,10 +51,16 @@
 
 private:
   // Entry.cpp: arrival of requests, key claims and periodic work.
+  /// \param Owner organisation of the request's key, or null.
   std::optional<Reason> refusalReason(const CallerRequest &Request,
-                                      const MatchedRule *Matched) const;
+                                      const MatchedRule *Matched,
+                                      const Organisation *Owner) const;
   PendingRequest makePendingRequest(const CallerRequest &Request,
-                                    const Route &Target, Time Now) const;
+                                    const Route &Target,
+                                    const Organisation *Owner, Time Now) const;
+  /// Ends the requests whose key the current configuration does not contain,
+  /// unless they were sent to a guard.
+  void endRevoked(Time Now, EntryActions &Actions);
   void startClaim(PendingRequest &P, Time Now, EntryActions &Actions);
   void applyClaimOutput(ClaimOutput Output, Time Now, EntryActions &Actions);
   void expire(PendingRequest &P, Time Now, EntryActions &Actions);
@@ -121,6 +133,8 @@
   std::uint64_t NextSequence = 1;
   std::uint64_t StrayCount = 0;
   bool Draining = false;
+  /// A configuration was applied after the last tick.
+  bool IsNewlyConfigured = false;
 };
 
 } // namespace teaselhitch
--- a/lib/Entry/RequestTable.h
+++ b/lib/Entry/RequestTable.h
@@ -35,7 +35,10 @@
   /// Keeps the objects alive that Target points to.
   std::shared_ptr<const RuleTable> Rules;
   Route Target;
+  /// The organisation to which the request is accounted, or empty.
   OrganisationName Organisation;
+  /// Digest of the key that permits the request; empty if it needs none.
+  std::string CredentialDigest;
   Time ArrivedAt;
   Time Deadline;
   /// Time within which the answer has its full value.
--- a/lib/Integration/Problem.cpp
+++ b/lib/Integration/Problem.cpp
@@ -25,6 +25,9 @@
                     {ReasonHeader, Info.Name}};
   if (!RequestId.empty())
     Answer.Headers.push_back(Header{RequestIdHeader, RequestId});
+  constexpr unsigned Unauthorized = 401;
+  if (Info.Status == Unauthorized)
+    Answer.Headers.push_back(Header{"WWW-Authenticate", "Bearer"});
   constexpr unsigned TooManyRequests = 429;
   constexpr unsigned Unavailable = 503;
   if (Info.Status == TooManyRequests || Info.Status == Unavailable) {
--- a/lib/Node/BackendsThread.cpp
+++ b/lib/Node/BackendsThread.cpp
@@ -289,9 +289,11 @@
 void BackendsThread::sendRunChange(const ActiveAttempt &R, bool IsRunning) {
   if (R.CallerId.empty())
     return;
-  // If the message is dropped, sub-requests get the priority of their own rule.
-  if (!Shared.RunsToCallers.trySend(
-          RunChange{R.CallerId, R.Rule, R.Priority, R.IsRepeat, IsRunning}))
+  // If the message is dropped, sub-requests get the priority of their own rule
+  // and are accounted to no organisation.
+  if (!Shared.RunsToCallers.trySend(RunChange{R.CallerId, R.Rule, R.Priority,
+                                              R.IsRepeat, IsRunning,
+                                              R.Organisation}))
     logEvent(LogLevel::Warning, "backends", "run-change-dropped",
              {{"caller_id", R.CallerId}});
 }
--- a/lib/Node/CallersThread.cpp
+++ b/lib/Node/CallersThread.cpp
@@ -43,6 +43,20 @@
   return Limits;
 }
 
+/// Logs the number of known keys, so that a wrong or missing list of keys can
+/// be told from callers with wrong keys.
+void logCredentials(const ActiveConfig &Config) {
+  if (!Config.Objects.Listeners.front().RequiresCredentials)
+    return;
+  std::size_t Keys = 0;
+  for (const Organisation &O : Config.Objects.Organisations)
+    Keys += O.KeyDigests.size();
+  logEvent(LogLevel::Info, "entry", "credentials-in-force",
+           {{"config", Config.Version},
+            {"organisations", Config.Objects.Organisations.size()},
+            {"keys", Keys}});
+}
+
 void countRequest(MetricRegistry &Metrics, Outcome Result,
                   const char *ReasonName) {
   Metrics
@@ -140,8 +154,10 @@
     ConfigGeneration = NewConfig;
     std::shared_ptr<const ActiveConfig> Config = Shared.Config.current();
     ConfigVersion = Config ? Config->Version : 0;
-    if (Config && !Config->Objects.Listeners.empty())
+    if (Config && !Config->Objects.Listeners.empty()) {
       Server->setLimits(httpLimits(Config->Objects.Listeners.front()));
+      logCredentials(*Config);
+    }
     Core->configure(std::move(Config));
   }
   std::uint64_t NewView = Shared.View.generation();
@@ -170,9 +186,10 @@
 void CallersThread::handleRequest(
     const std::shared_ptr<HttpExchange> &Exchange) {
   HttpRequest &Request = Exchange->request();
+  bool RequiresCredentials = Core->requiresCredentials();
   std::optional<CallerRequest> Parsed = handleError(
       [&]() -> Result<std::optional<CallerRequest>> {
-        BOOST_LEAF_AUTO(Read, Protocol->describe(Request, false));
+        BOOST_LEAF_AUTO(Read, Protocol->describe(Request, RequiresCredentials));
         return std::optional<CallerRequest>(std::move(Read));
       },
       [](const Error &E) {
@@ -182,6 +199,8 @@
       });
   if (!Parsed)
     return Exchange->reply(refuse(Reason::BadRequest));
+  if (RequiresCredentials)
+    Protocol->identify(Request, Core->organisationOf(Parsed->CredentialDigest));
   RuleName ParentRule = resolveParent(*Parsed);
   EntryActions Actions;
   RequestId Id = Core->accept(*Parsed, now(), Actions);
@@ -211,6 +230,8 @@
   if (It == Runs.end())
     return RuleName();
   Request.ParentPriority = It->second.Priority;
+  if (!It->second.Organisation.empty())
+    Request.ParentOrganisation = It->second.Organisation;
   Request.IsParentRepeated = It->second.IsRepeat;
   notifyBackends(SubRequestSeen{Request.ParentId});
   return It->second.Rule;
@@ -239,7 +260,10 @@
 }
 
 void CallersThread::handleKeyRequest(std::shared_ptr<HttpExchange> Exchange) {
-  const HttpRequest &Request = Exchange->request();
+  HttpRequest &Request = Exchange->request();
+  if (Core->requiresCredentials() &&
+      Core->organisationOf(takeBearerDigest(Request.Headers)).empty())
+    return Exchange->reply(refuse(Reason::UnknownCredential));
   ServiceName Service = handleError(
       [&]() -> Result<ServiceName> {
         BOOST_LEAF_AUTO(Target, parseTarget(Request.Target));
--- a/lib/Node/SharedState.h
+++ b/lib/Node/SharedState.h
@@ -101,6 +101,8 @@
   /// See DispatchInfo::IsRepeat.
   bool IsRepeat = false;
   bool IsRunning = false;
+  /// Organisation to which the request is accounted, or empty.
+  OrganisationName Organisation = {};
 };
 
 /// From the callers thread to the backends thread: a request that is running on
--- a/lib/Routing/RuleTable.cpp
+++ b/lib/Routing/RuleTable.cpp
@@ -50,6 +50,13 @@
     if (!Matched.Destinations.empty())
       ByHost[R.Host][R.PathPrefix].push_back(std::move(Matched));
   }
+  const std::vector<Listener> &Listeners = Config->Objects.Listeners;
+  RequiresCredentials =
+      !Listeners.empty() && Listeners.front().RequiresCredentials;
+  if (RequiresCredentials)
+    for (const Organisation &O : Config->Objects.Organisations)
+      for (const std::string &Digest : O.KeyDigests)
+        ByKeyDigest.emplace(Digest, &O);
   for (auto &[Host, ByPrefix] : ByHost)
     for (auto &[Prefix, Rules] : ByPrefix)
       std::stable_sort(Rules.begin(), Rules.end(),
@@ -116,6 +123,11 @@
   return Organisations.empty() || findByName(Organisations, Name) != nullptr;
 }
 
+const Organisation *RuleTable::findByKeyDigest(std::string_view Digest) const {
+  auto It = ByKeyDigest.find(Digest);
+  return It == ByKeyDigest.end() ? nullptr : It->second;
+}
+
 const Service *RuleTable::service(const ServiceName &Name) const {
   return findByName(Config->Objects.Services, Name);
 }
--- a/unittests/Config/AdoptionTest.cpp
+++ b/unittests/Config/AdoptionTest.cpp
@@ -43,6 +43,7 @@
   CPPUNIT_TEST_SUITE(AdoptionTest);
   CPPUNIT_TEST(adoptsAndServesPieces);
   CPPUNIT_TEST(neverAdoptsOlderVersion);
+  CPPUNIT_TEST(revokedKeyStaysRevoked);
   CPPUNIT_TEST(newerHeadReplacesFetch);
   CPPUNIT_TEST(fetchesOnlyChangedPieces);
   CPPUNIT_TEST(refetchesCorruptAndOverduePieces);
@@ -85,6 +86,37 @@
     CPPUNIT_ASSERT(Adoption.active()->Objects == makeSet(3000, 2));
   }
 
+  /// Guards against a revoked key that becomes valid again: a node starts from
+  /// a peer with an older version, learns the newer one, and then hears the
+  /// older head again from other peers.
+  void revokedKeyStaysRevoked() {
+    ObjectSet Before = makeSet(100, 1);
+    Before.Organisations[7].KeyDigests = {sha256Hex("key-7")};
+    Before.Listeners.emplace_back().Name = ListenerName("callers");
+    Before.Listeners[0].RequiresCredentials = true;
+    ObjectSet After = Before;
+    After.Organisations[7].KeyDigests.clear();
+    const PieceSet Old = splitIntoPieces(Before);
+    const PieceSet New = splitIntoPieces(After);
+
+    ConfigAdoption Adoption;
+    servePieces(Adoption, Adoption.handleHead({4, Old.ManifestHash}, Now), Old,
+                Now);
+    CPPUNIT_ASSERT(Adoption.active()->Objects == Before);
+    servePieces(Adoption, Adoption.handleHead({5, New.ManifestHash}, Now), New,
+                Now);
+    for (int Repeats = 0; Repeats != 3; ++Repeats) {
+      AdoptionStep Step = Adoption.handleHead({4, Old.ManifestHash}, Now);
+      CPPUNIT_ASSERT(Step.Fetch.empty() && !Step.Adopted);
+      for (const auto &[Hash, Bytes] : Old.Pieces)
+        CPPUNIT_ASSERT(!Adoption.handlePiece(Hash, Bytes, Now).Adopted);
+      CPPUNIT_ASSERT(!Adoption.handleSet(4, Old, Now).Adopted);
+    }
+    CPPUNIT_ASSERT(Adoption.active()->Objects == After);
+    // Without any key, credentials are still required.
+    CPPUNIT_ASSERT(Adoption.active()->Objects.Listeners[0].RequiresCredentials);
+  }
+
   /// Guards against a node that completes the fetch of an older version before
   /// that of a newer one, or that adopts the older set afterwards.
   void newerHeadReplacesFetch() {
--- a/unittests/Config/CheckTest.cpp
+++ b/unittests/Config/CheckTest.cpp
@@ -34,6 +34,10 @@
 service = "seats"
 )";
 
+// Two digests, in order.
+const std::string FirstDigest(64, '1');
+const std::string SecondDigest(64, 'a');
+
 /// Checks Text together with Base and returns all diagnostics, one per line.
 std::string checkText(const std::string &Text) {
   CheckedSet Set = checkObjects({{"base.toml", Base}, {"more.toml", Text}},
@@ -118,9 +122,15 @@
      "more.toml:2:10: syntax error while parsing string: "},
 };
 
+/// An organisation whose lines after the name are Rest.
+std::string organisation(const std::string &Name, const std::string &Rest) {
+  return "[[organisation]]\nname = \"" + Name + "\"\n" + Rest + "\n";
+}
+
 class CheckTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(CheckTest);
   CPPUNIT_TEST(reportsErrorsWithLocation);
+  CPPUNIT_TEST(invalidCredentialsAreReported);
   CPPUNIT_TEST(readsAllKeysSortedByName);
   CPPUNIT_TEST(tomlTextRoundTrips);
   CPPUNIT_TEST(rejectsEmptySet);
@@ -137,6 +147,38 @@
     }
   }
 
+  /// Guards against a key that gives access to two organisations, rates out of
+  /// range, and a key that is written instead of its digest and then shown.
+  void invalidCredentialsAreReported() {
+    const std::string Twice =
+        "key_digests = [\"" + FirstDigest + "\", \"" + FirstDigest + "\"]";
+    const std::string Once = "key_digests = [\"" + FirstDigest + "\"]";
+    const std::pair<std::string, std::string> Faults[] = {
+        {organisation("a", "key_digests = [\"the-key\"]"),
+         "more.toml:3:16: key 'key_digests' in organisation 'a' must list "
+         "SHA-256 digests of 64 lower-case hexadecimal digits"},
+        {organisation("a", Twice),
+         "more.toml:3:84: key 'key_digests' in organisation 'a' lists a digest "
+         "twice"},
+        {organisation("a", Once) + organisation("b", Once),
+         "more.toml:6:15: organisation 'b' has a key that organisation 'a' at "
+         "more.toml:3:15 has as well"},
+        {organisation("a", "rate_per_s = -1"),
+         "more.toml:3:14: key 'rate_per_s' in organisation 'a' must be from 0 "
+         "to 1000000000 requests, not -1"},
+        {organisation("a", "burst = 1000000001"),
+         "more.toml:3:9: key 'burst' in organisation 'a' must be from 0 to "
+         "1000000000 requests, not 1000000001"},
+        {organisation("a", "rate_per_s = inf"),
+         "more.toml:3:14: key 'rate_per_s' in organisation 'a' must be an "
+         "integer number of requests, not a floating-point number"},
+        {organisation("a", "priority = 101"),
+         "more.toml:3:12: key 'priority' in organisation 'a' must be from 0 to "
+         "100, not 101"}};
+    for (const auto &[Text, Expected] : Faults)
+      CPPUNIT_ASSERT_EQUAL(Expected, checkText(Text));
+  }
+
   /// Guards against keys that are accepted but not stored, and against a result
   /// that depends on the order of the files.
   void readsAllKeysSortedByName() {
@@ -165,6 +207,14 @@
   void tomlTextRoundTrips() {
     ObjectSet Set = checkObjects({{"base.toml", Base}}).Objects;
     Set.Groups[0].Label = "quote \" backslash \\ \xc3\xa9";
+    Set.Rules[0].IsPublic = true;
+    Organisation &O = Set.Organisations[0];
+    O.KeyDigests = {FirstDigest, SecondDigest};
+    O.Priority = 0;
+    O.RatePerS = 70;
+    O.Burst = 140;
+    Set.Listeners.emplace_back().Name = ListenerName("callers");
+    Set.Listeners[0].RequiresCredentials = true;
     CheckedSet Reread = checkObjects({{"again.toml", toToml(Set)}});
     CPPUNIT_ASSERT(Reread.isValid());
     CPPUNIT_ASSERT(Set == Reread.Objects);
--- a/unittests/Config/PiecesTest.cpp
+++ b/unittests/Config/PiecesTest.cpp
@@ -63,6 +63,7 @@
   CPPUNIT_TEST(smallChangesTransferFewPieces);
   CPPUNIT_TEST(pieceSizesAreBounded);
   CPPUNIT_TEST(rejectsInvalidPieces);
+  CPPUNIT_TEST(rejectsInvalidDigests);
   CPPUNIT_TEST_SUITE_END();
 
   /// Guards against fields that are lost between publisher and node.
@@ -73,6 +74,14 @@
     Set.Organisations = {{OrganisationName("firm"), 7}};
     Set.Limits = {
         {LimitName("limit"), ServiceName("service"), 2, 1'000'000, 30}};
+    Set.Rules[0].IsPublic = true;
+    Organisation &O = Set.Organisations[0];
+    O.KeyDigests = {std::string(64, '0'), std::string(64, 'f')};
+    O.Priority = 0;
+    O.RatePerS = MaxRate;
+    O.Burst = 1;
+    Set.Listeners.emplace_back().Name = ListenerName("callers");
+    Set.Listeners[0].RequiresCredentials = true;
     PieceSet Pieces = splitIntoPieces(Set);
     ObjectSet Joined = handleError(
         [&] { return joinPieces(Pieces.ManifestHash, Pieces.Pieces); },
@@ -80,6 +89,23 @@
     CPPUNIT_ASSERT(Set == Joined);
   }
 
+  /// Guards against a node that adopts a list of keys that the check refuses,
+  /// and whose lookup then depends on the order of the list.
+  void rejectsInvalidDigests() {
+    const std::string Low(64, '0');
+    const std::string High(64, 'f');
+    const std::vector<std::string> Lists[] = {
+        {High, Low}, {Low, Low}, {"the-key"}, {std::string(64, 'F')}};
+    for (const std::vector<std::string> &Digests : Lists) {
+      ObjectSet Set = largeSet();
+      Set.Organisations = {{OrganisationName("firm"), 7}};
+      Set.Organisations[0].KeyDigests = Digests;
+      PieceSet Pieces = splitIntoPieces(Set);
+      CPPUNIT_ASSERT_EQUAL(std::string("corrupt"),
+                           joinError(Pieces.ManifestHash, Pieces.Pieces));
+    }
+  }
+
   /// Guards against piece boundaries that move when an object is inserted or
   /// removed, which would transfer all later pieces to all nodes.
   void smallChangesTransferFewPieces() {
--- a/unittests/Routing/RoutingTest.cpp
+++ b/unittests/Routing/RoutingTest.cpp
@@ -1,6 +1,7 @@
 #include "teaselhitch/Routing/Balancer.h"
 #include "teaselhitch/Routing/LoadTracker.h"
 #include "teaselhitch/Routing/RuleTable.h"
+#include "teaselhitch/Support/Hash.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -30,6 +31,7 @@
 class RoutingTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(RoutingTest);
   CPPUNIT_TEST(longestPrefixWins);
+  CPPUNIT_TEST(keysSelectOrganisations);
   CPPUNIT_TEST(groupsSelectByDomainAndLabel);
   CPPUNIT_TEST(balancersAreRegistered);
   CPPUNIT_TEST(twoChoicesAvoidsLoadAndFailedPaths);
@@ -52,6 +54,30 @@
     return Candidates;
   }
 
+  /// Guards against a key that gives access to another organisation or that is
+  /// known although no credentials are required.
+  void keysSelectOrganisations() {
+    auto Config = std::make_shared<ActiveConfig>();
+    std::vector<Organisation> &All = Config->Objects.Organisations;
+    constexpr int Count = 1000;
+    for (int I = 0; I != Count; ++I) {
+      std::string Number = std::to_string(Count + I);
+      All.emplace_back().Name = OrganisationName("o" + Number);
+      for (const char *Suffix : {"a", "b"})
+        All.back().KeyDigests.push_back(sha256Hex(Number + Suffix));
+    }
+    Config->Objects.Listeners.emplace_back();
+    CPPUNIT_ASSERT(!RuleTable(Config).findByKeyDigest(sha256Hex("1007a")));
+    Config->Objects.Listeners[0].RequiresCredentials = true;
+    RuleTable Table(Config);
+    for (const Organisation &O : All)
+      for (const std::string &Digest : O.KeyDigests)
+        CPPUNIT_ASSERT(Table.findByKeyDigest(Digest) == &O);
+    CPPUNIT_ASSERT(!Table.findByKeyDigest(""));
+    CPPUNIT_ASSERT(!Table.findByKeyDigest(sha256Hex("1007c")));
+    CPPUNIT_ASSERT(!Table.findByKeyDigest(All[7].KeyDigests[0].substr(1)));
+  }
+
   /// A request must not match a shorter prefix or one that only resembles its
   /// path.
   void longestPrefixWins() {
--- a/unittests/RowStorePlatform/ConfigReaderTest.cpp
+++ b/unittests/RowStorePlatform/ConfigReaderTest.cpp
@@ -2,9 +2,12 @@
 
 #include "teaselhitch/Config/Pieces.h"
 #include "teaselhitch/Routing/RuleTable.h"
+#include "teaselhitch/Support/Hash.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
+
 using namespace teaselhitch;
 
 namespace {
@@ -36,12 +39,32 @@
   return Text.replace(Pos, From.size(), To);
 }
 
+/// Returns CompleteConfig with this text as the value of the member Tenants.
+std::string withOrganisations(const std::string &Tenants) {
+  return replaceInConfig("\"Clusters\"",
+                         "\"Tenants\":" + Tenants + ",\"Clusters\"");
+}
+
+/// Returns the error message for a configuration, or an empty string.
+std::string readError(const std::string &Text) {
+  std::string Message;
+  handleError([&] { return parseStoredConfig(Text, ConfigDefaults()); },
+              [&](const Error &E) {
+                Message = E.Message;
+                return SourcedConfig();
+              });
+  return Message;
+}
+
 class ConfigReaderTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(ConfigReaderTest);
   CPPUNIT_TEST(translatesAllFields);
   CPPUNIT_TEST(routesByHostAndLongestPrefix);
   CPPUNIT_TEST(splitsByWeight);
   CPPUNIT_TEST(refusesInvalidConfig);
+  CPPUNIT_TEST(translatesOrganisations);
+  CPPUNIT_TEST(organisationsRequireCredentials);
+  CPPUNIT_TEST(refusesInvalidOrganisations);
   CPPUNIT_TEST(rulesOfTwoHostsMayShareAName);
   CPPUNIT_TEST_SUITE_END();
 
@@ -66,6 +89,130 @@
                    L.IdleTimeout == Duration(15000));
   }
 
+  /// Guards against keys that are lost, stored in plain text or given to
+  /// another organisation, and against members that are dropped or swapped.
+  void translatesOrganisations() {
+    ObjectSet Objects =
+        read(withOrganisations(
+                 R"([{"Name":"late","ApiKeys":["k~3"],"Priority":0,)"
+                 R"("RatePerS":70,"Burst":140},)"
+                 R"({"Name":"early","ApiKeys":["k-1","k!2"]},)"
+                 R"({"Name":"none","ApiKeys":[],"RatePerS":0}])"))
+            .Objects;
+    Organisation Early;
+    Early.Name = OrganisationName("early");
+    Early.KeyDigests = {sha256Hex("k-1"), sha256Hex("k!2")};
+    std::sort(Early.KeyDigests.begin(), Early.KeyDigests.end());
+    Organisation Late;
+    Late.Name = OrganisationName("late");
+    Late.KeyDigests = {sha256Hex("k~3")};
+    Late.Priority = 0;
+    Late.RatePerS = 70;
+    Late.Burst = 140;
+    Organisation None;
+    None.Name = OrganisationName("none");
+    CPPUNIT_ASSERT(Objects.Organisations ==
+                   (std::vector<Organisation>{Early, Late, None}));
+    PieceSet Set = splitIntoPieces(Objects);
+    for (const auto &[Hash, Bytes] : Set.Pieces)
+      for (const char *Key : {"k-1", "k!2", "k~3"})
+        CPPUNIT_ASSERT(Bytes.find(Key) == std::string::npos);
+    CPPUNIT_ASSERT(joinPieces(Set.ManifestHash, Set.Pieces).value() == Objects);
+  }
+
+  /// Guards against a node that serves everyone after all keys were revoked, or
+  /// that asks for keys in a deployment without organisations.
+  void organisationsRequireCredentials() {
+    ObjectSet Without = read(CompleteConfig).Objects;
+    CPPUNIT_ASSERT(!Without.Listeners.at(0).RequiresCredentials);
+    for (const Rule &R : Without.Rules)
+      CPPUNIT_ASSERT(!R.IsPublic);
+    for (const char *Tenants :
+         {"[]", R"([{"Name":"a","ApiKeys":[]}])", R"([{"Name":"a"}])"}) {
+      ObjectSet Objects = read(withOrganisations(Tenants)).Objects;
+      CPPUNIT_ASSERT(Objects.Listeners.at(0).RequiresCredentials);
+      CPPUNIT_ASSERT(Objects.Listeners.at(0).IdleTimeout == Duration(15000));
+    }
+    // Without limits, too.
+    std::string Text = withOrganisations("[]");
+    std::size_t First = Text.find("\"Limits\"");
+    Text.erase(First, Text.find("\"Listeners\"") - First);
+    CPPUNIT_ASSERT(read(Text).Objects.Listeners.at(0).RequiresCredentials);
+    ObjectSet Public = read(replaceInConfig("\"SloMs\":1000,",
+                                            "\"SloMs\":1000,\"NoAuth\":true,"))
+                           .Objects;
+    CPPUNIT_ASSERT(Public.Rules.at(0).IsPublic && !Public.Rules.at(1).IsPublic);
+  }
+
+  /// Guards against invalid organisations that are applied in part, that stop
+  /// the process, or whose keys are written to the log with the message.
+  void refusesInvalidOrganisations() {
+    struct Case {
+      const char *Tenants;
+      const char *ExpectedInMessage;
+    };
+    const Case Cases[] = {
+        {"null", "Tenants: expected an array"},
+        {"{}", "Tenants: expected an array"},
+        {"[7]", "Tenants[0].Name: expected a string"},
+        {R"([{"ApiKeys":["secret"]}])", "Tenants[0].Name: expected a string"},
+        {R"([{"Name":"","ApiKeys":["secret"]}])", "Tenants[0].Name: ''"},
+        {R"([{"Name":"a b","ApiKeys":[]}])", "Tenants[0].Name: 'a b'"},
+        {R"([{"Name":"a"},{"Name":"b"},{"Name":"a"}])",
+         "Tenants[2].Name: 'a' is the name of Tenants[0]"},
+        {R"([{"Name":"a","ApiKeys":["secret","secret"]}])",
+         "Tenants[0].ApiKeys[1]: the same key as Tenants[0].ApiKeys[0]"},
+        {R"([{"Name":"a","ApiKeys":["x","secret"]},)"
+         R"({"Name":"b","ApiKeys":["secret"]}])",
+         "Tenants[1].ApiKeys[0]: the same key as Tenants[0].ApiKeys[1]"},
+        {R"([{"Name":"a","ApiKeys":"secret"}])",
+         "Tenants[0].ApiKeys: expected an array"},
+        {R"([{"Name":"a","ApiKeys":null}])",
+         "Tenants[0].ApiKeys: expected an array"},
+        {R"([{"Name":"a","ApiKeys":[7]}])", "Tenants[0].ApiKeys[0]: expected"},
+        {R"([{"Name":"a","ApiKeys":["x",""]}])",
+         "Tenants[0].ApiKeys[1]: expected printable ASCII"},
+        {R"([{"Name":"a","ApiKeys":["secret one"]}])",
+         "Tenants[0].ApiKeys[0]: expected printable ASCII"},
+        {R"([{"Name":"a","ApiKeys":["secret\n"]}])",
+         "Tenants[0].ApiKeys[0]: expected printable ASCII"},
+        {R"([{"Name":"a","ApiKeys":["secret\u0000"]}])",
+         "Tenants[0].ApiKeys[0]: expected printable ASCII"},
+        {R"([{"Name":"a","ApiKeys":["secret\u007f"]}])",
+         "Tenants[0].ApiKeys[0]: expected printable ASCII"},
+        {R"([{"Name":"a","ApiKeys":["secret\u00e9"]}])",
+         "Tenants[0].ApiKeys[0]: expected printable ASCII"},
+        {R"([{"Name":"a","RatePerS":-1}])", "Tenants[0].RatePerS: expected a"},
+        {R"([{"Name":"a","RatePerS":0.5}])", "Tenants[0].RatePerS: expected a"},
+        {R"([{"Name":"a","RatePerS":"9"}])", "Tenants[0].RatePerS: expected a"},
+        {R"([{"Name":"a","RatePerS":null}])",
+         "Tenants[0].RatePerS: expected a whole number"},
+        {R"([{"Name":"a","RatePerS":1000000001}])",
+         "Tenants[0].RatePerS: expected at most 1000000000"},
+        {R"([{"Name":"a","Burst":1e300}])", "Tenants[0].Burst: expected"},
+        {R"([{"Name":"a","Burst":1e999}])", ""},
+        {R"([{"Name":"a","Burst":Infinity}])", "JSON"},
+        {R"([{"Name":"a","Burst":NaN}])", "JSON"},
+        {R"([{"Name":"a","Burst":-0.1}])", "Tenants[0].Burst: expected"},
+        {R"([{"Name":"a","Burst":18446744073709551616}])",
+         "Tenants[0].Burst: expected"},
+        {R"([{"Name":"a","Priority":-1}])", "Tenants[0].Priority: expected"},
+        {R"([{"Name":"a","Priority":4294967296}])",
+         "Tenants[0].Priority: expected at most"},
+    };
+    for (const Case &C : Cases) {
+      std::string Message = readError(withOrganisations(C.Tenants));
+      CPPUNIT_ASSERT_MESSAGE(C.Tenants, !Message.empty());
+      CPPUNIT_ASSERT_MESSAGE(Message, Message.find(C.ExpectedInMessage) !=
+                                          std::string::npos);
+      CPPUNIT_ASSERT(Message.find("secret") == std::string::npos);
+    }
+    CPPUNIT_ASSERT(readError(replaceInConfig("\"SloMs\":1000,",
+                                             "\"SloMs\":1000,\"NoAuth\":1,"))
+                       .find("NoAuth: expected true or false") !=
+                   std::string::npos);
+  }
+
   /// Guards against a valid configuration that every node refuses, so that its
   /// new routes are never served, because two hosts have a rule of one name.
   void rulesOfTwoHostsMayShareAName() {
--- a/unittests/RowStorePlatform/EndToEndTest.cpp
+++ b/unittests/RowStorePlatform/EndToEndTest.cpp
@@ -1,6 +1,7 @@
 #include "../../tools/teaselhitch-standin/RowStoreServer.h"
 #include "teaselhitch/Node/Node.h"
 #include "teaselhitch/Platform/HttpCall.h"
+#include "teaselhitch/Support/Log.h"
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -9,7 +10,11 @@
 
 #include <chrono>
 #include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
 #include <thread>
+#include <unistd.h>
 
 using namespace teaselhitch;
 
@@ -38,6 +43,24 @@
   return Text;
 }
 
+/// Returns a configuration with the organisation "firm" and these keys, a JSON
+/// array. The rule of "/closed/" needs a key, that of "/open/" does not.
+std::string credentialsConfig(const std::string &Version,
+                              const std::string &Keys) {
+  std::string Rules;
+  for (const char *Path : {"closed", "open"})
+    Rules += std::string(Rules.empty() ? "" : ",") + R"({"Name":")" + Path +
+             R"(","Kind":"unsafe","NoAuth":)" +
+             (Path == std::string("open") ? "true" : "false") +
+             R"(,"Match":{"Prefix":"/)" + Path +
+             R"(/"},"Action":{"Service":"s","TimeoutMs":3000}})";
+  return R"({"Version":")" + Version +
+         R"(","Listeners":[{"Host":"h.example","Rules":[)" + Rules +
+         R"(]}],"Clusters":[{"Name":"s"}],"Tenants":[{"Name":"firm",)"
+         R"("ApiKeys":)" +
+         Keys + "}]}";
+}
+
 Endpoint unusedAddress() {
   asio::io_context Context;
   asio::ip::tcp::acceptor Acceptor(Context,
@@ -66,6 +89,9 @@
     asio::post(Context,
                [=, this] { Store.put("op", "config", config(Version)); });
   }
+  void publishText(const std::string &Text) {
+    asio::post(Context, [=, this] { Store.put("op", "config", Text); });
+  }
   void setFault(standin::RowStoreFault Fault) {
     asio::post(Context, [=, this] { Store.setFault(Fault); });
   }
@@ -74,11 +100,17 @@
   Endpoint BackendAddress;
 
 private:
+  /// Answers with the names and values of the headers that concern credentials.
   static void serve(standin::Exchange &E) {
     bool IsExpected =
         standin::headerOf(E.request(), "Expect-Instance") == "i-1";
+    std::string Body = "whole";
+    for (const char *Name : {"Tenant", "Authorization"})
+      if (std::string Value = standin::headerOf(E.request(), Name);
+          !Value.empty())
+        Body += std::string(" ") + Name + "=" + Value;
     standin::HttpResponse Answer =
-        standin::makeResponse(IsExpected ? 200 : 421, "whole", "text/plain");
+        standin::makeResponse(IsExpected ? 200 : 421, Body, "text/plain");
     Answer.set("Request-Id", standin::headerOf(E.request(), "Request-Id"));
     Answer.set("Server-Seal", standin::headerOf(E.request(), "Caller-Service"));
     E.answer(std::move(Answer));
@@ -168,6 +200,15 @@
       "body"};
 }
 
+/// Returns a request that claims to be of another organisation.
+HttpRequest requestWithKey(const std::string &Path, const std::string &Key) {
+  HttpRequest Request = request(Path);
+  Request.Headers.push_back(Header{"Tenant", "other"});
+  if (!Key.empty())
+    Request.Headers.push_back(Header{"Authorization", "Bearer " + Key});
+  return Request;
+}
+
 /// Returns the body of an announcement of the backend server.
 std::string announcement(const PlatformFixture &Platform, int Sequence) {
   return R"({"Address":")" + toString(Platform.BackendAddress) +
@@ -182,6 +223,7 @@
   CPPUNIT_TEST(requestRunsOnOtherNode);
   CPPUNIT_TEST(firstViewIsPublished);
   CPPUNIT_TEST(departureOutlivesRestart);
+  CPPUNIT_TEST(keysStayAtTheEntry);
   CPPUNIT_TEST_SUITE_END();
 
   /// Guards against faults between components, which the tests of single
@@ -265,6 +307,56 @@
     CPPUNIT_ASSERT_MESSAGE(Status, Status.find("\"state\":\"draining\"") !=
                                        std::string::npos);
   }
+
+  /// Guards against a key that a node passes to a backend server, writes to its
+  /// log or shows in its status, against a caller that chooses its
+  /// organisation, and against a revoked key that some node still accepts.
+  void keysStayAtTheEntry() {
+    const std::string Key = "the-key-of-the-firm";
+    const std::filesystem::path LogPath =
+        std::filesystem::temp_directory_path() /
+        ("credentials-test-" + std::to_string(getpid()) + ".log");
+    configureLogging(LogLevel::Debug, LogPath.string());
+    std::string Shown;
+    {
+      PlatformFixture Platform;
+      Platform.publishText(credentialsConfig("r3", "[\"" + Key + "\"]"));
+      RunningFleet Fleet(Platform);
+      HttpRequest Announcement{
+          "POST", "/Instances.Heartbeat/i-1", {}, announcement(Platform, 1)};
+      callUntil(200, Fleet.Settings[1].BackendServers, Announcement);
+      for (const NodeSettings &Settings : Fleet.Settings) {
+        HttpAnswer Answer =
+            callUntil(200, Settings.Callers, requestWithKey("/closed/x", Key));
+        CPPUNIT_ASSERT_EQUAL(std::string("whole Tenant=firm"), Answer.Body);
+        for (const char *Other : {"", "wrong"}) {
+          CPPUNIT_ASSERT_EQUAL(
+              401U, call(Settings.Callers, requestWithKey("/closed/x", Other))
+                        .Status);
+          Answer = callUntil(200, Settings.Callers,
+                             requestWithKey("/open/x", Other));
+          CPPUNIT_ASSERT_EQUAL(std::string("whole"), Answer.Body);
+        }
+      }
+      Platform.publishText(credentialsConfig("r4", "[]"));
+      for (const NodeSettings &Settings : Fleet.Settings) {
+        CPPUNIT_ASSERT_EQUAL(401U, callUntil(401, Settings.Callers,
+                                             requestWithKey("/closed/x", Key))
+                                       .Status);
+        for (const char *Path : {"/v1/status", "/metrics", "/v1/audit"})
+          Shown += call(Settings.Operators, {"GET", Path, {}, ""}).Body;
+      }
+    }
+    shutdownLogging();
+    std::ifstream File(LogPath);
+    std::string Log((std::istreambuf_iterator<char>(File)),
+                    std::istreambuf_iterator<char>());
+    std::filesystem::remove(LogPath);
+    CPPUNIT_ASSERT(Log.find("unknown-credential") != std::string::npos);
+    CPPUNIT_ASSERT(Shown.find("unknown-credential") != std::string::npos);
+    for (const std::string &Text : {Log, Shown})
+      CPPUNIT_ASSERT(Text.find(Key) == std::string::npos);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(EndToEndTest);
--- a/unittests/RowStorePlatform/SidecarProtocolsTest.cpp
+++ b/unittests/RowStorePlatform/SidecarProtocolsTest.cpp
@@ -1,5 +1,7 @@
 #include "../../platform/SidecarProtocols.h"
 
+#include "teaselhitch/Support/Hash.h"
+
 #include <cppunit/extensions/HelperMacros.h>
 
 using namespace teaselhitch;
@@ -45,6 +47,9 @@
   CPPUNIT_TEST(invalidAnnouncementsAreRefused);
   CPPUNIT_TEST(answersAreClassified);
   CPPUNIT_TEST(callersCannotSetReservedHeaders);
+  CPPUNIT_TEST(keyIsReplacedByItsDigest);
+  CPPUNIT_TEST(organisationIsSetByTheNode);
+  CPPUNIT_TEST(credentialsPassWhenNoneAreRequired);
   CPPUNIT_TEST(onlyNotRunOutcomesGetNotRunStatus);
   CPPUNIT_TEST_SUITE_END();
 
@@ -153,10 +158,71 @@
     CPPUNIT_ASSERT(headerValue(Request.Headers, "Deadline-Ms").empty());
   }
 
+  /// Guards against a key that reaches a backend server, and against a header
+  /// that is understood as another key than the caller meant.
+  void keyIsReplacedByItsDigest() {
+    struct Case {
+      HeaderList Headers;
+      std::string ExpectedKey;
+    };
+    const Case Cases[] = {
+        {{{"Authorization", "Bearer k1"}}, "k1"},
+        {{{"authorization", "bEARER   k1 "}}, "k1"},
+        {{{"Authorization", "Bearer k1 k2"}}, "k1 k2"},
+        {{{"Authorization", "Basic k1"}}, ""},
+        {{{"Authorization", "Bearerk1"}}, ""},
+        {{{"Authorization", "Bearer "}}, ""},
+        {{{"Authorization", "k1"}}, ""},
+        {{{"Authorization", ""}}, ""},
+        {{{"Authorization", "Bearer k1"}, {"AUTHORIZATION", "Bearer k1"}}, ""},
+        {{}, ""},
+    };
+    for (const Case &C : Cases) {
+      HttpRequest Request{"GET", "/a", C.Headers, ""};
+      CallerRequest Read =
+          createSidecarCallers("own")->describe(Request, true).value();
+      CPPUNIT_ASSERT_EQUAL(C.ExpectedKey.empty() ? std::string()
+                                                 : sha256Hex(C.ExpectedKey),
+                           Read.CredentialDigest);
+      CPPUNIT_ASSERT(headerValue(Request.Headers, "Authorization").empty());
+    }
+  }
+
+  /// Guards against a caller that claims to be another organisation, with one
+  /// header or with several.
+  void organisationIsSetByTheNode() {
+    auto Protocol = createSidecarCallers("own");
+    for (const char *Name : {"firm", ""}) {
+      HttpRequest Request{
+          "GET", "/a", {{"Tenant", "x"}, {"tenant", "y"}, {"Other", "z"}}, ""};
+      Protocol->identify(Request, OrganisationName(Name));
+      CPPUNIT_ASSERT_EQUAL(std::string(Name),
+                           headerValue(Request.Headers, "Tenant"));
+      CPPUNIT_ASSERT_EQUAL(std::size_t(*Name == '\0' ? 1 : 2),
+                           Request.Headers.size());
+    }
+  }
+
+  /// Guards against a deployment without organisations whose backend servers no
+  /// longer get the headers that their callers send.
+  void credentialsPassWhenNoneAreRequired() {
+    HttpRequest Request{
+        "GET", "/a", {{"Authorization", "Bearer k1"}, {"Tenant", "x"}}, ""};
+    CallerRequest Read =
+        createSidecarCallers("")->describe(Request, false).value();
+    CPPUNIT_ASSERT(Read.CredentialDigest.empty());
+    CPPUNIT_ASSERT(
+        Request.Headers ==
+        (HeaderList{{"Authorization", "Bearer k1"}, {"Tenant", "x"}}));
+  }
+
   /// Guards against a status that guarantees "not run" for a request that may
   /// have run.
   void onlyNotRunOutcomesGetNotRunStatus() {
     auto Protocol = createSidecarCallers("own");
+    Refusal WithoutKey;
+    WithoutKey.Cause = Reason::UnknownCredential;
+    CPPUNIT_ASSERT_EQUAL(401U, Protocol->refuse(WithoutKey).Status);
     for (const ReasonInfo &Info : allReasons()) {
       Refusal R;
       R.Cause = Info.Code;
