--- a/lib/Node/CallersThread.cpp
+++ b/lib/Node/CallersThread.cpp
@@ -332,6 +332,7 @@
            {{"attempt", toString(Action.Info.Attempt)},
             {"caller_id", It->second.CallerId},
             {"rule", Action.Info.Rule.str()},
+            {"organisation", Action.Info.Organisation.str()},
             {"service", Action.Info.Service.str()},
             {"node", Action.Guard.str()},
             {"server", Action.Info.Preferred.str()},
--- a/unittests/RowStorePlatform/EndToEndTest.cpp
+++ b/unittests/RowStorePlatform/EndToEndTest.cpp
@@ -13,6 +13,7 @@
 #include <filesystem>
 #include <fstream>
 #include <iterator>
+#include <sstream>
 #include <thread>
 #include <unistd.h>
 
@@ -73,7 +74,7 @@
 public:
   PlatformFixture()
       : Store(Context),
-        Backend(Context, [this](const standin::ExchangePtr &E) { serve(*E); }) {
+        Backend(Context, [this](const standin::ExchangePtr &E) { serve(E); }) {
     StoreAddress = Store.listen({"127.0.0.1", 0}).value();
     BackendAddress = Backend.listen({"127.0.0.1", 0}).value();
     Thread = std::thread([this] { Context.run(); });
@@ -100,8 +101,22 @@
   Endpoint BackendAddress;
 
 private:
+  /// Keeps a request to a path that contains "hold" until the next one to a
+  /// path that contains "release".
+  void serve(const standin::ExchangePtr &E) {
+    std::string Target(E->request().target());
+    if (Target.find("hold") != std::string::npos) {
+      Held.push_back(E);
+      return;
+    }
+    if (Target.find("release") != std::string::npos)
+      for (const standin::ExchangePtr &Each : std::exchange(Held, {}))
+        answer(*Each);
+    answer(*E);
+  }
+
   /// Answers with the names and values of the headers that concern credentials.
-  static void serve(standin::Exchange &E) {
+  static void answer(standin::Exchange &E) {
     bool IsExpected =
         standin::headerOf(E.request(), "Expect-Instance") == "i-1";
     std::string Body = "whole";
@@ -116,6 +131,7 @@
     E.answer(std::move(Answer));
   }
 
+  std::vector<standin::ExchangePtr> Held;
   asio::io_context Context{1};
   asio::executor_work_guard<asio::io_context::executor_type> Work{
       Context.get_executor()};
@@ -218,12 +234,27 @@
          std::to_string(Sequence) + "}}";
 }
 
+std::filesystem::path logPath() {
+  return std::filesystem::temp_directory_path() /
+         ("credentials-test-" + std::to_string(getpid()) + ".log");
+}
+
+/// Returns the contents of a log file and removes it.
+std::string takeLog(const std::filesystem::path &Path) {
+  std::ifstream File(Path);
+  std::string Log((std::istreambuf_iterator<char>(File)),
+                  std::istreambuf_iterator<char>());
+  std::filesystem::remove(Path);
+  return Log;
+}
+
 class EndToEndTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(EndToEndTest);
   CPPUNIT_TEST(requestRunsOnOtherNode);
   CPPUNIT_TEST(firstViewIsPublished);
   CPPUNIT_TEST(departureOutlivesRestart);
   CPPUNIT_TEST(keysStayAtTheEntry);
+  CPPUNIT_TEST(subRequestsCountForTheirParent);
   CPPUNIT_TEST_SUITE_END();
 
   /// Guards against faults between components, which the tests of single
@@ -308,14 +339,54 @@
                                        std::string::npos);
   }
 
+  /// Guards against a sub-request that counts for no organisation because the
+  /// guard does not tell the entry whose request is running.
+  void subRequestsCountForTheirParent() {
+    const std::filesystem::path LogPath = logPath();
+    configureLogging(LogLevel::Info, LogPath.string());
+    {
+      PlatformFixture Platform;
+      Platform.publishText(credentialsConfig("r3", R"(["k1"])"));
+      RunningFleet Fleet(Platform, 1);
+      const NodeSettings &Settings = Fleet.Settings[0];
+      callUntil(
+          200, Settings.BackendServers,
+          {"POST", "/Instances.Heartbeat/i-1", {}, announcement(Platform, 1)});
+      CPPUNIT_ASSERT_EQUAL(200U, callUntil(200, Settings.Callers,
+                                           requestWithKey("/closed/x", "k1"))
+                                     .Status);
+      std::thread Parent([&] {
+        HttpRequest Request = requestWithKey("/closed/hold", "k1");
+        Request.Headers[1].Value = "parent";
+        call(Settings.Callers, Request);
+      });
+      // The parent is running on the backend server after some of these tries.
+      constexpr int Tries = 10;
+      for (int I = 0; I != Tries; ++I) {
+        HttpRequest Request = request("/open/x");
+        Request.Headers[1].Value = "parent." + std::to_string(I);
+        call(Settings.Callers, Request);
+        std::this_thread::sleep_for(std::chrono::milliseconds(50));
+      }
+      call(Settings.Callers, request("/open/release"));
+      Parent.join();
+    }
+    shutdownLogging();
+    int Counted = 0;
+    std::istringstream Lines(takeLog(LogPath));
+    for (std::string Line; std::getline(Lines, Line);)
+      if (Line.find("\"caller_id\":\"parent.") != std::string::npos &&
+          Line.find("\"organisation\":\"firm\"") != std::string::npos)
+        ++Counted;
+    CPPUNIT_ASSERT(Counted > 0);
+  }
+
   /// Guards against a key that a node passes to a backend server, writes to its
   /// log or shows in its status, against a caller that chooses its
   /// organisation, and against a revoked key that some node still accepts.
   void keysStayAtTheEntry() {
     const std::string Key = "the-key-of-the-firm";
-    const std::filesystem::path LogPath =
-        std::filesystem::temp_directory_path() /
-        ("credentials-test-" + std::to_string(getpid()) + ".log");
+    const std::filesystem::path LogPath = logPath();
     configureLogging(LogLevel::Debug, LogPath.string());
     std::string Shown;
     {
@@ -348,10 +419,7 @@
       }
     }
     shutdownLogging();
-    std::ifstream File(LogPath);
-    std::string Log((std::istreambuf_iterator<char>(File)),
-                    std::istreambuf_iterator<char>());
-    std::filesystem::remove(LogPath);
+    const std::string Log = takeLog(LogPath);
     CPPUNIT_ASSERT(Log.find("unknown-credential") != std::string::npos);
     CPPUNIT_ASSERT(Shown.find("unknown-credential") != std::string::npos);
     for (const std::string &Text : {Log, Shown})
