--- a/lib/Entry/EntryCore.h
+++ b/lib/Entry/EntryCore.h
@@ -28,6 +28,12 @@
     return Requests.isEmpty() && MintDeadlines.empty();
   }
 
+  bool requiresCredentials() const override {
+    return Rules && Rules->requiresCredentials();
+  }
+  OrganisationName
+  organisationOf(const std::string &CredentialDigest) const override;
+
   RequestId accept(const CallerRequest &Request, Time Now,
                    EntryActions &Actions) override;
   EntryActions mintKey(std::uint64_t Token, const ServiceName &Service,
@@ -49,10 +55,16 @@
 
 private:
   // Entry.cpp: arrival of requests, key claims and periodic work.
+  /// \param Owner organisation of the request's key, or null.
   std::optional<Reason> refusalReason(const CallerRequest &Request,
-                                      const MatchedRule *Matched) const;
+                                      const MatchedRule *Matched,
+                                      const Organisation *Owner) const;
   PendingRequest makePendingRequest(const CallerRequest &Request,
-                                    const Route &Target, Time Now) const;
+                                    const Route &Target,
+                                    const Organisation *Owner, Time Now) const;
+  /// Ends the requests whose key the current configuration does not contain,
+  /// unless they were sent to a guard.
+  void endRevoked(Time Now, EntryActions &Actions);
   void startClaim(PendingRequest &P, Time Now, EntryActions &Actions);
   void applyClaimOutput(ClaimOutput Output, Time Now, EntryActions &Actions);
   void expire(PendingRequest &P, Time Now, EntryActions &Actions);
@@ -61,7 +73,9 @@
   void start(PendingRequest &P, Time Now, EntryActions &Actions);
 
   // EntryCredit.cpp: rates of organisations.
-  bool isCounted(const CallerRequest &Request, const PendingRequest &P) const;
+  /// Returns true if the request uses up a part of its organisation's rate.
+  /// \param Owner organisation of the request's key, or null.
+  bool isCounted(const CallerRequest &Request, const Organisation *Owner) const;
   /// Asks for a credit, without which the request does not start.
   void requestCredit(PendingRequest &P, Time Now, EntryActions &Actions);
   /// Gives the credit of a request that ends back if the request did not run.
@@ -143,6 +157,8 @@
   std::uint64_t NextSequence = 1;
   std::uint64_t StrayCount = 0;
   bool Draining = false;
+  /// A configuration was applied after the last tick.
+  bool IsNewlyConfigured = false;
 };
 
 } // namespace teaselhitch
--- a/lib/Entry/EntryCredit.cpp
+++ b/lib/Entry/EntryCredit.cpp
@@ -3,14 +3,13 @@
 namespace teaselhitch {
 
 bool EntryCore::isCounted(const CallerRequest &Request,
-                          const PendingRequest &P) const {
-  // The parent of a sub-request was counted. A request with a key is counted
-  // even if its id looks like that of a sub-request, because callers choose
-  // ids.
-  bool IsSubRequest =
-      Request.ParentPriority && Request.CredentialDigest.empty();
-  return !P.Organisation.empty() && !IsSubRequest &&
-         Credits.isLimited(P.Organisation);
+                          const Organisation *Owner) const {
+  // A request with a key is counted even if its id looks like that of a
+  // sub-request, because callers choose ids.
+  if (Rules->requiresCredentials())
+    return Owner && Credits.isLimited(Owner->Name);
+  // The parent of a sub-request was counted.
+  return !Request.ParentPriority && Credits.isLimited(Request.Organisation);
 }
 
 void EntryCore::requestCredit(PendingRequest &P, Time Now,
--- a/unittests/RowStorePlatform/EndToEndTest.cpp
+++ b/unittests/RowStorePlatform/EndToEndTest.cpp
@@ -1,6 +1,7 @@
 #include "../../tools/teaselhitch-standin/RowStoreServer.h"
 #include "teaselhitch/Node/Node.h"
 #include "teaselhitch/Platform/HttpCall.h"
+#include "teaselhitch/Support/Log.h"
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -9,7 +10,12 @@
 
 #include <chrono>
 #include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+#include <sstream>
 #include <thread>
+#include <unistd.h>
 
 using namespace teaselhitch;
 
@@ -38,6 +44,24 @@
   return Text;
 }
 
+/// Returns a configuration with the organisation "firm" and these keys, a JSON
+/// array. The rule of "/closed/" needs a key, that of "/open/" does not.
+std::string credentialsConfig(const std::string &Version,
+                              const std::string &Keys) {
+  std::string Rules;
+  for (const char *Path : {"closed", "open"})
+    Rules += std::string(Rules.empty() ? "" : ",") + R"({"Name":")" + Path +
+             R"(","Kind":"unsafe","NoAuth":)" +
+             (Path == std::string("open") ? "true" : "false") +
+             R"(,"Match":{"Prefix":"/)" + Path +
+             R"(/"},"Action":{"Service":"s","TimeoutMs":3000}})";
+  return R"({"Version":")" + Version +
+         R"(","Listeners":[{"Host":"h.example","Rules":[)" + Rules +
+         R"(]}],"Clusters":[{"Name":"s"}],"Tenants":[{"Name":"firm",)"
+         R"("ApiKeys":)" +
+         Keys + "}]}";
+}
+
 Endpoint unusedAddress() {
   asio::io_context Context;
   asio::ip::tcp::acceptor Acceptor(Context,
@@ -50,7 +74,7 @@
 public:
   PlatformFixture()
       : Store(Context),
-        Backend(Context, [this](const standin::ExchangePtr &E) { serve(*E); }) {
+        Backend(Context, [this](const standin::ExchangePtr &E) { serve(E); }) {
     StoreAddress = Store.listen({"127.0.0.1", 0}).value();
     BackendAddress = Backend.listen({"127.0.0.1", 0}).value();
     Thread = std::thread([this] { Context.run(); });
@@ -66,6 +90,9 @@
     asio::post(Context,
                [=, this] { Store.put("op", "config", config(Version)); });
   }
+  void publishText(const std::string &Text) {
+    asio::post(Context, [=, this] { Store.put("op", "config", Text); });
+  }
   void setFault(standin::RowStoreFault Fault) {
     asio::post(Context, [=, this] { Store.setFault(Fault); });
   }
@@ -74,16 +101,37 @@
   Endpoint BackendAddress;
 
 private:
-  static void serve(standin::Exchange &E) {
+  /// Keeps a request to a path that contains "hold" until the next one to a
+  /// path that contains "release".
+  void serve(const standin::ExchangePtr &E) {
+    std::string Target(E->request().target());
+    if (Target.find("hold") != std::string::npos) {
+      Held.push_back(E);
+      return;
+    }
+    if (Target.find("release") != std::string::npos)
+      for (const standin::ExchangePtr &Each : std::exchange(Held, {}))
+        answer(*Each);
+    answer(*E);
+  }
+
+  /// Answers with the names and values of the headers that concern credentials.
+  static void answer(standin::Exchange &E) {
     bool IsExpected =
         standin::headerOf(E.request(), "Expect-Instance") == "i-1";
+    std::string Body = "whole";
+    for (const char *Name : {"Tenant", "Authorization"})
+      if (std::string Value = standin::headerOf(E.request(), Name);
+          !Value.empty())
+        Body += std::string(" ") + Name + "=" + Value;
     standin::HttpResponse Answer =
-        standin::makeResponse(IsExpected ? 200 : 421, "whole", "text/plain");
+        standin::makeResponse(IsExpected ? 200 : 421, Body, "text/plain");
     Answer.set("Request-Id", standin::headerOf(E.request(), "Request-Id"));
     Answer.set("Server-Seal", standin::headerOf(E.request(), "Caller-Service"));
     E.answer(std::move(Answer));
   }
 
+  std::vector<standin::ExchangePtr> Held;
   asio::io_context Context{1};
   asio::executor_work_guard<asio::io_context::executor_type> Work{
       Context.get_executor()};
@@ -168,6 +216,15 @@
       "body"};
 }
 
+/// Returns a request that claims to be of another organisation.
+HttpRequest requestWithKey(const std::string &Path, const std::string &Key) {
+  HttpRequest Request = request(Path);
+  Request.Headers.push_back(Header{"Tenant", "other"});
+  if (!Key.empty())
+    Request.Headers.push_back(Header{"Authorization", "Bearer " + Key});
+  return Request;
+}
+
 /// Returns the body of an announcement of the backend server.
 std::string announcement(const PlatformFixture &Platform, int Sequence) {
   return R"({"Address":")" + toString(Platform.BackendAddress) +
@@ -177,11 +234,28 @@
          std::to_string(Sequence) + "}}";
 }
 
+std::filesystem::path logPath() {
+  return std::filesystem::temp_directory_path() /
+         ("credentials-test-" + std::to_string(getpid()) + ".log");
+}
+
+/// Returns the contents of a log file and removes it.
+std::string takeLog(const std::filesystem::path &Path) {
+  std::ifstream File(Path);
+  std::string Log((std::istreambuf_iterator<char>(File)),
+                  std::istreambuf_iterator<char>());
+  std::filesystem::remove(Path);
+  return Log;
+}
+
 class EndToEndTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(EndToEndTest);
   CPPUNIT_TEST(requestRunsOnOtherNode);
   CPPUNIT_TEST(firstViewIsPublished);
   CPPUNIT_TEST(departureOutlivesRestart);
+  CPPUNIT_TEST(keysStayAtTheEntry);
+  CPPUNIT_TEST(subRequestsCountForTheirParent);
+  CPPUNIT_TEST(rateHoldsOverBothNodes);
   CPPUNIT_TEST_SUITE_END();
 
   /// Guards against faults between components, which the tests of single
@@ -265,6 +339,146 @@
     CPPUNIT_ASSERT_MESSAGE(Status, Status.find("\"state\":\"draining\"") !=
                                        std::string::npos);
   }
+
+  /// Guards against a sub-request that counts for no organisation because the
+  /// guard does not tell the entry whose request is running.
+  void subRequestsCountForTheirParent() {
+    const std::filesystem::path LogPath = logPath();
+    configureLogging(LogLevel::Info, LogPath.string());
+    {
+      PlatformFixture Platform;
+      Platform.publishText(credentialsConfig("r3", R"(["k1"])"));
+      RunningFleet Fleet(Platform, 1);
+      const NodeSettings &Settings = Fleet.Settings[0];
+      callUntil(
+          200, Settings.BackendServers,
+          {"POST", "/Instances.Heartbeat/i-1", {}, announcement(Platform, 1)});
+      CPPUNIT_ASSERT_EQUAL(200U, callUntil(200, Settings.Callers,
+                                           requestWithKey("/closed/x", "k1"))
+                                     .Status);
+      std::thread Parent([&] {
+        HttpRequest Request = requestWithKey("/closed/hold", "k1");
+        Request.Headers[1].Value = "parent";
+        call(Settings.Callers, Request);
+      });
+      // The parent is running on the backend server after some of these tries.
+      constexpr int Tries = 10;
+      for (int I = 0; I != Tries; ++I) {
+        HttpRequest Request = request("/open/x");
+        Request.Headers[1].Value = "parent." + std::to_string(I);
+        call(Settings.Callers, Request);
+        std::this_thread::sleep_for(std::chrono::milliseconds(50));
+      }
+      call(Settings.Callers, request("/open/release"));
+      Parent.join();
+    }
+    shutdownLogging();
+    int Counted = 0;
+    std::istringstream Lines(takeLog(LogPath));
+    for (std::string Line; std::getline(Lines, Line);)
+      if (Line.find("\"caller_id\":\"parent.") != std::string::npos &&
+          Line.find("\"organisation\":\"firm\"") != std::string::npos)
+        ++Counted;
+    CPPUNIT_ASSERT(Counted > 0);
+  }
+
+  /// Guards against a rate that each node applies for itself, and against
+  /// refusals without the time of the next credit. The bound is that of a
+  /// window of 5 s or more: rate and burst with 10% and 20 requests.
+  void rateHoldsOverBothNodes() {
+    constexpr double Rate = 2, Burst = 4;
+    std::string Text = credentialsConfig("r3", R"(["k1"])");
+    const std::string Name = R"("Name":"firm")";
+    Text.replace(Text.find(Name), Name.size(),
+                 Name + R"(,"RatePerS":2,"Burst":4)");
+    PlatformFixture Platform;
+    Platform.publishText(Text);
+    RunningFleet Fleet(Platform);
+    callUntil(
+        200, Fleet.Settings[1].BackendServers,
+        {"POST", "/Instances.Heartbeat/i-1", {}, announcement(Platform, 1)});
+    SteadyClock Clock;
+    Time Start = Clock.now();
+    for (const NodeSettings &Settings : Fleet.Settings)
+      CPPUNIT_ASSERT_EQUAL(200U, callUntil(200, Settings.Callers,
+                                           requestWithKey("/closed/x", "k1"))
+                                     .Status);
+    int Served = 2, Refused = 0;
+    constexpr int Rounds = 50;
+    for (int I = 0; I != Rounds; ++I)
+      for (const NodeSettings &Settings : Fleet.Settings) {
+        HttpAnswer Answer =
+            call(Settings.Callers, requestWithKey("/closed/x", "k1"));
+        if (Answer.Status == 200)
+          ++Served;
+        if (Answer.Status != 429)
+          continue;
+        ++Refused;
+        CPPUNIT_ASSERT(!headerValue(Answer.Headers, "Retry-After").empty());
+      }
+    double Seconds = std::max(5.0, (Clock.now() - Start).ms() / 1000);
+    CPPUNIT_ASSERT(Refused > 0);
+    CPPUNIT_ASSERT(Served <= (Rate * Seconds + Burst) * 1.1 + 20);
+    // Requests without a key on a public rule are not counted.
+    CPPUNIT_ASSERT_EQUAL(
+        200U, call(Fleet.Settings[0].Callers, request("/open/x")).Status);
+    std::string Status;
+    for (int Try = 0;
+         Try != MaxTries && Status.find(R"("owner":true)") == std::string::npos;
+         ++Try) {
+      Status.clear();
+      for (const NodeSettings &Settings : Fleet.Settings)
+        Status += call(Settings.Operators, {"GET", "/v1/status", {}, ""}).Body;
+      std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    }
+    CPPUNIT_ASSERT(Status.find(R"("owned_rates")") != std::string::npos);
+    CPPUNIT_ASSERT(Status.find(R"("owner":true)") != std::string::npos);
+  }
+
+  /// Guards against a key that a node passes to a backend server, writes to its
+  /// log or shows in its status, against a caller that chooses its
+  /// organisation, and against a revoked key that some node still accepts.
+  void keysStayAtTheEntry() {
+    const std::string Key = "the-key-of-the-firm";
+    const std::filesystem::path LogPath = logPath();
+    configureLogging(LogLevel::Debug, LogPath.string());
+    std::string Shown;
+    {
+      PlatformFixture Platform;
+      Platform.publishText(credentialsConfig("r3", "[\"" + Key + "\"]"));
+      RunningFleet Fleet(Platform);
+      HttpRequest Announcement{
+          "POST", "/Instances.Heartbeat/i-1", {}, announcement(Platform, 1)};
+      callUntil(200, Fleet.Settings[1].BackendServers, Announcement);
+      for (const NodeSettings &Settings : Fleet.Settings) {
+        HttpAnswer Answer =
+            callUntil(200, Settings.Callers, requestWithKey("/closed/x", Key));
+        CPPUNIT_ASSERT_EQUAL(std::string("whole Tenant=firm"), Answer.Body);
+        for (const char *Other : {"", "wrong"}) {
+          CPPUNIT_ASSERT_EQUAL(
+              401U, call(Settings.Callers, requestWithKey("/closed/x", Other))
+                        .Status);
+          Answer = callUntil(200, Settings.Callers,
+                             requestWithKey("/open/x", Other));
+          CPPUNIT_ASSERT_EQUAL(std::string("whole"), Answer.Body);
+        }
+      }
+      Platform.publishText(credentialsConfig("r4", "[]"));
+      for (const NodeSettings &Settings : Fleet.Settings) {
+        CPPUNIT_ASSERT_EQUAL(401U, callUntil(401, Settings.Callers,
+                                             requestWithKey("/closed/x", Key))
+                                       .Status);
+        for (const char *Path : {"/v1/status", "/metrics", "/v1/audit"})
+          Shown += call(Settings.Operators, {"GET", Path, {}, ""}).Body;
+      }
+    }
+    shutdownLogging();
+    const std::string Log = takeLog(LogPath);
+    CPPUNIT_ASSERT(Log.find("unknown-credential") != std::string::npos);
+    CPPUNIT_ASSERT(Shown.find("unknown-credential") != std::string::npos);
+    for (const std::string &Text : {Log, Shown})
+      CPPUNIT_ASSERT(Text.find(Key) == std::string::npos);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(EndToEndTest);
