--- a/include/teaselhitch/Entry/Entry.h
+++ b/include/teaselhitch/Entry/Entry.h
@@ -48,6 +48,9 @@
   bool IsParentRepeated = false;
   /// Time until the caller stops waiting, if the caller stated it.
   std::optional<Duration> Deadline;
+  /// Time between the arrival of the request and the call of Entry::accept(),
+  /// which counts against the deadline and the objective.
+  Duration Waited;
   std::uint64_t BodyBytes = 0;
   std::uint64_t BodyHash = 0;
 
@@ -166,6 +169,11 @@
   virtual void drain() = 0;
   virtual bool isIdle() const = 0;
 
+  /// Returns true if the rule for the request permits that it runs several
+  /// times; false if there is no rule. Reads only the method, the host and the
+  /// path.
+  virtual bool isIdempotent(const CallerRequest &Request) const = 0;
+
   /// Handles a new request and returns its id. The actions may already end the
   /// request.
   virtual RequestId accept(const CallerRequest &Request, Time Now,
--- a/include/teaselhitch/Net/HttpServer.h
+++ b/include/teaselhitch/Net/HttpServer.h
@@ -27,6 +27,19 @@
   /// Sets a function that is called once if the client closes the connection
   /// before the response is sent.
   virtual void onDisconnect(std::function<void()> Function) = 0;
+
+  /// True if the responses to earlier requests of the connection are not
+  /// completely written.
+  virtual bool hasEarlierRequests() const = 0;
+  /// Makes the handler be called again with this request after the responses to
+  /// all earlier requests of the connection are written; later requests wait as
+  /// well. This exchange must not be used afterwards.
+  virtual void defer() = 0;
+  /// Delays all later requests of the connection until the response to this one
+  /// is written.
+  virtual void holdLaterRequests() = 0;
+  /// Time since the request was completely received.
+  virtual Duration waited() const = 0;
 };
 
 struct HttpLimits {
@@ -45,6 +58,10 @@
   Endpoint Listen;
   HttpLimits Limits;
   std::uint32_t MaxConnections = 1024;
+  /// Maximum number of requests of a connection that are received before the
+  /// response to the first of them is written. With 1, a request is received
+  /// only after the response to the one before it.
+  std::uint32_t MaxPipelinedRequests = 1;
   /// Time limit for the request body, counted from the end of the header, and
   /// for writing the response.
   Duration RequestTimeout = Duration::seconds(30);
--- a/include/teaselhitch/Settings/NodeSettings.h
+++ b/include/teaselhitch/Settings/NodeSettings.h
@@ -62,6 +62,8 @@
   std::uint64_t MaxBodyBytes = 1024ULL * 1024;
   std::uint64_t MaxAnswerBytes = 1024ULL * 1024;
   std::uint32_t MaxCallerConnections = 1024;
+  /// Requests of one caller's connection that are in progress at once.
+  std::uint32_t MaxPipelinedRequests = 8;
   std::uint32_t MaxRequests = 8192;
   /// Maximum duration of a graceful shutdown, counted from the end of
   /// DrainGrace.
--- a/lib/Entry/Entry.cpp
+++ b/lib/Entry/Entry.cpp
@@ -67,7 +67,10 @@
     return Reason::NoRule;
   if (!Rules->isKnownOrganisation(Request.Organisation))
     return Reason::UnknownOrganisation;
-  if (Request.Deadline && Request.Deadline->ms() <= 0)
+  if (Request.Deadline && *Request.Deadline <= Request.Waited)
+    return Reason::DeadlineExpired;
+  bool HasWaited = Request.Waited.ms() > 0;
+  if (HasWaited && Matched->Object->Deadline <= Request.Waited)
     return Reason::DeadlineExpired;
   if (Requests.size() >= Settings.MaxRequests)
     return Reason::Overloaded;
@@ -85,10 +88,10 @@
   P.CallerId = Request.CallerId;
   P.Priority = requestPriority(Request, R);
   P.IsRepeat = Request.IsParentRepeated;
-  P.ArrivedAt = Now;
+  P.ArrivedAt = Now - Request.Waited;
   P.Objective = R.Objective.ms() > 0 ? R.Objective : R.Deadline;
   P.Deadline =
-      Now + std::min(R.Deadline, Request.Deadline.value_or(R.Deadline));
+      P.ArrivedAt + std::min(R.Deadline, Request.Deadline.value_or(R.Deadline));
   if (Request.Key.rfind(GuardKeyPrefix, 0) == 0)
     P.GuardKey = Request.Key;
   else if (!Request.Key.empty() && !R.Idempotent)
@@ -101,12 +104,20 @@
   return P;
 }
 
+const MatchedRule *EntryCore::match(const CallerRequest &Request) const {
+  return Rules ? Rules->match(Request.Method, Request.Host, Request.Path)
+               : nullptr;
+}
+
+bool EntryCore::isIdempotent(const CallerRequest &Request) const {
+  const MatchedRule *Matched = match(Request);
+  return Matched && Matched->Object->Idempotent;
+}
+
 RequestId EntryCore::accept(const CallerRequest &Request, Time Now,
                             EntryActions &Actions) {
   RequestId Id{Settings.Node, Settings.Incarnation, NextSequence++};
-  const MatchedRule *Matched =
-      Rules ? Rules->match(Request.Method, Request.Host, Request.Path)
-            : nullptr;
+  const MatchedRule *Matched = match(Request);
   std::optional<Reason> Why = refusalReason(Request, Matched);
   Route Target;
   if (!Why) {
--- a/lib/Entry/EntryCore.h
+++ b/lib/Entry/EntryCore.h
@@ -28,6 +28,7 @@
     return Requests.isEmpty() && MintDeadlines.empty();
   }
 
+  bool isIdempotent(const CallerRequest &Request) const override;
   RequestId accept(const CallerRequest &Request, Time Now,
                    EntryActions &Actions) override;
   EntryActions mintKey(std::uint64_t Token, const ServiceName &Service,
@@ -45,6 +46,7 @@
 
 private:
   // Entry.cpp: arrival of requests, key claims and periodic work.
+  const MatchedRule *match(const CallerRequest &Request) const;
   std::optional<Reason> refusalReason(const CallerRequest &Request,
                                       const MatchedRule *Matched) const;
   PendingRequest makePendingRequest(const CallerRequest &Request,
--- a/lib/Net/BackendClient.cpp
+++ b/lib/Net/BackendClient.cpp
@@ -22,8 +22,6 @@
 
 namespace teaselhitch {
 
-namespace beast = boost::beast;
-
 namespace {
 
 constexpr Duration ConnectTimeout = Duration::seconds(1);
--- a/lib/Net/Http.h
+++ b/lib/Net/Http.h
@@ -12,6 +12,7 @@
 
 namespace teaselhitch {
 
+namespace beast = boost::beast;
 namespace http = boost::beast::http;
 
 /// True for headers that apply to a single connection and are not forwarded.
--- a/lib/Node/CallersThread.cpp
+++ b/lib/Node/CallersThread.cpp
@@ -53,6 +53,10 @@
       .add();
 }
 
+bool isReserved(const HttpRequest &Request) {
+  return Request.Target.rfind(ReservedPathPrefix, 0) == 0;
+}
+
 } // namespace
 
 CallersThread::CallersThread(const NodeSettings &Settings, SharedState &Shared)
@@ -60,7 +64,15 @@
       Random(std::make_unique<SeededRandom>(std::random_device()())),
       Latency(Shared.Metrics.latency("teaselhitch_request_seconds",
                                      "Time from a whole request to its answer, "
-                                     "backend server included.")) {}
+                                     "backend server included.")),
+      PipelinedRequests(Shared.Metrics.counter(
+          "teaselhitch_pipelined_requests_total",
+          "Requests that were in progress together with earlier ones of their "
+          "connection.")),
+      DeferredRequests(Shared.Metrics.counter(
+          "teaselhitch_deferred_requests_total",
+          "Requests that waited for earlier ones of their connection, because "
+          "they are not idempotent.")) {}
 
 Result<std::unique_ptr<CallersThread>>
 CallersThread::create(const NodeSettings &Settings,
@@ -84,6 +96,7 @@
   Http.Limits.MaxHeaderBytes = Settings.MaxHeaderBytes;
   Http.Limits.MaxBodyBytes = Settings.MaxBodyBytes;
   Http.MaxConnections = Settings.MaxCallerConnections;
+  Http.MaxPipelinedRequests = Settings.MaxPipelinedRequests;
   CallersThread *Self = NewThread.get();
   BOOST_LEAF_ASSIGN(NewThread->Server,
                     HttpServer::create(
@@ -161,12 +174,34 @@
 
 void CallersThread::handle(std::shared_ptr<HttpExchange> Exchange) {
   refresh();
-  const std::string &Target = Exchange->request().Target;
-  if (Target.rfind(ReservedPathPrefix, 0) == 0)
+  if (!mayRunNow(*Exchange))
+    return;
+  if (isReserved(Exchange->request()))
     return handleKeyRequest(std::move(Exchange));
   handleRequest(Exchange);
 }
 
+bool CallersThread::mayRunNow(HttpExchange &Exchange) {
+  const HttpRequest &Request = Exchange.request();
+  CallerRequest Described;
+  Described.Method = Request.Method;
+  Described.Host = hostOf(Request);
+  Described.Path = pathOf(Request.Target);
+  bool HasEarlier = Exchange.hasEarlierRequests();
+  if (!isReserved(Request) && Core->isIdempotent(Described)) {
+    if (HasEarlier)
+      PipelinedRequests.add();
+    return true;
+  }
+  if (!HasEarlier) {
+    Exchange.holdLaterRequests();
+    return true;
+  }
+  DeferredRequests.add();
+  Exchange.defer();
+  return false;
+}
+
 void CallersThread::handleRequest(
     const std::shared_ptr<HttpExchange> &Exchange) {
   HttpRequest &Request = Exchange->request();
@@ -182,12 +217,13 @@
       });
   if (!Parsed)
     return Exchange->reply(refuse(Reason::BadRequest));
+  Parsed->Waited = Exchange->waited();
   RuleName ParentRule = resolveParent(*Parsed);
   EntryActions Actions;
   RequestId Id = Core->accept(*Parsed, now(), Actions);
   Requests.emplace(Id.Sequence,
-                   PendingRequest{Exchange, Request, Parsed->CallerId,
-                                  std::nullopt, now(), ParentRule, false});
+                   PendingRequest{Exchange, Parsed->CallerId, std::nullopt,
+                                  now() - Parsed->Waited, ParentRule, false});
   Exchange->onDisconnect([this, Id] { handleCallerGone(Id); });
   execute(std::move(Actions));
 }
@@ -334,8 +370,8 @@
             {"node", Action.Guard.str()},
             {"remaining_ms", Action.Info.Remaining.ms()}});
   // The request is copied, because another attempt may need it.
-  if (!sendToGuard(Action.Guard,
-                   Dispatch{std::move(Action.Info), It->second.Request}))
+  if (!sendToGuard(Action.Guard, Dispatch{std::move(Action.Info),
+                                          It->second.Exchange->request()}))
     execute(Core->handleFailure(makeNotRunFailure(Attempt, Reason::Overloaded),
                                 now()));
 }
--- a/lib/Node/CallersThread.h
+++ b/lib/Node/CallersThread.h
@@ -36,7 +36,6 @@
   /// A request that has not been answered yet.
   struct PendingRequest {
     std::shared_ptr<HttpExchange> Exchange;
-    HttpRequest Request;
     /// Request id that the caller supplied, or empty.
     std::string CallerId;
     /// Error answer of an attempt, returned to the caller if no other attempt
@@ -53,6 +52,12 @@
   void handle(std::shared_ptr<HttpExchange> Exchange);
   /// Returns the refusal of a request that was not assigned a request id.
   HttpAnswer refuse(Reason Cause, const std::string &CallerId = "");
+  /// Orders the requests of a connection on which the caller sends further
+  /// requests before it has received the responses: one that is not idempotent,
+  /// or of which this is not known, runs neither before the end of earlier ones
+  /// nor at the same time as later ones. Returns false if the request must
+  /// wait.
+  bool mayRunNow(HttpExchange &Exchange);
   void handleRequest(const std::shared_ptr<HttpExchange> &Exchange);
   /// Finds the parent request, which waits for this sub-request, and copies its
   /// priority into Request. Returns the rule of the parent, or an empty name.
@@ -109,6 +114,8 @@
   bool IsStopping = false;
   bool IsListenerClosed = false;
   LatencyHistogram &Latency;
+  Counter &PipelinedRequests;
+  Counter &DeferredRequests;
   // Last member, so that connections are destroyed before the members that
   // their handlers use.
   std::unique_ptr<HttpServer> Server;
--- a/lib/Settings/NodeSettings.cpp
+++ b/lib/Settings/NodeSettings.cpp
@@ -77,6 +77,9 @@
       MaxMessageBytes));
   S.MaxCallerConnections = static_cast<std::uint32_t>(Reader.integer(
       "max_caller_connections", S.MaxCallerConnections, 1, 65536));
+  constexpr std::int64_t MaxPipelined = 64;
+  S.MaxPipelinedRequests = static_cast<std::uint32_t>(Reader.integer(
+      "max_pipelined_requests", S.MaxPipelinedRequests, 1, MaxPipelined));
   S.MaxRequests = static_cast<std::uint32_t>(
       Reader.integer("max_requests", S.MaxRequests, 1, 65536));
   S.DrainTimeout =
--- a/unittests/Entry/EntryTest.cpp
+++ b/unittests/Entry/EntryTest.cpp
@@ -90,6 +90,7 @@
   CPPUNIT_TEST(neverReportsNotRunAfterUnknown);
   CPPUNIT_TEST(dropsStrayAnswers);
   CPPUNIT_TEST(deadlineReportsOutcome);
+  CPPUNIT_TEST(waitBeforeAcceptCountsAgainstDeadline);
   CPPUNIT_TEST(retryBudgetBoundsRetries);
   CPPUNIT_TEST(callerGoneCancels);
   CPPUNIT_TEST(dispatchCarriesTheBaselineOfTheService);
@@ -272,6 +273,34 @@
     CPPUNIT_ASSERT(Second->Result == Outcome::NotRun);
   }
 
+  /// Guards against a request that waited for earlier ones of its connection
+  /// and is then given its whole deadline again, or runs after its end.
+  void waitBeforeAcceptCountsAgainstDeadline() {
+    CallerRequest Request;
+    Request.Method = "GET";
+    Request.Path = "/read";
+    Request.Organisation = OrganisationName("default");
+    CPPUNIT_ASSERT(Core->isIdempotent(Request));
+    Request.Deadline = Duration(500);
+    Request.Waited = Duration(400);
+    EntryActions Actions;
+    Core->accept(Request, Now, Actions);
+    CPPUNIT_ASSERT(!find<ReplyFailure>(Actions));
+    CPPUNIT_ASSERT(!find<ReplyFailure>(Core->tick(Now + Duration(99))));
+    CPPUNIT_ASSERT(find<ReplyFailure>(Core->tick(Now + Duration(101))));
+    for (auto Deadline :
+         {std::optional<Duration>(Duration(400)), std::optional<Duration>()}) {
+      Request.Deadline = Deadline;
+      Request.Waited = Deadline.value_or(Duration::seconds(11));
+      EntryActions Late;
+      Core->accept(Request, Now, Late);
+      CPPUNIT_ASSERT(find<ReplyFailure>(Late)->Cause ==
+                     Reason::DeadlineExpired);
+    }
+    Request.Path = "/none";
+    CPPUNIT_ASSERT(!Core->isIdempotent(Request));
+  }
+
   /// Retries must not multiply an overload: they are limited to 20% of the
   /// requests and the fixed allowance.
   void retryBudgetBoundsRetries() {
--- a/unittests/Net/HttpServerTest.cpp
+++ b/unittests/Net/HttpServerTest.cpp
@@ -7,6 +7,7 @@
 #include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
+#include <vector>
 
 using namespace teaselhitch;
 
@@ -73,12 +74,25 @@
   CPPUNIT_TEST(reportsClientDisconnect);
   CPPUNIT_TEST(drainClosesAfterTheResponse);
   CPPUNIT_TEST(incompleteHeaderTimesOut);
+  CPPUNIT_TEST(closeBehindUnreadBytesIsDetected);
+  CPPUNIT_TEST(pipelinedRequestsRunTogether);
+  CPPUNIT_TEST(closeCancelsAllRequests);
+  CPPUNIT_TEST(deferredRequestWaits);
+  CPPUNIT_TEST(requestsBehindTheEndOfTheConnectionAreDropped);
+  CPPUNIT_TEST(malformedPipelinedRequestIsRefusedInOrder);
+  CPPUNIT_TEST(drainAnswersPipelinedRequests);
+  CPPUNIT_TEST(interimResponseIsNotSentTooEarly);
   CPPUNIT_TEST_SUITE_END();
 
 public:
   void setUp() override {
     Handled = 0;
+    start(1);
+  }
+
+  void start(std::uint32_t MaxPipelinedRequests) {
     HttpServerSettings Settings;
+    Settings.MaxPipelinedRequests = MaxPipelinedRequests;
     Settings.Listen = Endpoint{"127.0.0.1", 0};
     Settings.Limits.MaxHeaderBytes = 1024;
     Settings.Limits.MaxBodyBytes = 100;
@@ -108,10 +122,12 @@
     Thread = std::thread([this] { Loop->run(); });
   }
 
-  void tearDown() override {
+  void tearDown() override { stop(); }
+
+  void stop() {
     Loop->stop();
     Thread.join();
-    Pending.reset();
+    Pending.clear();
     Server.reset();
     Loop.reset();
   }
@@ -120,9 +136,14 @@
   void handle(const std::shared_ptr<HttpExchange> &E) {
     ++Handled;
     const HttpRequest &Request = E->request();
-    if (Request.Target == "/wait") {
-      Pending = E;
-      E->onDisconnect([this] { Disconnected = true; });
+    if (Request.Target == "/alone") {
+      if (E->hasEarlierRequests())
+        return E->defer();
+      E->holdLaterRequests();
+    }
+    if (Request.Target == "/wait" || Request.Target == "/alone") {
+      Pending.push_back(E);
+      E->onDisconnect([this] { ++Disconnected; });
       return;
     }
     std::string Body = Request.Method + " " + Request.Target;
@@ -133,11 +154,11 @@
 
   std::unique_ptr<EventLoop> Loop;
   std::unique_ptr<HttpServer> Server;
-  std::shared_ptr<HttpExchange> Pending;
+  std::vector<std::shared_ptr<HttpExchange>> Pending;
   std::thread Thread;
   std::uint16_t Port = 0;
   std::atomic<int> Handled{0};
-  std::atomic<bool> Disconnected{false};
+  std::atomic<int> Disconnected{0};
 
   /// Guards against responses that are sent for the wrong request of a
   /// connection.
@@ -246,11 +267,176 @@
       while (Handled == 0)
         std::this_thread::yield();
     }
-    while (!Disconnected)
-      std::this_thread::yield();
+    waitFor(Disconnected, 1);
     CPPUNIT_ASSERT_EQUAL(1, Handled.load());
   }
 
+  static void waitFor(const std::atomic<int> &Counter, int Value) {
+    while (Counter < Value)
+      std::this_thread::yield();
+  }
+
+  /// Answers the I-th request that waits.
+  void answer(std::size_t I, const std::string &Body) {
+    Loop->post([this, I, Body] {
+      Pending.at(I)->reply(HttpAnswer{200, {}, Body});
+    });
+  }
+
+  /// Returns after the loop has run everything that was posted before.
+  void flush() {
+    std::atomic<int> Done{0};
+    Loop->post([&Done] { ++Done; });
+    waitFor(Done, 1);
+  }
+
+  /// Guards against requests that are sent to backend servers although their
+  /// caller has closed the connection: the close was not detected while bytes
+  /// of a further request were unread.
+  void closeBehindUnreadBytesIsDetected() {
+    for (std::uint32_t MaxPipelined : {1U, 2U}) {
+      stop();
+      Handled = 0;
+      Disconnected = 0;
+      start(MaxPipelined);
+      {
+        RawClient Client(Port);
+        for (std::uint32_t I = 0; I < MaxPipelined; ++I)
+          Client.send("GET /wait HTTP/1.1\r\nHost: h\r\n\r\n");
+        waitFor(Handled, static_cast<int>(MaxPipelined));
+        Client.send("GET /unread HTTP/1.1\r\nHost: h\r\n\r\n");
+      }
+      waitFor(Disconnected, static_cast<int>(MaxPipelined));
+      flush();
+      CPPUNIT_ASSERT_EQUAL(static_cast<int>(MaxPipelined), Handled.load());
+    }
+  }
+
+  void restart(std::uint32_t MaxPipelinedRequests) {
+    stop();
+    start(MaxPipelinedRequests);
+  }
+
+  /// Guards against a later request that waits for a slow one although both are
+  /// idempotent, and against responses that are sent in the order in which the
+  /// requests ended.
+  void pipelinedRequestsRunTogether() {
+    restart(2);
+    RawClient Client(Port);
+    Client.send("GET /wait HTTP/1.1\r\nHost: h\r\n\r\n"
+                "GET /wait HTTP/1.1\r\nHost: h\r\n\r\n"
+                "GET /3 HTTP/1.1\r\nHost: h\r\n\r\n");
+    waitFor(Handled, 2);
+    answer(1, "second;");
+    flush();
+    CPPUNIT_ASSERT_EQUAL(2, Handled.load());
+    answer(0, "first;");
+    std::string Text = Client.readUntil(";end");
+    CPPUNIT_ASSERT(Text.find("first;") < Text.find("second;"));
+    CPPUNIT_ASSERT(Text.find("second;") < Text.find("GET /3"));
+    CPPUNIT_ASSERT_EQUAL(0, Disconnected.load());
+  }
+
+  /// Guards against requests behind the first one that keep running after their
+  /// caller has closed the connection.
+  void closeCancelsAllRequests() {
+    restart(3);
+    {
+      RawClient Client(Port);
+      Client.send("GET /wait HTTP/1.1\r\nHost: h\r\n\r\n"
+                  "GET /wait HTTP/1.1\r\nHost: h\r\n\r\nGET /partial");
+      waitFor(Handled, 2);
+    }
+    waitFor(Disconnected, 2);
+    CPPUNIT_ASSERT_EQUAL(2, Handled.load());
+  }
+
+  /// Guards against a request that is not idempotent and starts before the end
+  /// of an earlier one, or is not handled at all, and against later requests
+  /// that start before its end.
+  void deferredRequestWaits() {
+    restart(4);
+    RawClient Client(Port);
+    Client.send("GET /wait HTTP/1.1\r\nHost: h\r\n\r\n"
+                "POST /alone HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n"
+                "\r\nxGET /3 HTTP/1.1\r\nHost: h\r\n\r\n");
+    waitFor(Handled, 2);
+    answer(0, "first;");
+    Client.readUntil("first;");
+    // The deferred request is passed to the handler a second time.
+    waitFor(Handled, 3);
+    flush();
+    CPPUNIT_ASSERT_EQUAL(3, Handled.load());
+    CPPUNIT_ASSERT_EQUAL(std::string("x"), Pending.at(1)->request().Body);
+    answer(1, "second;");
+    std::string Text = Client.readUntil(";end");
+    CPPUNIT_ASSERT(Text.find("second;") < Text.find("GET /3"));
+  }
+
+  /// Guards against responses that follow the announced end of the connection,
+  /// and against the handling of requests whose responses cannot be sent.
+  void requestsBehindTheEndOfTheConnectionAreDropped() {
+    restart(4);
+    RawClient Client(Port);
+    Client.send("GET /wait HTTP/1.1\r\nHost: h\r\n\r\n"
+                "GET /2 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
+                "GET /3 HTTP/1.1\r\nHost: h\r\n\r\n");
+    waitFor(Handled, 2);
+    answer(0, "first;");
+    std::string Text = Client.readAll();
+    CPPUNIT_ASSERT(Text.find("first;") < Text.find("GET /2"));
+    CPPUNIT_ASSERT(Text.find("GET /3") == std::string::npos);
+    CPPUNIT_ASSERT_EQUAL(2, Handled.load());
+  }
+
+  /// Guards against the refusal of a malformed request that the caller reads as
+  /// the response to an earlier request.
+  void malformedPipelinedRequestIsRefusedInOrder() {
+    restart(4);
+    RawClient Client(Port);
+    Client.send("GET /wait HTTP/1.1\r\nHost: h\r\n\r\nGARBAGE\r\n\r\n");
+    waitFor(Handled, 1);
+    flush();
+    answer(0, "first;");
+    std::string Text = Client.readAll();
+    CPPUNIT_ASSERT(Text.find("first;") < Text.find("HTTP/1.1 400"));
+    CPPUNIT_ASSERT(Text.find("HTTP/1.1 400") != std::string::npos);
+  }
+
+  /// Guards against a planned stop that drops requests which were received.
+  void drainAnswersPipelinedRequests() {
+    restart(4);
+    RawClient Client(Port);
+    Client.send("GET /wait HTTP/1.1\r\nHost: h\r\n\r\n"
+                "GET /wait HTTP/1.1\r\nHost: h\r\n\r\n");
+    waitFor(Handled, 2);
+    Loop->post([this] { Server->drain(); });
+    answer(0, "first;");
+    answer(1, "second;");
+    std::string Text = Client.readAll();
+    std::size_t Close = Text.find("Connection: close");
+    CPPUNIT_ASSERT(Text.find("first;") < Close);
+    CPPUNIT_ASSERT(Close < Text.find("second;"));
+    CPPUNIT_ASSERT(Text.find("second;") != std::string::npos);
+  }
+
+  /// Guards against an interim response that the caller reads as the one to an
+  /// earlier request, and against a caller that never gets it.
+  void interimResponseIsNotSentTooEarly() {
+    restart(4);
+    RawClient Client(Port);
+    Client.send("GET /wait HTTP/1.1\r\nHost: h\r\n\r\n"
+                "POST /2 HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n"
+                "Expect: 100-continue\r\n\r\n");
+    waitFor(Handled, 1);
+    flush();
+    answer(0, "first;");
+    std::string Text = Client.readUntil("100 Continue\r\n\r\n");
+    CPPUNIT_ASSERT(Text.find("first;") < Text.find("100 Continue"));
+    Client.send("x");
+    CPPUNIT_ASSERT(Client.readUntil(";end").find("x;end") != std::string::npos);
+  }
+
   /// Guards against a planned shutdown that aborts a request in progress.
   void drainClosesAfterTheResponse() {
     RawClient Client(Port);
@@ -259,7 +445,7 @@
       std::this_thread::yield();
     Loop->post([this] {
       Server->drain();
-      Pending->reply(HttpAnswer{200, {}, "late;end"});
+      Pending.at(0)->reply(HttpAnswer{200, {}, "late;end"});
     });
     std::string Text = Client.readAll();
     CPPUNIT_ASSERT(Text.find("late;end") != std::string::npos);
