--- a/include/teaselhitch/Net/HttpServer.h
+++ b/include/teaselhitch/Net/HttpServer.h
@@ -7,6 +7,7 @@
 #include "teaselhitch/Model/Messages.h"
 #include "teaselhitch/Model/Records.h"
 #include "teaselhitch/Net/EventLoop.h"
+#include "teaselhitch/Support/MemoryBudget.h"
 #include "teaselhitch/Support/Result.h"
 
 #include <cstdint>
@@ -54,6 +55,17 @@
   auto operator<=>(const HttpLimits &) const = default;
 };
 
+/// What the server did because memory or connections were used up.
+enum class HttpServerEvent : std::uint8_t {
+  /// A connection with an unfinished request was closed in favour of others.
+  EvictedForMemory,
+  EvictedForConnections,
+  /// A request was refused because it does not fit.
+  RefusedForMemory,
+  /// A large body waits until it fits.
+  BodyDelayed,
+};
+
 struct HttpServerSettings {
   Endpoint Listen;
   HttpLimits Limits;
@@ -62,6 +74,11 @@
   /// response to the first of them is written. With 1, a request is received
   /// only after the response to the one before it.
   std::uint32_t MaxPipelinedRequests = 1;
+  /// Counts the bytes of requests and of unsent responses, if set; it must
+  /// outlive the server and its exchanges.
+  MemoryBudget *Memory = nullptr;
+  /// Called for each event, if set.
+  std::function<void(HttpServerEvent)> Notify;
   /// Time limit for the request body, counted from the end of the header, and
   /// for writing the response.
   Duration RequestTimeout = Duration::seconds(30);
@@ -71,7 +88,8 @@
 public:
   using Handler = std::function<void(std::shared_ptr<HttpExchange>)>;
   /// Builds the response to a request that the server itself refuses, such as a
-  /// malformed one.
+  /// malformed one or, with Reason::Overloaded, one that does not fit into the
+  /// memory.
   using RefusalHandler = std::function<HttpAnswer(Reason)>;
 
   /// Starts listening before it returns. Errors: InvalidInput if the listen
--- a/lib/Net/Http.cpp
+++ b/lib/Net/Http.cpp
@@ -34,7 +34,7 @@
                      [&](const char *N) { return iequals(N, Name); });
 }
 
-HttpRequest toRequest(http::request<http::string_body> &&Message) {
+HttpRequest toRequest(http::request<ReceivedBody> &&Message) {
   HttpRequest Request;
   Request.Method = std::string(Message.method_string());
   Request.Target = std::string(Message.target());
--- a/lib/Net/Http.h
+++ b/lib/Net/Http.h
@@ -6,9 +6,14 @@
 
 #include "teaselhitch/Model/Messages.h"
 
+#include <boost/beast/core/buffers_range.hpp>
 #include <boost/beast/http/fields.hpp>
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/string_body.hpp>
+#include <boost/optional.hpp>
+
+#include <cstdint>
+#include <string>
 
 namespace teaselhitch {
 
@@ -18,7 +23,42 @@
 /// True for headers that apply to a single connection and are not forwarded.
 bool isHopByHop(boost::beast::string_view Name);
 
-HttpRequest toRequest(http::request<http::string_body> &&Message);
+/// The body of a request that is being received. Unlike string_body, it does
+/// not reserve what the caller announces.
+struct ReceivedBody {
+  using value_type = std::string;
+
+  static std::uint64_t size(const value_type &Body) { return Body.size(); }
+
+  class reader {
+  public:
+    template <bool IsRequest, typename FieldsT>
+    reader(http::header<IsRequest, FieldsT> &, value_type &Body) : Body(Body) {}
+
+    void init(const boost::optional<std::uint64_t> &,
+              boost::system::error_code &EC) {
+      EC = {};
+    }
+
+    template <typename BuffersT>
+    std::size_t put(const BuffersT &Buffers, boost::system::error_code &EC) {
+      EC = {};
+      std::size_t Count = 0;
+      for (auto Buffer : beast::buffers_range_ref(Buffers)) {
+        Body.append(static_cast<const char *>(Buffer.data()), Buffer.size());
+        Count += Buffer.size();
+      }
+      return Count;
+    }
+
+    void finish(boost::system::error_code &EC) { EC = {}; }
+
+  private:
+    value_type &Body;
+  };
+};
+
+HttpRequest toRequest(http::request<ReceivedBody> &&Message);
 HttpAnswer toAnswer(http::response<http::string_body> &&Message);
 
 /// Drops the hop-by-hop headers. Host is set to Authority unless the request
--- a/lib/Net/HttpServer.cpp
+++ b/lib/Net/HttpServer.cpp
@@ -3,19 +3,14 @@
 #include "Asio.h"
 #include "HttpSession.h"
 
-#include <boost/asio/steady_timer.hpp>
-
 namespace teaselhitch {
 
 namespace {
 
-constexpr Duration SweepInterval = Duration(100);
-
 class HttpServerImpl final : public HttpServer {
 public:
   HttpServerImpl(EventLoop &Loop, std::shared_ptr<HttpServerState> Server)
-      : State(std::move(Server)), Acceptor(contextOf(Loop)),
-        SweepTimer(contextOf(Loop)) {}
+      : State(std::move(Server)), Acceptor(contextOf(Loop)) {}
   ~HttpServerImpl() override { close(); }
 
   ErrorCodeT listen(const Tcp::endpoint &Address) {
@@ -25,10 +20,7 @@
     return EC;
   }
 
-  void drain() override {
-    State->Draining = true;
-    sweep();
-  }
+  void drain() override { State->drain(); }
 
   void stopListening() override {
     ErrorCodeT EC;
@@ -46,8 +38,7 @@
   void close() override {
     ErrorCodeT Ignored;
     Acceptor.close(Ignored);
-    for (HttpSession *S : std::unordered_set<HttpSession *>(State->Sessions))
-      S->close();
+    State->close();
   }
 
   void setLimits(const HttpLimits &Limits) override {
@@ -63,16 +54,6 @@
   }
 
 private:
-  void sweep() {
-    for (HttpSession *S : std::unordered_set<HttpSession *>(State->Sessions))
-      S->closeIfIdle();
-    SweepTimer.expires_after(toChrono(SweepInterval));
-    SweepTimer.async_wait([this](ErrorCodeT EC) {
-      if (!EC)
-        sweep();
-    });
-  }
-
   void accept() {
     Acceptor.async_accept([this](ErrorCodeT EC, Tcp::socket Socket) {
       if (EC == asio::error::operation_aborted)
@@ -86,7 +67,9 @@
   void admit(Tcp::socket Socket) {
     // Closing the connection at once is the only refusal that needs no further
     // memory.
-    if (State->Sessions.size() >= State->Settings.MaxConnections)
+    if (State->Sessions.size() >= State->Settings.MaxConnections &&
+        !State->evictStalled(HttpServerEvent::EvictedForConnections, nullptr,
+                             0))
       return;
     configureSocket(Socket);
     std::make_shared<HttpSession>(std::move(Socket), State)->start();
@@ -94,7 +77,6 @@
 
   std::shared_ptr<HttpServerState> State;
   Tcp::acceptor Acceptor;
-  asio::steady_timer SweepTimer;
 };
 
 } // namespace
--- a/lib/Net/HttpSession.cpp
+++ b/lib/Net/HttpSession.cpp
@@ -2,6 +2,8 @@
 
 #include <boost/beast/http/write.hpp>
 
+#include <algorithm>
+
 namespace teaselhitch {
 
 namespace {
@@ -10,6 +12,26 @@
 /// request. It is not closed at once, because a client that has just connected
 /// is about to send its request.
 constexpr Duration DrainIdleTimeout = Duration(500);
+/// A request makes progress when this much of it has arrived, so that a caller
+/// that sends single bytes counts as stalled.
+constexpr std::size_t ProgressBytes = 16 * 1024;
+/// A chunked body, whose size is not known, is expected to reach this size at
+/// first, and the greatest permitted one after that.
+constexpr std::uint64_t FirstChunkedBytes = 1024ULL * 1024;
+/// Space for bytes that are read and not parsed yet.
+constexpr std::uint64_t UnparsedBytes = 128ULL * 1024;
+/// How long input is discarded after the last response. If a socket is closed
+/// with unread bytes, the kernel resets the connection, and the caller may lose
+/// responses that it has not read.
+constexpr Duration DiscardTimeout = Duration::seconds(1);
+constexpr std::size_t DiscardBytes = 4096;
+
+std::uint64_t sizeOf(const HeaderList &Headers) {
+  std::uint64_t Bytes = 0;
+  for (const Header &H : Headers)
+    Bytes += H.Name.size() + H.Value.size();
+  return Bytes;
+}
 
 } // namespace
 
@@ -33,9 +55,7 @@
     return Owner->Pipeline.hasEarlier(Ready.Serial);
   }
 
-  void defer() override {
-    Owner->Pipeline.defer(Ready.Serial, std::move(Ready.Request));
-  }
+  void defer() override { Owner->Pipeline.defer(std::move(Ready)); }
 
   void holdLaterRequests() override { Owner->Pipeline.holdLater(Ready.Serial); }
 
@@ -51,7 +71,9 @@
 HttpSession::HttpSession(Tcp::socket Socket,
                          std::shared_ptr<HttpServerState> Server)
     : Stream(std::move(Socket)), Server(std::move(Server)),
-      Pipeline(this->Server->Settings.MaxPipelinedRequests) {
+      Pipeline(this->Server->Settings.MaxPipelinedRequests),
+      ProgressAt(Monotonic.now()), Incoming(this->Server->openReservation()),
+      Outgoing(this->Server->openReservation()) {
   this->Server->Sessions.insert(this);
 }
 
@@ -62,19 +84,22 @@
 }
 
 void HttpSession::closeIfIdle() {
-  bool IsIdle =
-      Pipeline.isEmpty() && Reader.phase() == RequestReader::Phase::Idle;
+  bool IsIdle = !IsClosed && Pipeline.isEmpty() &&
+                Reader.phase() == RequestReader::Phase::Idle;
   if (IsIdle && Monotonic.now() - IdleSince >= DrainIdleTimeout)
     close();
 }
 
 void HttpSession::close() {
   IsClosed = true;
+  Server->Sessions.erase(this);
   if (WatchedSocket >= 0)
     Server->Hangups.forget(std::exchange(WatchedSocket, -1));
   ErrorCodeT Ignored;
   Stream.socket().shutdown(Tcp::socket::shutdown_both, Ignored);
   Stream.close();
+  Reader.clear();
+  Incoming.release();
 }
 
 void HttpSession::abort() {
@@ -89,7 +114,7 @@
   while (!IsClosed) {
     while (std::optional<RequestPipeline::Ready> Ready = Pipeline.takeReady())
       handOver(std::move(*Ready));
-    if (IsClosed || !Pipeline.canAdd() || !parseNext())
+    if (IsClosed || IsDelayed || !Pipeline.canAdd() || !parseNext())
       break;
   }
   if (IsClosed)
@@ -102,6 +127,7 @@
   Reader.setLimits(Server->Settings.Limits);
   switch (Reader.parse()) {
   case RequestReader::Result::NeedsMore:
+    reserveForRest();
     return false;
   case RequestReader::Result::HeaderComplete:
     AwaitsContinue = Reader.expectsContinue();
@@ -115,15 +141,90 @@
     break;
   }
   AwaitsContinue = false;
+  HasReceived = true;
   ReceivedRequest Received;
   Received.IsHead = Reader.isHead();
   Received.KeepAlive = Reader.keepAlive();
   Received.ReceivedAt = Monotonic.now();
   Received.Request = Reader.take();
-  Pipeline.add(std::move(Received));
+  if (reserve(Received.Request.Body.size() + Received.Request.Target.size() +
+              sizeOf(Received.Request.Headers))) {
+    Received.Held = std::exchange(Incoming, Server->openReservation());
+    Pipeline.add(std::move(Received));
+    return true;
+  }
+  Incoming.release();
+  Server->notify(HttpServerEvent::RefusedForMemory);
+  Pipeline.addAnswered(Server->Refuse(Reason::Overloaded), Received.IsHead,
+                       Received.KeepAlive);
   return true;
 }
 
+bool HttpSession::reserve(std::uint64_t Bytes) {
+  return Incoming.resize(Bytes) ||
+         (Server->evictStalled(HttpServerEvent::EvictedForMemory, this, 1) &&
+          Incoming.resize(Bytes));
+}
+
+std::uint64_t HttpSession::expectedBytes() const {
+  std::uint64_t Body = Reader.maxBodyBytes();
+  if (Reader.isChunked() && Reader.heldBytes() < FirstChunkedBytes / 2)
+    Body = std::min(Body, FirstChunkedBytes);
+  return Body + UnparsedBytes;
+}
+
+void HttpSession::reserveForRest() {
+  std::uint64_t Held = Reader.heldBytes();
+  if (Held <= Incoming.bytes())
+    return;
+  if (Held <= MemoryBudget::LargeBytes) {
+    if (reserve(Held))
+      return;
+    Server->notify(HttpServerEvent::RefusedForMemory);
+    return refuse(Reason::Overloaded);
+  }
+  if (Incoming.resize(expectedBytes()))
+    return Reader.reserveBody(expectedBytes() - UnparsedBytes);
+  IsDelayed = true;
+  DelayedAt = Monotonic.now();
+  Server->delay(shared_from_this());
+}
+
+bool HttpSession::tryResume() {
+  if (IsClosed)
+    return true;
+  if (!Incoming.resize(expectedBytes())) {
+    if (Monotonic.now() - DelayedAt < Server->Settings.RequestTimeout)
+      return false;
+    IsDelayed = false;
+    Server->notify(HttpServerEvent::RefusedForMemory);
+    refuse(Reason::Overloaded);
+    advance();
+    return true;
+  }
+  IsDelayed = false;
+  ProgressAt = Monotonic.now();
+  TimedPhase.reset();
+  Reader.reserveBody(expectedBytes() - UnparsedBytes);
+  waitForInput();
+  return true;
+}
+
+bool HttpSession::isReceiving() const {
+  return !IsClosed &&
+         (!HasReceived || Reader.phase() != RequestReader::Phase::Idle);
+}
+
+void HttpSession::recordProgress(std::size_t Count) {
+  bool IsFirst = Reader.phase() == RequestReader::Phase::Idle;
+  BytesSinceProgress += Count;
+  if (IsFirst || BytesSinceProgress >= ProgressBytes) {
+    ProgressAt = Monotonic.now();
+    BytesSinceProgress = 0;
+  }
+  Reader.commit(Count);
+}
+
 void HttpSession::handOver(RequestPipeline::Ready Ready) {
   Server->Handle(
       std::make_shared<Exchange>(shared_from_this(), std::move(Ready)));
@@ -137,7 +238,12 @@
 }
 
 void HttpSession::reply(std::uint64_t Serial, HttpAnswer Answer) {
-  if (!IsClosed && Pipeline.answer(Serial, std::move(Answer)))
+  if (IsClosed)
+    return;
+  MemoryBudget::Reservation Held = Server->openReservation();
+  // The response is in memory already.
+  Held.force(Answer.Body.size() + sizeOf(Answer.Headers));
+  if (Pipeline.answer(Serial, std::move(Answer), std::move(Held)))
     writeNext();
 }
 
@@ -146,6 +252,7 @@
   if (!Next)
     return;
   bool KeepAlive = Next->KeepAlive;
+  Outgoing = std::move(Next->Held);
   Response.emplace(
       fromAnswer(std::move(Next->Answer), KeepAlive, Next->IsHead));
   TimedPhase.reset();
@@ -159,16 +266,45 @@
 
 void HttpSession::onWritten(ErrorCodeT EC, bool KeepAlive) {
   Response.reset();
+  Outgoing.release();
   if (IsClosed)
     return;
   Pipeline.finishWriting();
-  // What follows a response that closes the connection is not answered.
-  if (EC || !KeepAlive)
+  if (EC)
     return abort();
+  if (!KeepAlive)
+    return finish();
   advance();
 }
 
+void HttpSession::finish() {
+  // What follows the response is not answered.
+  for (const std::function<void()> &Function : Pipeline.cancel())
+    Function();
+  ErrorCodeT EC;
+  if (Stream.socket().available(EC) == 0)
+    return close();
+  IsClosed = true;
+  Reader.clear();
+  Incoming.release();
+  Stream.socket().shutdown(Tcp::socket::shutdown_send, EC);
+  Stream.expires_after(toChrono(DiscardTimeout));
+  discardInput();
+}
+
+void HttpSession::discardInput() {
+  Stream.async_read_some(
+      Reader.prepareDiscard(DiscardBytes),
+      [Self = shared_from_this()](ErrorCodeT EC, std::size_t) {
+        if (EC)
+          return Self->close();
+        Self->discardInput();
+      });
+}
+
 void HttpSession::waitForInput() {
+  if (IsDelayed)
+    return waitForHangup();
   if (!Pipeline.isEmpty())
     return watch();
   if (AwaitsContinue)
@@ -211,9 +347,9 @@
       Reader.prepare(),
       [Self = shared_from_this()](ErrorCodeT EC, std::size_t Count) {
         Self->IsReading = false;
-        if (EC)
+        if (EC || Self->IsClosed)
           return Self->close();
-        Self->Reader.commit(Count);
+        Self->recordProgress(Count);
         Self->advance();
       });
 }
@@ -224,12 +360,13 @@
       (Pipeline.isWriting() && Pipeline.size() == 1))
     return;
   IsWatching = true;
-  Stream.socket().async_wait(
-      Tcp::socket::wait_read, [Self = shared_from_this()](ErrorCodeT EC) {
-        Self->IsWatching = false;
-        if (!EC && !Self->IsClosed && !Self->Pipeline.isEmpty())
-          Self->onReadable();
-      });
+  Stream.socket().async_wait(Tcp::socket::wait_read,
+                             [Self = shared_from_this()](ErrorCodeT EC) {
+                               Self->IsWatching = false;
+                               if (!EC && !Self->IsClosed && !Self->IsDelayed &&
+                                   !Self->Pipeline.isEmpty())
+                                 Self->onReadable();
+                             });
 }
 
 bool HttpSession::mayReceive() const {
@@ -254,7 +391,7 @@
   if (EC)
     return abort();
   AwaitsContinue = false;
-  Reader.commit(Count);
+  recordProgress(Count);
   advance();
 }
 
@@ -272,9 +409,13 @@
   if (EC)
     return abort();
   HasUnreadBytes = true;
+  waitForHangup();
+}
+
+void HttpSession::waitForHangup() {
   WatchedSocket = Stream.socket().native_handle();
   Server->Hangups.watch(WatchedSocket, [this] {
-    if (Pipeline.hasUnanswered())
+    if (IsDelayed || Pipeline.hasUnanswered())
       abort();
   });
 }
--- a/lib/Net/HttpSession.h
+++ b/lib/Net/HttpSession.h
@@ -5,8 +5,8 @@
 /// One connection of an HTTP server.
 
 #include "Asio.h"
-#include "HangupWatcher.h"
 #include "Http.h"
+#include "HttpServerState.h"
 #include "RequestPipeline.h"
 #include "RequestReader.h"
 
@@ -14,26 +14,9 @@
 
 #include <memory>
 #include <optional>
-#include <unordered_set>
 
 namespace teaselhitch {
 
-class HttpSession;
-
-/// State shared by all sessions of a server; outlives the server until the last
-/// session ends.
-struct HttpServerState {
-  HttpServerState(asio::io_context &Context, HttpServerSettings Settings)
-      : Settings(std::move(Settings)), Hangups(Context) {}
-
-  HttpServerSettings Settings;
-  HttpServer::Handler Handle;
-  HttpServer::RefusalHandler Refuse;
-  std::unordered_set<HttpSession *> Sessions;
-  HangupWatcher Hangups;
-  bool Draining = false;
-};
-
 /// Reads requests, passes them to the handler and writes the responses in the
 /// order of the requests. While a request is in progress, further ones are read
 /// as far as the pipeline permits.
@@ -50,6 +33,19 @@
   void closeIfIdle();
   /// Closes the connection without notice to the handler.
   void close();
+  /// Closes the connection and cancels the requests that are in progress.
+  void abort();
+
+  /// True if a request has not completely arrived, or if the connection has not
+  /// brought any request yet.
+  bool isReceiving() const;
+  std::uint64_t heldBytes() const { return Incoming.bytes(); }
+  bool isDelayed() const { return IsDelayed; }
+  /// When the request that is arriving last made progress.
+  Time progressAt() const { return ProgressAt; }
+  /// Continues to read a body that was delayed, if it fits now. Returns false
+  /// if it is still delayed.
+  bool tryResume();
 
 private:
   class Exchange;
@@ -76,10 +72,20 @@
   void onReadable();
   bool mayReceive() const;
   void checkForClose();
-  /// Closes the connection and cancels the requests that are in progress.
-  void abort();
+  void waitForHangup();
+  /// Ends the connection after a response that announced it.
+  void finish();
+  void discardInput();
   void sendContinue();
 
+  void recordProgress(std::size_t Count);
+  /// Counts the bytes that have arrived. Delays or refuses the request if they,
+  /// or the rest that must be expected, do not fit.
+  void reserveForRest();
+  bool reserve(std::uint64_t Bytes);
+  /// Bytes to reserve before the body may grow further.
+  std::uint64_t expectedBytes() const;
+
   beast::tcp_stream Stream;
   std::shared_ptr<HttpServerState> Server;
   RequestReader Reader;
@@ -87,6 +93,13 @@
   std::optional<http::response<http::string_body>> Response;
   SteadyClock Monotonic;
   Time IdleSince;
+  Time ProgressAt;
+  Time DelayedAt;
+  std::size_t BytesSinceProgress = 0;
+  /// The memory of the request that is arriving, and of the response that is
+  /// being written.
+  MemoryBudget::Reservation Incoming;
+  MemoryBudget::Reservation Outgoing;
   /// The phase whose time limit is set in Stream.
   std::optional<RequestReader::Phase> TimedPhase;
   /// Descriptor that is registered with the hangup watcher, or -1.
@@ -97,6 +110,10 @@
   bool HasUnreadBytes = false;
   /// The caller expects an interim response before it sends the body.
   bool AwaitsContinue = false;
+  /// Reading stops until the body fits into the memory.
+  bool IsDelayed = false;
+  /// At least one request has completely arrived.
+  bool HasReceived = false;
   bool IsClosed = false;
 };
 
--- a/lib/Net/RequestPipeline.cpp
+++ b/lib/Net/RequestPipeline.cpp
@@ -38,7 +38,7 @@
         return std::nullopt;
       E.Current = State::Handled;
       return Ready{E.Serial, std::move(E.Received.Request),
-                   E.Received.ReceivedAt};
+                   E.Received.ReceivedAt, std::move(E.Received.Held)};
     }
     if (E.HoldsLater)
       return std::nullopt;
@@ -62,13 +62,14 @@
     E->HoldsLater = true;
 }
 
-void RequestPipeline::defer(std::uint64_t Serial, HttpRequest Request) {
-  Entry *E = findHandled(Serial);
+void RequestPipeline::defer(Ready Request) {
+  Entry *E = findHandled(Request.Serial);
   if (!E)
     return;
   E->Current = State::Waiting;
   E->IsDeferred = true;
-  E->Received.Request = std::move(Request);
+  E->Received.Request = std::move(Request.Request);
+  E->Received.Held = std::move(Request.Held);
 }
 
 void RequestPipeline::onDisconnect(std::uint64_t Serial,
@@ -77,12 +78,14 @@
     E->OnDisconnect = std::move(Function);
 }
 
-bool RequestPipeline::answer(std::uint64_t Serial, HttpAnswer Answer) {
+bool RequestPipeline::answer(std::uint64_t Serial, HttpAnswer Answer,
+                             MemoryBudget::Reservation Held) {
   Entry *E = findHandled(Serial);
   if (!E)
     return false;
   E->Current = State::Answered;
   E->Answer = std::move(Answer);
+  E->AnswerHeld = std::move(Held);
   E->OnDisconnect = nullptr;
   return true;
 }
@@ -94,7 +97,8 @@
   IsWriting = true;
   Entry &First = Entries.front();
   bool EndsConnection = IsDraining && Entries.size() == 1;
-  return PendingResponse{std::move(First.Answer), First.Received.IsHead,
+  return PendingResponse{std::move(First.Answer), std::move(First.AnswerHeld),
+                         First.Received.IsHead,
                          First.Received.KeepAlive && !EndsConnection};
 }
 
--- a/lib/Net/RequestPipeline.h
+++ b/lib/Net/RequestPipeline.h
@@ -8,6 +8,7 @@
 
 #include "teaselhitch/Model/Messages.h"
 #include "teaselhitch/Support/Clock.h"
+#include "teaselhitch/Support/MemoryBudget.h"
 
 #include <cstdint>
 #include <deque>
@@ -21,6 +22,8 @@
 struct ReceivedRequest {
   HttpRequest Request;
   Time ReceivedAt;
+  /// The memory of the request; held as long as the request.
+  MemoryBudget::Reservation Held;
   bool IsHead = false;
   /// The connection may be used for further requests after this one.
   bool KeepAlive = true;
@@ -29,6 +32,8 @@
 /// A response that is to be written.
 struct PendingResponse {
   HttpAnswer Answer;
+  /// The memory of the response; held until it is written.
+  MemoryBudget::Reservation Held;
   bool IsHead = false;
   bool KeepAlive = true;
 };
@@ -60,6 +65,7 @@
     std::uint64_t Serial = 0;
     HttpRequest Request;
     Time ReceivedAt;
+    MemoryBudget::Reservation Held;
   };
   /// Returns the next request that may be handled now, or nothing. A request
   /// waits while one before it waits or holds later ones, and a deferred one
@@ -72,11 +78,12 @@
   void holdLater(std::uint64_t Serial);
   /// Returns a request that is being handled; it becomes ready again when it is
   /// the first.
-  void defer(std::uint64_t Serial, HttpRequest Request);
+  void defer(Ready Request);
   void onDisconnect(std::uint64_t Serial, std::function<void()> Function);
   /// Sets the response to a request that is being handled. Returns false if the
   /// request is not present or answered already.
-  bool answer(std::uint64_t Serial, HttpAnswer Answer);
+  bool answer(std::uint64_t Serial, HttpAnswer Answer,
+              MemoryBudget::Reservation Held = {});
 
   /// Returns the next response to write, or nothing if the response to the
   /// first request is missing or being written.
@@ -97,6 +104,7 @@
     State Current = State::Waiting;
     ReceivedRequest Received;
     HttpAnswer Answer;
+    MemoryBudget::Reservation AnswerHeld;
     std::function<void()> OnDisconnect;
     bool IsDeferred = false;
     bool HoldsLater = false;
--- a/lib/Net/RequestReader.cpp
+++ b/lib/Net/RequestReader.cpp
@@ -28,7 +28,7 @@
 /// False for a request whose end is ambiguous, because the bytes after it could
 /// be parsed as a separate request (request smuggling), for one without the
 /// single `Host` header that HTTP/1.1 requires, and for TRACE with a body.
-bool isWellFramed(const http::request<http::string_body> &Request) {
+bool isWellFramed(const http::request<ReceivedBody> &Request) {
   constexpr unsigned Http11 = 11;
   if (Request.version() >= Http11 && Request.count(http::field::host) != 1)
     return false;
@@ -45,7 +45,7 @@
 }
 
 /// The bytes of all header fields, with separator and line end.
-std::size_t fieldBytes(const http::request<http::string_body> &Request) {
+std::size_t fieldBytes(const http::request<ReceivedBody> &Request) {
   constexpr std::size_t SeparatorBytes = 4;
   std::size_t Bytes = 0;
   for (const auto &Field : Request)
@@ -58,7 +58,8 @@
 void RequestReader::begin() {
   Parser.emplace();
   Parser->header_limit(Limits.MaxHeaderBytes);
-  Parser->body_limit(Limits.MaxBodyBytes);
+  BodyLimit = Limits.MaxBodyBytes;
+  Parser->body_limit(BodyLimit);
   Parser->eager(false);
   IsHead = false;
   IsHeaderReported = false;
@@ -124,6 +125,28 @@
   return Result::Complete;
 }
 
+std::uint64_t RequestReader::heldBytes() const {
+  return Buffer.size() + (IsHeaderReported ? Parser->get().body().size() : 0);
+}
+
+std::uint64_t RequestReader::maxBodyBytes() const {
+  boost::optional<std::uint64_t> Length = Parser->content_length();
+  return Length ? *Length : BodyLimit;
+}
+
+bool RequestReader::isChunked() const { return Parser->chunked(); }
+
+void RequestReader::reserveBody(std::uint64_t Bytes) {
+  Parser->get().body().reserve(static_cast<std::size_t>(Bytes));
+}
+
+void RequestReader::clear() {
+  Parser.reset();
+  IsHeaderReported = false;
+  Buffer.clear();
+  Buffer.shrink_to_fit();
+}
+
 bool RequestReader::expectsContinue() const {
   return beast::iequals(Parser->get()[http::field::expect], "100-continue");
 }
--- a/lib/Net/RequestReader.h
+++ b/lib/Net/RequestReader.h
@@ -5,6 +5,7 @@
 /// Parses the requests of one connection from bytes as they arrive; does no
 /// I/O.
 
+#include "Http.h"
 #include "teaselhitch/Model/Messages.h"
 #include "teaselhitch/Model/Outcome.h"
 #include "teaselhitch/Net/HttpServer.h"
@@ -12,7 +13,6 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 
 #include <cstdint>
 #include <optional>
@@ -56,12 +56,27 @@
   bool keepAlive() const { return Parser->get().keep_alive(); }
   /// After Refused.
   Reason refusal() const { return Refusal; }
+
+  /// Bytes of the request that is arriving, parsed or not.
+  std::uint64_t heldBytes() const;
+  /// In the phase Body: greatest size that the body can reach.
+  std::uint64_t maxBodyBytes() const;
+  bool isChunked() const;
+  /// In the phase Body: allocates the memory for a body of this size, so that
+  /// it is not copied as it grows.
+  void reserveBody(std::uint64_t Bytes);
+  /// Frees all memory. Nothing can be parsed afterwards.
+  void clear();
+  /// After clear(): returns space for bytes that are not used.
+  boost::asio::mutable_buffer prepareDiscard(std::size_t Count) {
+    return Buffer.prepare(Count);
+  }
+
   /// After Complete: returns the request and prepares for the next one.
   HttpRequest take();
 
 private:
-  using RequestParser =
-      boost::beast::http::request_parser<boost::beast::http::string_body>;
+  using RequestParser = boost::beast::http::request_parser<ReceivedBody>;
 
   void begin();
   Result refuse(Reason Cause);
@@ -70,6 +85,7 @@
   HttpLimits Limits;
   boost::beast::flat_buffer Buffer;
   std::optional<RequestParser> Parser;
+  std::uint64_t BodyLimit = 0;
   Reason Refusal = Reason::BadRequest;
   bool IsHead = false;
   bool IsHeaderReported = false;
--- a/unittests/Net/HttpServerTest.cpp
+++ b/unittests/Net/HttpServerTest.cpp
@@ -82,6 +82,11 @@
   CPPUNIT_TEST(malformedPipelinedRequestIsRefusedInOrder);
   CPPUNIT_TEST(drainAnswersPipelinedRequests);
   CPPUNIT_TEST(interimResponseIsNotSentTooEarly);
+  CPPUNIT_TEST(requestThatDoesNotFitIsRefused);
+  CPPUNIT_TEST(stalledBodiesGiveWay);
+  CPPUNIT_TEST(stalledChunkedBodiesGiveWay);
+  CPPUNIT_TEST(stalledConnectionsGiveWay);
+  CPPUNIT_TEST(memoryIsReleasedAfterEachEnd);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -90,12 +95,13 @@
     start(1);
   }
 
-  void start(std::uint32_t MaxPipelinedRequests) {
-    HttpServerSettings Settings;
+  void start(std::uint32_t MaxPipelinedRequests,
+             HttpServerSettings Settings = {}) {
     Settings.MaxPipelinedRequests = MaxPipelinedRequests;
     Settings.Listen = Endpoint{"127.0.0.1", 0};
     Settings.Limits.MaxHeaderBytes = 1024;
-    Settings.Limits.MaxBodyBytes = 100;
+    if (!Settings.Memory)
+      Settings.Limits.MaxBodyBytes = 100;
     Settings.Limits.HeaderTimeout = Duration::seconds(1);
     Settings.Limits.IdleTimeout = Duration::seconds(3600);
     Loop = std::make_unique<EventLoop>();
@@ -152,6 +158,8 @@
     E->reply(HttpAnswer{200, {}, Body + "\n" + Request.Body + ";end"});
   }
 
+  /// Outlives the loop, whose pending operations may hold reservations.
+  MemoryBudget Memory;
   std::unique_ptr<EventLoop> Loop;
   std::unique_ptr<HttpServer> Server;
   std::vector<std::shared_ptr<HttpExchange>> Pending;
@@ -312,6 +320,155 @@
     }
   }
 
+  /// Starts a server with a limit of memory.
+  void restartWithMemory(std::uint64_t Bytes, std::uint64_t MaxBodyBytes) {
+    stop();
+    Memory.setLimit(Bytes);
+    HttpServerSettings Settings;
+    Settings.Memory = &Memory;
+    Settings.Limits.MaxBodyBytes = MaxBodyBytes;
+    start(1, Settings);
+  }
+
+  void waitUntilReleased() const {
+    while (Memory.held() != 0)
+      std::this_thread::yield();
+  }
+
+  static std::string post(const std::string &Target, std::size_t Bytes) {
+    return "POST " + Target +
+           " HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(Bytes) +
+           "\r\n\r\n";
+  }
+
+  /// Guards against requests that are held without a bound, against a refusal
+  /// of a request that is handled nevertheless, and against a connection that
+  /// cannot be used after it.
+  void requestThatDoesNotFitIsRefused() {
+    // Small enough to arrive with one read.
+    constexpr std::size_t Bytes = 3000;
+    restartWithMemory(5000, Bytes);
+    RawClient First(Port);
+    First.send(post("/wait", Bytes) + std::string(Bytes, 'a'));
+    waitFor(Handled, 1);
+    RawClient Second(Port);
+    const std::string Request = post("/2", Bytes) + std::string(Bytes, 'b');
+    Second.send(Request);
+    std::string Refused = Second.readUntil("\r\n\r\n");
+    CPPUNIT_ASSERT_EQUAL(std::string("HTTP/1.1 503"), Refused.substr(0, 12));
+    CPPUNIT_ASSERT_EQUAL(1, Handled.load());
+    answer(0, "first;");
+    First.readUntil("first;");
+    Loop->post([this] { Pending.clear(); });
+    flush();
+    Second.send(Request);
+    CPPUNIT_ASSERT(Second.readUntil(";end").find("POST /2") !=
+                   std::string::npos);
+    waitUntilReleased();
+  }
+
+  /// Pattern: callers send large bodies up to the last byte and keep the
+  /// connections open. Guards against these taking all memory, and against
+  /// ordinary requests and whole large bodies that are not served meanwhile.
+  void stalledBodiesGiveWay() {
+    constexpr std::size_t Bytes = 400 * 1024;
+    restartWithMemory(1024 * 1024, Bytes);
+    std::vector<std::unique_ptr<RawClient>> Stalled;
+    for (int I = 0; I < 6; ++I) {
+      Stalled.push_back(std::make_unique<RawClient>(Port));
+      Stalled.back()->send(post("/never", Bytes) + std::string(Bytes - 1, 's'));
+    }
+    RawClient Small(Port);
+    Small.send("GET /small HTTP/1.1\r\nHost: h\r\n\r\n");
+    CPPUNIT_ASSERT(Small.readUntil(";end").find("/small") != std::string::npos);
+    RawClient Large(Port);
+    Large.send(post("/large", Bytes) + std::string(Bytes, 'l'));
+    CPPUNIT_ASSERT(Large.readUntil(";end").find("/large") != std::string::npos);
+    CPPUNIT_ASSERT(Memory.held() <= Memory.limit());
+    CPPUNIT_ASSERT_EQUAL(2, Handled.load());
+    Stalled.clear();
+    waitUntilReleased();
+  }
+
+  /// As stalledBodiesGiveWay, with bodies whose size is not announced.
+  void stalledChunkedBodiesGiveWay() {
+    constexpr std::size_t Bytes = 400 * 1024;
+    restartWithMemory(1024 * 1024, Bytes);
+    const std::string Header =
+        " HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n64000\r\n";
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0x64000), Bytes);
+    std::vector<std::unique_ptr<RawClient>> Stalled;
+    for (int I = 0; I < 6; ++I) {
+      Stalled.push_back(std::make_unique<RawClient>(Port));
+      Stalled.back()->send("POST /never" + Header + std::string(Bytes, 's'));
+    }
+    RawClient Large(Port);
+    Large.send("POST /large" + Header + std::string(Bytes, 'l') +
+               "\r\n0\r\n\r\n");
+    CPPUNIT_ASSERT(Large.readUntil(";end").find("/large") != std::string::npos);
+    CPPUNIT_ASSERT(Memory.held() <= Memory.limit());
+    Stalled.clear();
+    waitUntilReleased();
+  }
+
+  /// Pattern: callers take all connections and send requests that do not end.
+  /// Guards against a new ordinary caller that gets no connection.
+  void stalledConnectionsGiveWay() {
+    stop();
+    HttpServerSettings Settings;
+    Settings.MaxConnections = 3;
+    start(1, Settings);
+    RawClient Silent(Port);
+    RawClient InHeader(Port);
+    InHeader.send("GET /1 HTTP/1.1\r\nHo");
+    RawClient InBody(Port);
+    InBody.send(post("/1", 10) + "123");
+    std::string Text;
+    while (Text.empty()) {
+      RawClient Ordinary(Port);
+      Ordinary.send("GET /ordinary HTTP/1.1\r\nHost: h\r\n\r\n");
+      Text = Ordinary.readUntil(";end");
+    }
+    CPPUNIT_ASSERT(Text.find("/ordinary") != std::string::npos);
+  }
+
+  /// Guards against a leak in the accounting, which would in the end cause
+  /// every request to be refused.
+  void memoryIsReleasedAfterEachEnd() {
+    constexpr std::size_t Bytes = 200 * 1024;
+    restartWithMemory(1024 * 1024, Bytes);
+    {
+      RawClient Client(Port);
+      Client.send(post("/1", Bytes) + std::string(Bytes, 'a'));
+      Client.readUntil(";end");
+      waitUntilReleased();
+      // Closed by the server because of a refusal.
+      Client.send(post("/2", Bytes + 1));
+      Client.readAll();
+      waitUntilReleased();
+    }
+    {
+      // Closed by the caller while the request is handled.
+      RawClient Client(Port);
+      Client.send(post("/wait", Bytes) + std::string(Bytes, 'a'));
+      waitFor(Handled, 2);
+      CPPUNIT_ASSERT(Memory.held() >= Bytes);
+    }
+    waitFor(Disconnected, 1);
+    Loop->post([this] { Pending.clear(); });
+    waitUntilReleased();
+    for (const std::string &Part : {std::string("abc"), std::string(1000, 'a'),
+                                    std::string(Bytes - 1, 'a')}) {
+      // Closed by the caller within the body.
+      {
+        RawClient Client(Port);
+        Client.send(post("/3", Bytes) + Part);
+      }
+      waitUntilReleased();
+    }
+    CPPUNIT_ASSERT_EQUAL(2, Handled.load());
+  }
+
   void restart(std::uint32_t MaxPipelinedRequests) {
     stop();
     start(MaxPipelinedRequests);
--- a/unittests/Net/RequestPipelineTest.cpp
+++ b/unittests/Net/RequestPipelineTest.cpp
@@ -98,7 +98,7 @@
     auto Second = Pipeline.takeReady();
     CPPUNIT_ASSERT(!Pipeline.hasEarlier(First));
     CPPUNIT_ASSERT(Pipeline.hasEarlier(Second->Serial));
-    Pipeline.defer(Second->Serial, std::move(Second->Request));
+    Pipeline.defer(std::move(*Second));
     CPPUNIT_ASSERT_EQUAL(std::string(), takeAll(Pipeline));
     Pipeline.answer(First, makeAnswer("a"));
     CPPUNIT_ASSERT_EQUAL(std::string(), takeAll(Pipeline));
