--- a/lib/Node/CallersThread.cpp
+++ b/lib/Node/CallersThread.cpp
@@ -31,6 +31,8 @@
 /// timeout; a connection that the server closes at the same moment would lose a
 /// request.
 constexpr double IdleTimeoutFactor = 1.25;
+/// Smallest delay that `Retry-After` can state.
+constexpr Duration OverloadRetryAfter = Duration::seconds(1);
 constexpr const char *KeysPath = "/.teaselhitch/keys";
 constexpr const char *ReservedPathPrefix = "/.teaselhitch/";
 
@@ -97,7 +99,9 @@
   Http.Limits.MaxBodyBytes = Settings.MaxBodyBytes;
   Http.MaxConnections = Settings.MaxCallerConnections;
   Http.MaxPipelinedRequests = Settings.MaxPipelinedRequests;
+  Http.Memory = &Shared.Memory;
   CallersThread *Self = NewThread.get();
+  Http.Notify = [Self](HttpServerEvent Event) { Self->record(Event); };
   BOOST_LEAF_ASSIGN(NewThread->Server,
                     HttpServer::create(
                         NewThread->Loop, Http,
@@ -169,9 +173,41 @@
   Refusal Details;
   Details.Cause = Cause;
   Details.CallerId = CallerId;
+  if (Cause == Reason::Overloaded)
+    Details.RetryAfter = OverloadRetryAfter;
   return Protocol->refuse(Details);
 }
 
+void CallersThread::record(HttpServerEvent Event) {
+  struct Description {
+    const char *Name;
+    const char *Cause;
+  };
+  auto Describe = [](HttpServerEvent E) -> Description {
+    switch (E) {
+    case HttpServerEvent::EvictedForMemory:
+      return {"caller-evicted", "memory"};
+    case HttpServerEvent::EvictedForConnections:
+      return {"caller-evicted", "connections"};
+    case HttpServerEvent::RefusedForMemory:
+      return {"request-refused", "memory"};
+    case HttpServerEvent::BodyDelayed:
+      break;
+    }
+    return {"body-delayed", "memory"};
+  };
+  Description D = Describe(Event);
+  Shared.Metrics
+      .counter("teaselhitch_caller_limits_total",
+               "Connections and requests of callers that were closed, refused "
+               "or delayed, because memory or connections were used up.",
+               std::string("event=\"") + D.Name + "\",cause=\"" + D.Cause +
+                   "\"")
+      .add();
+  logEvent(LogLevel::Info, "callers", D.Name,
+           {{"cause", D.Cause}, {"memory_held", Shared.Memory.held()}});
+}
+
 void CallersThread::handle(std::shared_ptr<HttpExchange> Exchange) {
   refresh();
   if (!mayRunNow(*Exchange))
--- a/lib/Node/CallersThread.h
+++ b/lib/Node/CallersThread.h
@@ -58,6 +58,8 @@
   /// nor at the same time as later ones. Returns false if the request must
   /// wait.
   bool mayRunNow(HttpExchange &Exchange);
+  /// Logs and counts what the server did because of its limits.
+  void record(HttpServerEvent Event);
   void handleRequest(const std::shared_ptr<HttpExchange> &Exchange);
   /// Finds the parent request, which waits for this sub-request, and copies its
   /// priority into Request. Returns the rule of the parent, or an empty name.
--- a/lib/Node/SharedState.h
+++ b/lib/Node/SharedState.h
@@ -15,6 +15,7 @@
 #include "teaselhitch/Net/PeerLinks.h"
 #include "teaselhitch/Platform/TableRequests.h"
 #include "teaselhitch/Support/Channel.h"
+#include "teaselhitch/Support/MemoryBudget.h"
 #include "teaselhitch/Support/Metrics.h"
 #include "teaselhitch/Support/PublishedSnapshot.h"
 
@@ -122,6 +123,9 @@
 
 /// State that the threads of a node share.
 struct SharedState {
+  /// First member, because messages in the channels hold reservations.
+  MemoryBudget Memory;
+
   Channel<GuardMessage> CallersToBackends{ChannelCapacity};
   Channel<EntryMessage> BackendsToCallers{ChannelCapacity};
   Channel<RunChange> RunsToCallers{ChannelCapacity};
