--- a/include/teaselhitch/Entry/Entry.h
+++ b/include/teaselhitch/Entry/Entry.h
@@ -57,6 +57,9 @@
   bool IsParentRepeated = false;
   /// Time until the caller stops waiting, if the caller stated it.
   std::optional<Duration> Deadline;
+  /// Time between the arrival of the request and the call of Entry::accept(),
+  /// which counts against the deadline and the objective.
+  Duration Waited;
   std::uint64_t BodyBytes = 0;
   std::uint64_t BodyHash = 0;
 
@@ -182,6 +185,10 @@
   /// name.
   virtual OrganisationName
   organisationOf(const std::string &CredentialDigest) const = 0;
+  /// Returns true if the rule for the request permits that it runs several
+  /// times; false if there is no rule. Reads only the method, the host and the
+  /// path.
+  virtual bool isIdempotent(const CallerRequest &Request) const = 0;
 
   /// Handles a new request and returns its id. The actions may already end the
   /// request.
--- a/include/teaselhitch/Net/HttpServer.h
+++ b/include/teaselhitch/Net/HttpServer.h
@@ -7,6 +7,7 @@
 #include "teaselhitch/Model/Messages.h"
 #include "teaselhitch/Model/Records.h"
 #include "teaselhitch/Net/EventLoop.h"
+#include "teaselhitch/Support/MemoryBudget.h"
 #include "teaselhitch/Support/Result.h"
 
 #include <cstdint>
@@ -27,6 +28,19 @@
   /// Sets a function that is called once if the client closes the connection
   /// before the response is sent.
   virtual void onDisconnect(std::function<void()> Function) = 0;
+
+  /// True if the responses to earlier requests of the connection are not
+  /// completely written.
+  virtual bool hasEarlierRequests() const = 0;
+  /// Makes the handler be called again with this request after the responses to
+  /// all earlier requests of the connection are written; later requests wait as
+  /// well. This exchange must not be used afterwards.
+  virtual void defer() = 0;
+  /// Delays all later requests of the connection until the response to this one
+  /// is written.
+  virtual void holdLaterRequests() = 0;
+  /// Time since the request was completely received.
+  virtual Duration waited() const = 0;
 };
 
 struct HttpLimits {
@@ -41,10 +55,30 @@
   auto operator<=>(const HttpLimits &) const = default;
 };
 
+/// What the server did because memory or connections were used up.
+enum class HttpServerEvent : std::uint8_t {
+  /// A connection with an unfinished request was closed in favour of others.
+  EvictedForMemory,
+  EvictedForConnections,
+  /// A request was refused because it does not fit.
+  RefusedForMemory,
+  /// A large body waits until it fits.
+  BodyDelayed,
+};
+
 struct HttpServerSettings {
   Endpoint Listen;
   HttpLimits Limits;
   std::uint32_t MaxConnections = 1024;
+  /// Maximum number of requests of a connection that are received before the
+  /// response to the first of them is written. With 1, a request is received
+  /// only after the response to the one before it.
+  std::uint32_t MaxPipelinedRequests = 1;
+  /// Counts the bytes of requests and of unsent responses, if set; it must
+  /// outlive the server and its exchanges.
+  MemoryBudget *Memory = nullptr;
+  /// Called for each event, if set.
+  std::function<void(HttpServerEvent)> Notify;
   /// Time limit for the request body, counted from the end of the header, and
   /// for writing the response.
   Duration RequestTimeout = Duration::seconds(30);
@@ -54,7 +88,8 @@
 public:
   using Handler = std::function<void(std::shared_ptr<HttpExchange>)>;
   /// Builds the response to a request that the server itself refuses, such as a
-  /// malformed one.
+  /// malformed one or, with Reason::Overloaded, one that does not fit into the
+  /// memory.
   using RefusalHandler = std::function<HttpAnswer(Reason)>;
 
   /// Starts listening before it returns. Errors: InvalidInput if the listen
--- a/lib/Entry/EntryCore.h
+++ b/lib/Entry/EntryCore.h
@@ -34,6 +34,7 @@
   OrganisationName
   organisationOf(const std::string &CredentialDigest) const override;
 
+  bool isIdempotent(const CallerRequest &Request) const override;
   RequestId accept(const CallerRequest &Request, Time Now,
                    EntryActions &Actions) override;
   EntryActions mintKey(std::uint64_t Token, const ServiceName &Service,
@@ -55,6 +56,7 @@
 
 private:
   // Entry.cpp: arrival of requests, key claims and periodic work.
+  const MatchedRule *match(const CallerRequest &Request) const;
   /// \param Owner organisation of the request's key, or null.
   std::optional<Reason> refusalReason(const CallerRequest &Request,
                                       const MatchedRule *Matched,
--- a/lib/Node/CallersThread.cpp
+++ b/lib/Node/CallersThread.cpp
@@ -31,6 +31,8 @@
 /// timeout; a connection that the server closes at the same moment would lose a
 /// request.
 constexpr double IdleTimeoutFactor = 1.25;
+/// Smallest delay that `Retry-After` can state.
+constexpr Duration OverloadRetryAfter = Duration::seconds(1);
 constexpr const char *KeysPath = "/.teaselhitch/keys";
 constexpr const char *ReservedPathPrefix = "/.teaselhitch/";
 
@@ -67,6 +69,10 @@
       .add();
 }
 
+bool isReserved(const HttpRequest &Request) {
+  return Request.Target.rfind(ReservedPathPrefix, 0) == 0;
+}
+
 } // namespace
 
 CallersThread::CallersThread(const NodeSettings &Settings, SharedState &Shared)
@@ -75,7 +81,15 @@
       Latency(Shared.Metrics.latency("teaselhitch_request_seconds",
                                      "Time from a whole request to its answer, "
                                      "backend server included.")),
-      CreditReport(Shared.Metrics) {}
+      CreditReport(Shared.Metrics),
+      PipelinedRequests(Shared.Metrics.counter(
+          "teaselhitch_pipelined_requests_total",
+          "Requests that were in progress together with earlier ones of their "
+          "connection.")),
+      DeferredRequests(Shared.Metrics.counter(
+          "teaselhitch_deferred_requests_total",
+          "Requests that waited for earlier ones of their connection, because "
+          "they are not idempotent.")) {}
 
 Result<std::unique_ptr<CallersThread>>
 CallersThread::create(const NodeSettings &Settings,
@@ -99,7 +113,10 @@
   Http.Limits.MaxHeaderBytes = Settings.MaxHeaderBytes;
   Http.Limits.MaxBodyBytes = Settings.MaxBodyBytes;
   Http.MaxConnections = Settings.MaxCallerConnections;
+  Http.MaxPipelinedRequests = Settings.MaxPipelinedRequests;
+  Http.Memory = &Shared.Memory;
   CallersThread *Self = NewThread.get();
+  Http.Notify = [Self](HttpServerEvent Event) { Self->record(Event); };
   BOOST_LEAF_ASSIGN(NewThread->Server,
                     HttpServer::create(
                         NewThread->Loop, Http,
@@ -176,17 +193,71 @@
   Refusal Details;
   Details.Cause = Cause;
   Details.CallerId = CallerId;
+  if (Cause == Reason::Overloaded)
+    Details.RetryAfter = OverloadRetryAfter;
   return Protocol->refuse(Details);
 }
 
+void CallersThread::record(HttpServerEvent Event) {
+  struct Description {
+    const char *Name;
+    const char *Cause;
+  };
+  auto Describe = [](HttpServerEvent E) -> Description {
+    switch (E) {
+    case HttpServerEvent::EvictedForMemory:
+      return {"caller-evicted", "memory"};
+    case HttpServerEvent::EvictedForConnections:
+      return {"caller-evicted", "connections"};
+    case HttpServerEvent::RefusedForMemory:
+      return {"request-refused", "memory"};
+    case HttpServerEvent::BodyDelayed:
+      break;
+    }
+    return {"body-delayed", "memory"};
+  };
+  Description D = Describe(Event);
+  Shared.Metrics
+      .counter("teaselhitch_caller_limits_total",
+               "Connections and requests of callers that were closed, refused "
+               "or delayed, because memory or connections were used up.",
+               std::string("event=\"") + D.Name + "\",cause=\"" + D.Cause +
+                   "\"")
+      .add();
+  logEvent(LogLevel::Info, "callers", D.Name,
+           {{"cause", D.Cause}, {"memory_held", Shared.Memory.held()}});
+}
+
 void CallersThread::handle(std::shared_ptr<HttpExchange> Exchange) {
   refresh();
-  const std::string &Target = Exchange->request().Target;
-  if (Target.rfind(ReservedPathPrefix, 0) == 0)
+  if (!mayRunNow(*Exchange))
+    return;
+  if (isReserved(Exchange->request()))
     return handleKeyRequest(std::move(Exchange));
   handleRequest(Exchange);
 }
 
+bool CallersThread::mayRunNow(HttpExchange &Exchange) {
+  const HttpRequest &Request = Exchange.request();
+  CallerRequest Described;
+  Described.Method = Request.Method;
+  Described.Host = hostOf(Request);
+  Described.Path = pathOf(Request.Target);
+  bool HasEarlier = Exchange.hasEarlierRequests();
+  if (!isReserved(Request) && Core->isIdempotent(Described)) {
+    if (HasEarlier)
+      PipelinedRequests.add();
+    return true;
+  }
+  if (!HasEarlier) {
+    Exchange.holdLaterRequests();
+    return true;
+  }
+  DeferredRequests.add();
+  Exchange.defer();
+  return false;
+}
+
 void CallersThread::handleRequest(
     const std::shared_ptr<HttpExchange> &Exchange) {
   HttpRequest &Request = Exchange->request();
@@ -205,12 +276,13 @@
     return Exchange->reply(refuse(Reason::BadRequest));
   if (RequiresCredentials)
     Protocol->identify(Request, Core->organisationOf(Parsed->CredentialDigest));
+  Parsed->Waited = Exchange->waited();
   RuleName ParentRule = resolveParent(*Parsed);
   EntryActions Actions;
   RequestId Id = Core->accept(*Parsed, now(), Actions);
   Requests.emplace(Id.Sequence,
-                   PendingRequest{Exchange, Request, Parsed->CallerId,
-                                  std::nullopt, now(), ParentRule, false});
+                   PendingRequest{Exchange, Parsed->CallerId, std::nullopt,
+                                  now() - Parsed->Waited, ParentRule, false});
   Exchange->onDisconnect([this, Id] { handleCallerGone(Id); });
   execute(std::move(Actions));
 }
@@ -363,8 +435,8 @@
             {"node", Action.Guard.str()},
             {"remaining_ms", Action.Info.Remaining.ms()}});
   // The request is copied, because another attempt may need it.
-  if (!sendToGuard(Action.Guard,
-                   Dispatch{std::move(Action.Info), It->second.Request}))
+  if (!sendToGuard(Action.Guard, Dispatch{std::move(Action.Info),
+                                          It->second.Exchange->request()}))
     execute(Core->handleFailure(makeNotRunFailure(Attempt, Reason::Overloaded),
                                 now()));
 }
--- a/unittests/Net/HttpServerTest.cpp
+++ b/unittests/Net/HttpServerTest.cpp
@@ -7,6 +7,7 @@
 #include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
+#include <vector>
 
 using namespace teaselhitch;
 
@@ -73,15 +74,34 @@
   CPPUNIT_TEST(reportsClientDisconnect);
   CPPUNIT_TEST(drainClosesAfterTheResponse);
   CPPUNIT_TEST(incompleteHeaderTimesOut);
+  CPPUNIT_TEST(closeBehindUnreadBytesIsDetected);
+  CPPUNIT_TEST(pipelinedRequestsRunTogether);
+  CPPUNIT_TEST(closeCancelsAllRequests);
+  CPPUNIT_TEST(deferredRequestWaits);
+  CPPUNIT_TEST(requestsBehindTheEndOfTheConnectionAreDropped);
+  CPPUNIT_TEST(malformedPipelinedRequestIsRefusedInOrder);
+  CPPUNIT_TEST(drainAnswersPipelinedRequests);
+  CPPUNIT_TEST(interimResponseIsNotSentTooEarly);
+  CPPUNIT_TEST(requestThatDoesNotFitIsRefused);
+  CPPUNIT_TEST(stalledBodiesGiveWay);
+  CPPUNIT_TEST(stalledChunkedBodiesGiveWay);
+  CPPUNIT_TEST(stalledConnectionsGiveWay);
+  CPPUNIT_TEST(memoryIsReleasedAfterEachEnd);
   CPPUNIT_TEST_SUITE_END();
 
 public:
   void setUp() override {
     Handled = 0;
-    HttpServerSettings Settings;
+    start(1);
+  }
+
+  void start(std::uint32_t MaxPipelinedRequests,
+             HttpServerSettings Settings = {}) {
+    Settings.MaxPipelinedRequests = MaxPipelinedRequests;
     Settings.Listen = Endpoint{"127.0.0.1", 0};
     Settings.Limits.MaxHeaderBytes = 1024;
-    Settings.Limits.MaxBodyBytes = 100;
+    if (!Settings.Memory)
+      Settings.Limits.MaxBodyBytes = 100;
     Settings.Limits.HeaderTimeout = Duration::seconds(1);
     Settings.Limits.IdleTimeout = Duration::seconds(3600);
     Loop = std::make_unique<EventLoop>();
@@ -108,10 +128,12 @@
     Thread = std::thread([this] { Loop->run(); });
   }
 
-  void tearDown() override {
+  void tearDown() override { stop(); }
+
+  void stop() {
     Loop->stop();
     Thread.join();
-    Pending.reset();
+    Pending.clear();
     Server.reset();
     Loop.reset();
   }
@@ -120,9 +142,14 @@
   void handle(const std::shared_ptr<HttpExchange> &E) {
     ++Handled;
     const HttpRequest &Request = E->request();
-    if (Request.Target == "/wait") {
-      Pending = E;
-      E->onDisconnect([this] { Disconnected = true; });
+    if (Request.Target == "/alone") {
+      if (E->hasEarlierRequests())
+        return E->defer();
+      E->holdLaterRequests();
+    }
+    if (Request.Target == "/wait" || Request.Target == "/alone") {
+      Pending.push_back(E);
+      E->onDisconnect([this] { ++Disconnected; });
       return;
     }
     std::string Body = Request.Method + " " + Request.Target;
@@ -131,13 +158,15 @@
     E->reply(HttpAnswer{200, {}, Body + "\n" + Request.Body + ";end"});
   }
 
+  /// Outlives the loop, whose pending operations may hold reservations.
+  MemoryBudget Memory;
   std::unique_ptr<EventLoop> Loop;
   std::unique_ptr<HttpServer> Server;
-  std::shared_ptr<HttpExchange> Pending;
+  std::vector<std::shared_ptr<HttpExchange>> Pending;
   std::thread Thread;
   std::uint16_t Port = 0;
   std::atomic<int> Handled{0};
-  std::atomic<bool> Disconnected{false};
+  std::atomic<int> Disconnected{0};
 
   /// Guards against responses that are sent for the wrong request of a
   /// connection.
@@ -246,9 +275,323 @@
       while (Handled == 0)
         std::this_thread::yield();
     }
-    while (!Disconnected)
+    waitFor(Disconnected, 1);
+    CPPUNIT_ASSERT_EQUAL(1, Handled.load());
+  }
+
+  static void waitFor(const std::atomic<int> &Counter, int Value) {
+    while (Counter < Value)
+      std::this_thread::yield();
+  }
+
+  /// Answers the I-th request that waits.
+  void answer(std::size_t I, const std::string &Body) {
+    Loop->post([this, I, Body] {
+      Pending.at(I)->reply(HttpAnswer{200, {}, Body});
+    });
+  }
+
+  /// Returns after the loop has run everything that was posted before.
+  void flush() {
+    std::atomic<int> Done{0};
+    Loop->post([&Done] { ++Done; });
+    waitFor(Done, 1);
+  }
+
+  /// Guards against requests that are sent to backend servers although their
+  /// caller has closed the connection: the close was not detected while bytes
+  /// of a further request were unread.
+  void closeBehindUnreadBytesIsDetected() {
+    for (std::uint32_t MaxPipelined : {1U, 2U}) {
+      stop();
+      Handled = 0;
+      Disconnected = 0;
+      start(MaxPipelined);
+      {
+        RawClient Client(Port);
+        for (std::uint32_t I = 0; I < MaxPipelined; ++I)
+          Client.send("GET /wait HTTP/1.1\r\nHost: h\r\n\r\n");
+        waitFor(Handled, static_cast<int>(MaxPipelined));
+        Client.send("GET /unread HTTP/1.1\r\nHost: h\r\n\r\n");
+      }
+      waitFor(Disconnected, static_cast<int>(MaxPipelined));
+      flush();
+      CPPUNIT_ASSERT_EQUAL(static_cast<int>(MaxPipelined), Handled.load());
+    }
+  }
+
+  /// Starts a server with a limit of memory.
+  void restartWithMemory(std::uint64_t Bytes, std::uint64_t MaxBodyBytes) {
+    stop();
+    Memory.setLimit(Bytes);
+    HttpServerSettings Settings;
+    Settings.Memory = &Memory;
+    Settings.Limits.MaxBodyBytes = MaxBodyBytes;
+    start(1, Settings);
+  }
+
+  void waitUntilReleased() const {
+    while (Memory.held() != 0)
       std::this_thread::yield();
+  }
+
+  static std::string post(const std::string &Target, std::size_t Bytes) {
+    return "POST " + Target +
+           " HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(Bytes) +
+           "\r\n\r\n";
+  }
+
+  /// Guards against requests that are held without a bound, against a refusal
+  /// of a request that is handled nevertheless, and against a connection that
+  /// cannot be used after it.
+  void requestThatDoesNotFitIsRefused() {
+    // Small enough to arrive with one read.
+    constexpr std::size_t Bytes = 3000;
+    restartWithMemory(5000, Bytes);
+    RawClient First(Port);
+    First.send(post("/wait", Bytes) + std::string(Bytes, 'a'));
+    waitFor(Handled, 1);
+    RawClient Second(Port);
+    const std::string Request = post("/2", Bytes) + std::string(Bytes, 'b');
+    Second.send(Request);
+    std::string Refused = Second.readUntil("\r\n\r\n");
+    CPPUNIT_ASSERT_EQUAL(std::string("HTTP/1.1 503"), Refused.substr(0, 12));
     CPPUNIT_ASSERT_EQUAL(1, Handled.load());
+    answer(0, "first;");
+    First.readUntil("first;");
+    Loop->post([this] { Pending.clear(); });
+    flush();
+    Second.send(Request);
+    CPPUNIT_ASSERT(Second.readUntil(";end").find("POST /2") !=
+                   std::string::npos);
+    waitUntilReleased();
+  }
+
+  /// Pattern: callers send large bodies up to the last byte and keep the
+  /// connections open. Guards against these taking all memory, and against
+  /// ordinary requests and whole large bodies that are not served meanwhile.
+  void stalledBodiesGiveWay() {
+    constexpr std::size_t Bytes = 400 * 1024;
+    restartWithMemory(1024 * 1024, Bytes);
+    std::vector<std::unique_ptr<RawClient>> Stalled;
+    for (int I = 0; I < 6; ++I) {
+      Stalled.push_back(std::make_unique<RawClient>(Port));
+      Stalled.back()->send(post("/never", Bytes) + std::string(Bytes - 1, 's'));
+    }
+    RawClient Small(Port);
+    Small.send("GET /small HTTP/1.1\r\nHost: h\r\n\r\n");
+    CPPUNIT_ASSERT(Small.readUntil(";end").find("/small") != std::string::npos);
+    RawClient Large(Port);
+    Large.send(post("/large", Bytes) + std::string(Bytes, 'l'));
+    CPPUNIT_ASSERT(Large.readUntil(";end").find("/large") != std::string::npos);
+    CPPUNIT_ASSERT(Memory.held() <= Memory.limit());
+    CPPUNIT_ASSERT_EQUAL(2, Handled.load());
+    Stalled.clear();
+    waitUntilReleased();
+  }
+
+  /// As stalledBodiesGiveWay, with bodies whose size is not announced.
+  void stalledChunkedBodiesGiveWay() {
+    constexpr std::size_t Bytes = 400 * 1024;
+    restartWithMemory(1024 * 1024, Bytes);
+    const std::string Header =
+        " HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n64000\r\n";
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0x64000), Bytes);
+    std::vector<std::unique_ptr<RawClient>> Stalled;
+    for (int I = 0; I < 6; ++I) {
+      Stalled.push_back(std::make_unique<RawClient>(Port));
+      Stalled.back()->send("POST /never" + Header + std::string(Bytes, 's'));
+    }
+    RawClient Large(Port);
+    Large.send("POST /large" + Header + std::string(Bytes, 'l') +
+               "\r\n0\r\n\r\n");
+    CPPUNIT_ASSERT(Large.readUntil(";end").find("/large") != std::string::npos);
+    CPPUNIT_ASSERT(Memory.held() <= Memory.limit());
+    Stalled.clear();
+    waitUntilReleased();
+  }
+
+  /// Pattern: callers take all connections and send requests that do not end.
+  /// Guards against a new ordinary caller that gets no connection.
+  void stalledConnectionsGiveWay() {
+    stop();
+    HttpServerSettings Settings;
+    Settings.MaxConnections = 3;
+    start(1, Settings);
+    RawClient Silent(Port);
+    RawClient InHeader(Port);
+    InHeader.send("GET /1 HTTP/1.1\r\nHo");
+    RawClient InBody(Port);
+    InBody.send(post("/1", 10) + "123");
+    std::string Text;
+    while (Text.empty()) {
+      RawClient Ordinary(Port);
+      Ordinary.send("GET /ordinary HTTP/1.1\r\nHost: h\r\n\r\n");
+      Text = Ordinary.readUntil(";end");
+    }
+    CPPUNIT_ASSERT(Text.find("/ordinary") != std::string::npos);
+  }
+
+  /// Guards against a leak in the accounting, which would in the end cause
+  /// every request to be refused.
+  void memoryIsReleasedAfterEachEnd() {
+    constexpr std::size_t Bytes = 200 * 1024;
+    restartWithMemory(1024 * 1024, Bytes);
+    {
+      RawClient Client(Port);
+      Client.send(post("/1", Bytes) + std::string(Bytes, 'a'));
+      Client.readUntil(";end");
+      waitUntilReleased();
+      // Closed by the server because of a refusal.
+      Client.send(post("/2", Bytes + 1));
+      Client.readAll();
+      waitUntilReleased();
+    }
+    {
+      // Closed by the caller while the request is handled.
+      RawClient Client(Port);
+      Client.send(post("/wait", Bytes) + std::string(Bytes, 'a'));
+      waitFor(Handled, 2);
+      CPPUNIT_ASSERT(Memory.held() >= Bytes);
+    }
+    waitFor(Disconnected, 1);
+    Loop->post([this] { Pending.clear(); });
+    waitUntilReleased();
+    for (const std::string &Part : {std::string("abc"), std::string(1000, 'a'),
+                                    std::string(Bytes - 1, 'a')}) {
+      // Closed by the caller within the body.
+      {
+        RawClient Client(Port);
+        Client.send(post("/3", Bytes) + Part);
+      }
+      waitUntilReleased();
+    }
+    CPPUNIT_ASSERT_EQUAL(2, Handled.load());
+  }
+
+  void restart(std::uint32_t MaxPipelinedRequests) {
+    stop();
+    start(MaxPipelinedRequests);
+  }
+
+  /// Guards against a later request that waits for a slow one although both are
+  /// idempotent, and against responses that are sent in the order in which the
+  /// requests ended.
+  void pipelinedRequestsRunTogether() {
+    restart(2);
+    RawClient Client(Port);
+    Client.send("GET /wait HTTP/1.1\r\nHost: h\r\n\r\n"
+                "GET /wait HTTP/1.1\r\nHost: h\r\n\r\n"
+                "GET /3 HTTP/1.1\r\nHost: h\r\n\r\n");
+    waitFor(Handled, 2);
+    answer(1, "second;");
+    flush();
+    CPPUNIT_ASSERT_EQUAL(2, Handled.load());
+    answer(0, "first;");
+    std::string Text = Client.readUntil(";end");
+    CPPUNIT_ASSERT(Text.find("first;") < Text.find("second;"));
+    CPPUNIT_ASSERT(Text.find("second;") < Text.find("GET /3"));
+    CPPUNIT_ASSERT_EQUAL(0, Disconnected.load());
+  }
+
+  /// Guards against requests behind the first one that keep running after their
+  /// caller has closed the connection.
+  void closeCancelsAllRequests() {
+    restart(3);
+    {
+      RawClient Client(Port);
+      Client.send("GET /wait HTTP/1.1\r\nHost: h\r\n\r\n"
+                  "GET /wait HTTP/1.1\r\nHost: h\r\n\r\nGET /partial");
+      waitFor(Handled, 2);
+    }
+    waitFor(Disconnected, 2);
+    CPPUNIT_ASSERT_EQUAL(2, Handled.load());
+  }
+
+  /// Guards against a request that is not idempotent and starts before the end
+  /// of an earlier one, or is not handled at all, and against later requests
+  /// that start before its end.
+  void deferredRequestWaits() {
+    restart(4);
+    RawClient Client(Port);
+    Client.send("GET /wait HTTP/1.1\r\nHost: h\r\n\r\n"
+                "POST /alone HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n"
+                "\r\nxGET /3 HTTP/1.1\r\nHost: h\r\n\r\n");
+    waitFor(Handled, 2);
+    answer(0, "first;");
+    Client.readUntil("first;");
+    // The deferred request is passed to the handler a second time.
+    waitFor(Handled, 3);
+    flush();
+    CPPUNIT_ASSERT_EQUAL(3, Handled.load());
+    CPPUNIT_ASSERT_EQUAL(std::string("x"), Pending.at(1)->request().Body);
+    answer(1, "second;");
+    std::string Text = Client.readUntil(";end");
+    CPPUNIT_ASSERT(Text.find("second;") < Text.find("GET /3"));
+  }
+
+  /// Guards against responses that follow the announced end of the connection,
+  /// and against the handling of requests whose responses cannot be sent.
+  void requestsBehindTheEndOfTheConnectionAreDropped() {
+    restart(4);
+    RawClient Client(Port);
+    Client.send("GET /wait HTTP/1.1\r\nHost: h\r\n\r\n"
+                "GET /2 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
+                "GET /3 HTTP/1.1\r\nHost: h\r\n\r\n");
+    waitFor(Handled, 2);
+    answer(0, "first;");
+    std::string Text = Client.readAll();
+    CPPUNIT_ASSERT(Text.find("first;") < Text.find("GET /2"));
+    CPPUNIT_ASSERT(Text.find("GET /3") == std::string::npos);
+    CPPUNIT_ASSERT_EQUAL(2, Handled.load());
+  }
+
+  /// Guards against the refusal of a malformed request that the caller reads as
+  /// the response to an earlier request.
+  void malformedPipelinedRequestIsRefusedInOrder() {
+    restart(4);
+    RawClient Client(Port);
+    Client.send("GET /wait HTTP/1.1\r\nHost: h\r\n\r\nGARBAGE\r\n\r\n");
+    waitFor(Handled, 1);
+    flush();
+    answer(0, "first;");
+    std::string Text = Client.readAll();
+    CPPUNIT_ASSERT(Text.find("first;") < Text.find("HTTP/1.1 400"));
+    CPPUNIT_ASSERT(Text.find("HTTP/1.1 400") != std::string::npos);
+  }
+
+  /// Guards against a planned stop that drops requests which were received.
+  void drainAnswersPipelinedRequests() {
+    restart(4);
+    RawClient Client(Port);
+    Client.send("GET /wait HTTP/1.1\r\nHost: h\r\n\r\n"
+                "GET /wait HTTP/1.1\r\nHost: h\r\n\r\n");
+    waitFor(Handled, 2);
+    Loop->post([this] { Server->drain(); });
+    answer(0, "first;");
+    answer(1, "second;");
+    std::string Text = Client.readAll();
+    std::size_t Close = Text.find("Connection: close");
+    CPPUNIT_ASSERT(Text.find("first;") < Close);
+    CPPUNIT_ASSERT(Close < Text.find("second;"));
+    CPPUNIT_ASSERT(Text.find("second;") != std::string::npos);
+  }
+
+  /// Guards against an interim response that the caller reads as the one to an
+  /// earlier request, and against a caller that never gets it.
+  void interimResponseIsNotSentTooEarly() {
+    restart(4);
+    RawClient Client(Port);
+    Client.send("GET /wait HTTP/1.1\r\nHost: h\r\n\r\n"
+                "POST /2 HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n"
+                "Expect: 100-continue\r\n\r\n");
+    waitFor(Handled, 1);
+    flush();
+    answer(0, "first;");
+    std::string Text = Client.readUntil("100 Continue\r\n\r\n");
+    CPPUNIT_ASSERT(Text.find("first;") < Text.find("100 Continue"));
+    Client.send("x");
+    CPPUNIT_ASSERT(Client.readUntil(";end").find("x;end") != std::string::npos);
   }
 
   /// Guards against a planned shutdown that aborts a request in progress.
@@ -259,7 +602,7 @@
       std::this_thread::yield();
     Loop->post([this] {
       Server->drain();
-      Pending->reply(HttpAnswer{200, {}, "late;end"});
+      Pending.at(0)->reply(HttpAnswer{200, {}, "late;end"});
     });
     std::string Text = Client.readAll();
     CPPUNIT_ASSERT(Text.find("late;end") != std::string::npos);
