--- a/lib/Entry/Entry.cpp
+++ b/lib/Entry/Entry.cpp
@@ -78,12 +78,12 @@
     return Reason::Draining;
   if (!Rules)
     return Reason::NoConfiguration;
-  // Without a known key, a caller does not learn which paths have a rule.
-  bool IsPublic = Matched && Matched->Object->IsPublic;
-  if (Rules->requiresCredentials() && !Owner && !IsPublic)
-    return Reason::UnknownCredential;
+  // A removed rule is reported as such to callers without a key, too: they must
+  // be able to tell it from a key that was revoked.
   if (!Matched)
     return Reason::NoRule;
+  if (Rules->requiresCredentials() && !Owner && !Matched->Object->IsPublic)
+    return Reason::UnknownCredential;
   if (!Rules->requiresCredentials() &&
       !Rules->isKnownOrganisation(Request.Organisation))
     return Reason::UnknownOrganisation;
--- a/unittests/Entry/CredentialsTest.cpp
+++ b/unittests/Entry/CredentialsTest.cpp
@@ -102,7 +102,7 @@
     CPPUNIT_ASSERT(refusal("/pay", "") == Reason::UnknownCredential);
     CPPUNIT_ASSERT(refusal("/pay", "k3") == Reason::UnknownCredential);
     CPPUNIT_ASSERT(!refusal("/read", "") && !refusal("/read", "k3"));
-    CPPUNIT_ASSERT(refusal("/other", "") == Reason::UnknownCredential);
+    CPPUNIT_ASSERT(refusal("/other", "") == Reason::NoRule);
     CPPUNIT_ASSERT(refusal("/other", "k1") == Reason::NoRule);
     CPPUNIT_ASSERT(Core->requiresCredentials());
     // Without required credentials, a key has no meaning.
