--- a/include/teaselhitch/Platform/PlatformConnection.h
+++ b/include/teaselhitch/Platform/PlatformConnection.h
@@ -10,6 +10,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/fields.hpp>
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/string_body.hpp>
 
@@ -29,6 +30,7 @@
 
 struct PlatformAnswer {
   unsigned Status = 0;
+  boost::beast::http::fields Headers;
   std::string Body;
 };
 
--- a/include/teaselhitch/Platform/Stores.h
+++ b/include/teaselhitch/Platform/Stores.h
@@ -32,11 +32,18 @@
 ///
 /// Errors: Unavailable (the store did not execute the operation), Timeout (a
 /// write may have taken effect; read the row back), Conflict (the condition of
-/// a write was not met), Corrupt (the answer does not parse).
+/// a write was not met, or the store was restored during the write), Corrupt
+/// (the answer does not parse).
 class TableStore {
 public:
   virtual ~TableStore() = default;
 
+  /// Increases each time the store is restored from an older copy, as far as
+  /// earlier calls have shown. Rows that were written since that copy are then
+  /// lost, and versions are assigned again. 0 if the store does not tell; the
+  /// value then never changes.
+  virtual std::uint64_t incarnation() const { return 0; }
+
   /// Returns the row, or std::nullopt if it does not exist.
   virtual Result<std::optional<TableRow>> read(const std::string &Table,
                                                const std::string &Key) = 0;
--- a/lib/Platform/PlatformConnection.cpp
+++ b/lib/Platform/PlatformConnection.cpp
@@ -128,6 +128,7 @@
   Current.Answer.Body = std::move(Parser.get().body());
   if (!Parser.get().keep_alive())
     close();
+  Current.Answer.Headers = std::move(Parser.get().base());
   return Current;
 }
 
--- a/tools/teaselhitch-standin/RowStoreServer.cpp
+++ b/tools/teaselhitch-standin/RowStoreServer.cpp
@@ -52,24 +52,41 @@
 
 void RowStoreServer::put(const std::string &Table, const std::string &Key,
                          const std::string &Bytes) {
-  Rows[{Table, Key}] = {encodeBase64(Bytes), ++Version, false};
+  Contents.Rows[{Table, Key}] = {encodeBase64(Bytes), ++Contents.Version,
+                                 false};
   notifyWatches();
 }
 
 void RowStoreServer::compactHistory() {
-  CompactedVersion = Version;
+  Contents.CompactedVersion = Contents.Version;
   for (const Watch &W : Watches)
-    W.Pending->answer(makeResponse(Gone));
+    answer(*W.Pending, makeResponse(Gone));
   Watches.clear();
 }
 
+void RowStoreServer::restore(bool KeepsWatches) {
+  Contents = Copy;
+  ++Era;
+  if (KeepsWatches)
+    return;
+  for (const Watch &W : Watches)
+    W.Pending->drop();
+  Watches.clear();
+}
+
+void RowStoreServer::answer(Exchange &Current, HttpResponse Response) const {
+  if (SendsEra)
+    Response.set(wire::StoreEra, std::to_string(Era));
+  Current.answer(std::move(Response));
+}
+
 void RowStoreServer::handle(const ExchangePtr &Current) {
   const HttpRequest &Request = Current->request();
   switch (Fault) {
   case RowStoreFault::Busy:
-    return Current->answer(makeResponse(Unavailable));
+    return answer(*Current, makeResponse(Unavailable));
   case RowStoreFault::Many:
-    return Current->answer(makeResponse(TooManyRequests));
+    return answer(*Current, makeResponse(TooManyRequests));
   case RowStoreFault::Reset:
     return Current->drop();
   case RowStoreFault::Silent:
@@ -83,11 +100,11 @@
   }
   if (std::string(Request.target()).rfind(wire::WatchPath, 0) == 0)
     return handleWatch(Current);
-  Current->answer(execute(Request));
+  answer(*Current, execute(Request));
 }
 
 bool RowStoreServer::hasChanged(const Watch &W) const {
-  for (const auto &[Name, R] : Rows)
+  for (const auto &[Name, R] : Contents.Rows)
     if (Name.first == W.Table && R.Version > W.SeenVersion)
       return true;
   return false;
@@ -96,7 +113,7 @@
 HttpResponse RowStoreServer::changesResponse(const Watch &W) const {
   json::array Changed;
   std::map<std::uint64_t, json::object> ByVersion;
-  for (const auto &[Name, R] : Rows) {
+  for (const auto &[Name, R] : Contents.Rows) {
     if (Name.first != W.Table || R.Version <= W.SeenVersion)
       continue;
     json::object Item{{wire::Table, Name.first},
@@ -112,7 +129,7 @@
   for (auto &[Number, Item] : ByVersion)
     Changed.push_back(std::move(Item));
   return jsonResponse(Ok, {{wire::Rows, std::move(Changed)},
-                           {wire::RowVersion, Version},
+                           {wire::RowVersion, Contents.Version},
                            {"NowMs", 0}});
 }
 
@@ -124,22 +141,23 @@
         auto &Query = Target.Parameters;
         Watch W{Current, Query[wire::Table],
                 std::stoull(Query[wire::AfterVersion])};
-        if (W.SeenVersion < CompactedVersion) {
-          Current->answer(makeResponse(Gone));
+        if (W.SeenVersion < Contents.CompactedVersion ||
+            W.SeenVersion > Contents.Version) {
+          answer(*Current, makeResponse(Gone));
           return true;
         }
         if (hasChanged(W)) {
-          Current->answer(changesResponse(W));
+          answer(*Current, changesResponse(W));
           return true;
         }
         Watches.push_back(W);
         Duration Wait(std::stod(Query[wire::WaitMs]));
         runAfter(Context, Wait,
-                 [this, W] { W.Pending->answer(changesResponse(W)); });
+                 [this, W] { answer(*W.Pending, changesResponse(W)); });
         return true;
       },
       [&](const Error &) {
-        Current->answer(makeResponse(BadRequest));
+        answer(*Current, makeResponse(BadRequest));
         return false;
       });
 }
@@ -150,7 +168,7 @@
       ++It;
       continue;
     }
-    It->Pending->answer(changesResponse(*It));
+    answer(*It->Pending, changesResponse(*It));
     It = Watches.erase(It);
   }
 }
@@ -168,8 +186,8 @@
         if (Path + "/" == wire::ObjectWritePath)
           return putObject(Target.Segments.at(1), Request);
         if (Path + "/" == wire::ObjectReadPath) {
-          auto It = Objects.find(Target.Segments.at(1));
-          if (It == Objects.end())
+          auto It = Contents.Objects.find(Target.Segments.at(1));
+          if (It == Contents.Objects.end())
             return makeResponse(NotFound);
           return makeResponse(Ok, It->second);
         }
@@ -180,35 +198,38 @@
 
 HttpResponse RowStoreServer::putObject(const std::string &Name,
                                        const HttpRequest &Request) {
-  bool IsNew = Objects.emplace(Name, Request.body()).second;
+  bool IsNew = Contents.Objects.emplace(Name, Request.body()).second;
   return makeResponse(IsNew ? Ok : ConditionFailed);
 }
 
 HttpResponse RowStoreServer::transact(const std::string &Body) {
   json::value Parsed = json::parse(Body);
   for (const json::value &Item : arrayMember(Parsed, wire::Conditions)) {
-    auto It = Rows.find(
+    auto It = Contents.Rows.find(
         {stringMember(Item, wire::Table), stringMember(Item, wire::Key)});
-    bool Exists = It != Rows.end() && !It->second.IsRemoved;
+    bool Exists = It != Contents.Rows.end() && !It->second.IsRemoved;
     std::uint64_t Actual = Exists ? It->second.Version : 0;
     if (Actual != Item.at(wire::RowVersion).to_number<std::uint64_t>())
-      return jsonResponse(ConditionFailed, {{wire::Rows, json::array()},
-                                            {wire::RowVersion, Version},
-                                            {"NowMs", 0}});
+      return jsonResponse(ConditionFailed,
+                          {{wire::Rows, json::array()},
+                           {wire::RowVersion, Contents.Version},
+                           {"NowMs", 0}});
   }
   for (const char *Kind : {wire::Writes, wire::Removals})
     for (const json::value &Item : arrayMember(Parsed, Kind))
       if (stringMember(Item, wire::Table) == wire::ConfigTable)
         return makeResponse(Forbidden);
-  ++Version;
+  ++Contents.Version;
   for (const json::value &Item : arrayMember(Parsed, wire::Writes))
-    Rows[{stringMember(Item, wire::Table), stringMember(Item, wire::Key)}] = {
-        stringMember(Item, wire::Value), Version, false};
+    Contents.Rows[{stringMember(Item, wire::Table),
+                   stringMember(Item, wire::Key)}] = {
+        stringMember(Item, wire::Value), Contents.Version, false};
   for (const json::value &Item : arrayMember(Parsed, wire::Removals))
-    Rows[{stringMember(Item, wire::Table), stringMember(Item, wire::Key)}] = {
-        "", Version, true};
+    Contents.Rows[{stringMember(Item, wire::Table),
+                   stringMember(Item, wire::Key)}] = {"", Contents.Version,
+                                                      true};
   notifyWatches();
-  return jsonResponse(Ok, {{wire::RowVersion, Version}, {"NowMs", 0}});
+  return jsonResponse(Ok, {{wire::RowVersion, Contents.Version}, {"NowMs", 0}});
 }
 
 HttpResponse
@@ -224,7 +245,7 @@
   std::size_t Limit = LimitText.empty() ? MaxRows : std::stoul(LimitText);
   json::array Found;
   bool HasMore = false;
-  for (const auto &[Name, R] : Rows) {
+  for (const auto &[Name, R] : Contents.Rows) {
     const auto &[RowTable, Key] = Name;
     bool IsInRange = RowTable == Table && Key >= First &&
                      (End.empty() || Key < End) && !R.IsRemoved;
@@ -241,7 +262,7 @@
   }
   return jsonResponse(Ok, {{wire::Rows, std::move(Found)},
                            {"HasMore", HasMore},
-                           {wire::RowVersion, Version},
+                           {wire::RowVersion, Contents.Version},
                            {"NowMs", 0}});
 }
 
--- a/tools/teaselhitch-standin/RowStoreServer.h
+++ b/tools/teaselhitch-standin/RowStoreServer.h
@@ -47,6 +47,21 @@
   /// at an earlier version, are answered with status 410.
   void compactHistory();
 
+  /// Keeps a copy of all rows and objects for restore().
+  void saveCopy() { Copy = Contents; }
+  /// Goes back to the copy of the last call of saveCopy(): later writes are
+  /// lost, their versions are assigned again, and the era increases by one.
+  /// Closes the connections of pending watches, unless KeepsWatches is set:
+  /// then they are answered in the new era.
+  void restore(bool KeepsWatches = false);
+  bool hasRow(const std::string &Table, const std::string &Key) const {
+    auto It = Contents.Rows.find({Table, Key});
+    return It != Contents.Rows.end() && !It->second.IsRemoved;
+  }
+  bool hasPendingWatch() const { return !Watches.empty(); }
+  /// Stops or resumes sending the era in responses.
+  void sendEra(bool IsSent) { SendsEra = IsSent; }
+
 private:
   struct Row {
     /// The Base64 text as received from the client.
@@ -64,6 +79,8 @@
   };
 
   void handle(const ExchangePtr &Current);
+  /// Sends a response with the era.
+  void answer(Exchange &Current, HttpResponse Response) const;
   void handleWatch(const ExchangePtr &Current);
   void notifyWatches();
   HttpResponse execute(const HttpRequest &Request);
@@ -76,11 +93,18 @@
   boost::asio::io_context &Context;
   HttpServer Server;
   RowStoreFault Fault = RowStoreFault::None;
-  std::map<RowName, Row> Rows;
-  std::map<std::string, std::string> Objects;
-  std::uint64_t Version = 0;
-  /// The change history up to this version is discarded.
-  std::uint64_t CompactedVersion = 0;
+  /// What a copy of the store contains.
+  struct State {
+    std::map<RowName, Row> Rows;
+    std::map<std::string, std::string> Objects;
+    std::uint64_t Version = 0;
+    /// The change history up to this version is discarded.
+    std::uint64_t CompactedVersion = 0;
+  };
+  State Contents;
+  State Copy;
+  std::uint64_t Era = 1;
+  bool SendsEra = true;
   std::list<Watch> Watches;
   /// Requests received during the fault Silent, which are never answered.
   std::vector<ExchangePtr> Unanswered;
--- a/unittests/RowStorePlatform/RowStoreTest.cpp
+++ b/unittests/RowStorePlatform/RowStoreTest.cpp
@@ -57,6 +57,19 @@
     });
   }
 
+  void saveCopy() {
+    runOnServer([](standin::RowStoreServer &S) { S.saveCopy(); });
+  }
+  void restore() {
+    runOnServer([](standin::RowStoreServer &S) { S.restore(); });
+  }
+  /// Waits until a watch is pending.
+  void awaitWatch() {
+    for (bool IsPending = false; !IsPending;)
+      runOnServer(
+          [&](standin::RowStoreServer &S) { IsPending = S.hasPendingWatch(); });
+  }
+
   RowStoreClient client() const {
     return RowStoreClient::create(Address, Timeout).value();
   }
@@ -99,6 +112,12 @@
   CPPUNIT_TEST(sourceReturnsEachChangeOnce);
   CPPUNIT_TEST(sourceRereadsWhenHistoryIsGone);
   CPPUNIT_TEST(sourceRecoversFromEachFault);
+  CPPUNIT_TEST(sourceFindsChangesAfterRestore);
+  CPPUNIT_TEST(sourceFindsChangesInRepeatedVersions);
+  CPPUNIT_TEST(sourceFindsChangesAfterTwoRestores);
+  CPPUNIT_TEST(pendingWatchNoticesRestore);
+  CPPUNIT_TEST(sourceWithoutEraStaysUnchanged);
+  CPPUNIT_TEST(outdatedConditionsAreConflicts);
   CPPUNIT_TEST(invalidRowsAreSkipped);
   CPPUNIT_TEST(invalidAddressesAreSkipped);
   CPPUNIT_TEST_SUITE_END();
@@ -243,6 +262,125 @@
     }
   }
 
+  /// Guards against a configuration source whose watch starts at a version that
+  /// the restored store does not have.
+  void sourceFindsChangesAfterRestore() {
+    StoreFixture F;
+    F.publish("3");
+    F.saveCopy();
+    F.publish("4");
+    auto Source = createStoredConfigSource(F.client(), ConfigDefaults());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(4), nextVersion(*Source));
+    F.restore();
+    // The older version is reported; only the reader knows the one in force.
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(3), nextVersion(*Source));
+    F.publish("4");
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(4), nextVersion(*Source));
+    F.publish("5");
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(5), nextVersion(*Source));
+  }
+
+  /// Guards against a configuration that is missed because the restored store
+  /// assigns the versions up to the position of the watch again, so that the
+  /// watch does not fail.
+  void sourceFindsChangesInRepeatedVersions() {
+    StoreFixture F;
+    F.publish("3");
+    F.saveCopy();
+    auto Source = createStoredConfigSource(F.client(), ConfigDefaults());
+    for (int I = 0; I != 3; ++I)
+      F.client().write({"t", "k", "v", std::nullopt}).value();
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(3), nextVersion(*Source));
+    F.restore();
+    F.publish("4");
+    for (int I = 0; I != 3; ++I)
+      F.client().write({"t", "k", "w", std::nullopt}).value();
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(4), nextVersion(*Source));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), nextVersion(*Source));
+  }
+
+  /// Guards against a second restore that is not noticed.
+  void sourceFindsChangesAfterTwoRestores() {
+    StoreFixture F;
+    F.publish("3");
+    F.saveCopy();
+    auto Source = createStoredConfigSource(F.client(), ConfigDefaults());
+    F.client().write({"t", "k", "v", std::nullopt}).value();
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(3), nextVersion(*Source));
+    for (const std::string Version : {"4", "5"}) {
+      F.restore();
+      F.publish(Version);
+      F.client().write({"t", "k", "v", std::nullopt}).value();
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t(std::stoul(Version)),
+                           nextVersion(*Source));
+    }
+    // Two restores between two calls of the source.
+    F.restore();
+    F.restore();
+    F.publish("6");
+    F.client().write({"t", "k", "v", std::nullopt}).value();
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(6), nextVersion(*Source));
+  }
+
+  /// Guards against a change that is missed because the response to a watch
+  /// that was pending during the restore sets the position beyond it.
+  void pendingWatchNoticesRestore() {
+    StoreFixture F;
+    F.publish("3");
+    F.saveCopy();
+    auto Source = createStoredConfigSource(F.client(), ConfigDefaults());
+    F.client().write({"t", "k", "v", std::nullopt}).value();
+    F.client().write({"t", "k", "v", std::nullopt}).value();
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(3), nextVersion(*Source));
+    auto Pending = std::async(std::launch::async, [&] {
+      return nextVersion(*Source, Duration::seconds(1));
+    });
+    F.awaitWatch();
+    F.runOnServer([](standin::RowStoreServer &S) { S.restore(true); });
+    F.publish("4");
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(4), Pending.get());
+  }
+
+  /// Guards against a store without eras, or with an invalid one, whose
+  /// responses count as a restore and make each call read the row again.
+  void sourceWithoutEraStaysUnchanged() {
+    StoreFixture F;
+    F.runOnServer([](standin::RowStoreServer &S) { S.sendEra(false); });
+    F.publish("3");
+    auto Source = createStoredConfigSource(F.client(), ConfigDefaults());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(3), nextVersion(*Source));
+    for (bool IsSent : {false, true, false, true}) {
+      F.runOnServer([&](standin::RowStoreServer &S) { S.sendEra(IsSent); });
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), nextVersion(*Source));
+    }
+  }
+
+  /// Guards against a conditional write that replaces the row of another
+  /// writer, because the restored store gave that row the expected version.
+  void outdatedConditionsAreConflicts() {
+    StoreFixture F;
+    RowStoreClient Client = F.client();
+    auto Table = createRowTableStore(F.client());
+    F.saveCopy();
+    std::uint64_t Version = Table->insert("t", "k", "1").value();
+    std::uint64_t Incarnation = Table->incarnation();
+    CPPUNIT_ASSERT(Incarnation != 0);
+    F.restore();
+    CPPUNIT_ASSERT_EQUAL(Version,
+                         Client.write({"t", "k", "2", std::nullopt}).value());
+    CPPUNIT_ASSERT_EQUAL(std::string("conflict"), describeOutcome([&] {
+                           return Table->replace("t", "k", "3", Version);
+                         }));
+    CPPUNIT_ASSERT_EQUAL(Incarnation + 1, Table->incarnation());
+    // A condition that is known to be outdated is not sent.
+    RowWrite Outdated{"t", "k", "4", Version + 1, Incarnation};
+    std::string Before = Table->read("t", "k").value()->Value;
+    CPPUNIT_ASSERT_EQUAL(std::string("conflict"), describeOutcome([&] {
+                           return Client.write(Outdated);
+                         }));
+    CPPUNIT_ASSERT_EQUAL(Before, Table->read("t", "k").value()->Value);
+  }
+
   /// Guards against a table that cannot be read or watched for as long as
   /// another writer keeps one invalid row in it.
   void invalidRowsAreSkipped() {
