--- a/include/teaselhitch/Detection/EjectionLeases.h
+++ b/include/teaselhitch/Detection/EjectionLeases.h
@@ -35,7 +35,8 @@
   FloorReached,
   /// The lease was not renewed in time.
   LeaseExpired,
-  /// Another guard removed the lease from the row.
+  /// Another guard removed the lease from the row, or the store was restored
+  /// from an older copy, which may lack the lease.
   LeaseLost,
 };
 /// Returns "requested", "floor-reached", "lease-expired" or "lease-lost".
@@ -106,7 +107,8 @@
                                const BackendServerName &Server, Time Now) = 0;
 
   /// Handles a reply of the platform. Replies with an unknown token are
-  /// ignored.
+  /// ignored. After a restore of the store, all leases end, because another
+  /// guard may take the capacity that they use; the rows are read again.
   virtual LeaseActions reply(const TableReply &Reply, Time Now) = 0;
 
   /// Expires and renews leases. Must be called at least every 50 ms.
--- a/include/teaselhitch/Platform/TableRequests.h
+++ b/include/teaselhitch/Platform/TableRequests.h
@@ -25,6 +25,9 @@
   std::string Value;
   /// Version that the row must have for Replace to succeed.
   std::uint64_t ExpectedVersion = 0;
+  /// TableReply::StoreIncarnation of the last reply that the sender had handled
+  /// when it made the request.
+  std::uint64_t StoreIncarnation = 0;
 
   auto operator<=>(const TableRequest &) const = default;
 };
@@ -40,6 +43,11 @@
   Unavailable,
   /// Write: it may have taken effect.
   Unknown,
+  /// No reply to a request (the token is 0), but a notice: the store was
+  /// restored from an older copy. Rows may be lost, and versions that were read
+  /// before mean nothing. Replies that follow are from the restored store;
+  /// those to requests from before the notice should be ignored.
+  StoreRestored,
 };
 
 struct TableReply {
@@ -47,6 +55,8 @@
   TableStatus Status = TableStatus::Unknown;
   /// Read: the row. Write: the key, the value and the new version.
   TableRow Row;
+  /// See TableStore::incarnation().
+  std::uint64_t StoreIncarnation = 0;
 
   auto operator<=>(const TableReply &) const = default;
 };
--- a/lib/Detection/EjectionLeases.cpp
+++ b/lib/Detection/EjectionLeases.cpp
@@ -51,6 +51,11 @@
 
   LeaseActions reply(const TableReply &Reply, Time Now) override {
     LeaseActions Actions;
+    if (Reply.Status == TableStatus::StoreRestored) {
+      for (auto &[Name, Service] : Services)
+        Service.storeRestored(Now, Actions);
+      return Actions;
+    }
     for (auto &[Name, Service] : Services)
       if (Service.reply(Reply, Now, Actions))
         break;
--- a/lib/Detection/ServiceLeases.cpp
+++ b/lib/Detection/ServiceLeases.cpp
@@ -127,6 +127,24 @@
   sendNextRequest(Now, Actions);
 }
 
+void ServiceLeases::storeRestored(Time Now, LeaseActions &Actions) {
+  expireLeases(Now, Actions);
+  InFlight.reset();
+  Unresolved.reset();
+  RowKnown = false;
+  MustRead = Renewals != 0;
+  // A renewal may be lost, so that an entry is again in a state in which it was
+  // read long ago, although its holder still uses the lease.
+  FirstSeen.clear();
+  std::vector<BackendServerName> Ended;
+  for (const auto &[Server, Lease] : Own)
+    if (Lease.Held)
+      Ended.push_back(Server);
+  for (const BackendServerName &Server : Ended)
+    endLease(Server, ReadmitReason::LeaseLost, Actions);
+  sendNextRequest(Now, Actions);
+}
+
 bool ServiceLeases::holds(const BackendServerName &Server, Time Now) const {
   auto It = Own.find(Server);
   return It != Own.end() && It->second.Held &&
@@ -137,7 +155,7 @@
   for (const auto &[Server, Lease] : Own)
     if (!Lease.Held || Now >= NextRenewal)
       return true;
-  if (Unresolved)
+  if (Unresolved || MustRead)
     return true;
   return RowKnown &&
          std::any_of(Row.begin(), Row.end(), [&](const LeaseEntry &E) {
@@ -296,6 +314,7 @@
     Version = Reply.Row.Version;
   }
   setRow(std::move(Entries), Version, Now);
+  MustRead = false;
   endLostLeases(Actions);
   if (Unresolved) {
     const Write Written = std::move(*Unresolved);
@@ -319,6 +338,8 @@
     return;
   case TableStatus::Conflict:
   case TableStatus::NotFound:
+  // A notice, which is handled by storeRestored().
+  case TableStatus::StoreRestored:
     RowKnown = false;
     return;
   case TableStatus::Unavailable:
--- a/lib/Detection/ServiceLeases.h
+++ b/lib/Detection/ServiceLeases.h
@@ -51,6 +51,8 @@
   /// Returns false if the token belongs to another service.
   bool reply(const TableReply &Reply, Time Now, LeaseActions &Actions);
   void tick(Time Now, LeaseActions &Actions);
+  /// The store was restored from an older copy.
+  void storeRestored(Time Now, LeaseActions &Actions);
   bool holds(const BackendServerName &Server, Time Now) const;
 
 private:
@@ -118,6 +120,9 @@
   /// A write whose outcome is unknown and has not been resolved by a read yet.
   std::optional<Write> Unresolved;
   bool RowKnown = false;
+  /// The row must be read although no lease needs it: the restored store may
+  /// contain entries that this guard had removed.
+  bool MustRead = false;
   /// Not set if the row does not exist.
   std::optional<std::uint64_t> RowVersion;
   LeaseEntries Row;
--- a/unittests/Detection/EjectionLeasesTest.cpp
+++ b/unittests/Detection/EjectionLeasesTest.cpp
@@ -54,6 +54,10 @@
     }
   }
 
+  void restoreStore(Time Now) {
+    handle(Leases->reply({0, TableStatus::StoreRestored, {}, 2}, Now), Now);
+  }
+
   void eject(Time Now) {
     handle(Leases->view(Service, viewOf(3), 3, Now), Now);
     handle(Leases->eject(Service, Server, Now), Now);
@@ -77,6 +81,10 @@
   CPPUNIT_TEST(fallBelowFloorReadmits);
   CPPUNIT_TEST(rejectsInconsistentDurations);
   CPPUNIT_TEST(corruptRowIsNotOverwritten);
+  CPPUNIT_TEST(leasesEndWhenStoreIsRestored);
+  CPPUNIT_TEST(releasedLeasesDoNotReturn);
+  CPPUNIT_TEST(returnedEntriesOfOthersAreKept);
+  CPPUNIT_TEST(repliesFromBeforeRestoreAreIgnored);
   CPPUNIT_TEST_SUITE_END();
 
   /// Guards against a change of the row format, which other versions and tools
@@ -91,6 +99,78 @@
     CPPUNIT_ASSERT(H.Leases->holds(Service, Server, Time(29999)));
   }
 
+  /// Guards against a lease that stays in use although the restored store lacks
+  /// it and another guard may take the capacity, and against one that cannot be
+  /// taken again, also after a second restore.
+  void leasesEndWhenStoreIsRestored() {
+    GuardHarness H;
+    H.eject(Time(0));
+    for (unsigned Restore = 1; Restore != 3; ++Restore) {
+      const Time Now(Restore * 1000.0);
+      H.Table = test::OneRowTable();
+      H.restoreStore(Now);
+      CPPUNIT_ASSERT(H.LastReadmission == ReadmitReason::LeaseLost);
+      CPPUNIT_ASSERT(!H.Leases->holds(Service, Server, Now));
+      H.LastReadmission.reset();
+      H.eject(Now);
+      CPPUNIT_ASSERT_EQUAL(1 + Restore, H.Ejections);
+      CPPUNIT_ASSERT(H.Leases->holds(Service, Server, Now));
+      CPPUNIT_ASSERT(H.Table.Value.find("\"n1\"") != std::string::npos);
+    }
+  }
+
+  /// Guards against a released lease that the restored store contains again and
+  /// that takes capacity from the other guards.
+  void releasedLeasesDoNotReturn() {
+    GuardHarness H;
+    H.eject(Time(0));
+    const test::OneRowTable Copy = H.Table;
+    H.handle(H.Leases->readmit(Service, Server, Time(1000)), Time(1000));
+    CPPUNIT_ASSERT_EQUAL(std::string("{\"holders\":[]}"), H.Table.Value);
+    H.Table = Copy;
+    H.restoreStore(Time(2000));
+    H.handle(H.Leases->tick(Time(2050)), Time(2050));
+    CPPUNIT_ASSERT_EQUAL(std::string("{\"holders\":[]}"), H.Table.Value);
+  }
+
+  /// Guards against a lease of another guard that is removed while in use: its
+  /// entry is again as it was first read long ago, because the restored store
+  /// lacks the renewals.
+  void returnedEntriesOfOthersAreKept() {
+    const std::string Other = "{\"holders\":[{\"node\":\"n2\","
+                              "\"incarnation\":1,\"server\":\"b0\","
+                              "\"renewal\":1}]}";
+    GuardHarness H;
+    H.Table.Value = Other;
+    H.Table.Version = 1;
+    // The floor prevents the ejection, so the row is only read.
+    H.handle(H.Leases->view(Service, viewOf(2), 3, Time(0)), Time(0));
+    H.handle(H.Leases->eject(Service, Server, Time(0)), Time(0));
+    H.Table.Value = Other;
+    H.restoreStore(Time(50000));
+    H.handle(H.Leases->view(Service, viewOf(4), 3, Time(52000)), Time(52000));
+    CPPUNIT_ASSERT_EQUAL(1U, H.Ejections);
+    CPPUNIT_ASSERT(H.Table.Value.find("\"n2\"") != std::string::npos);
+  }
+
+  /// Guards against a reply from before a restore that establishes a lease.
+  void repliesFromBeforeRestoreAreIgnored() {
+    GuardHarness H;
+    H.Leases->view(Service, viewOf(3), 3, Time(0));
+    auto Read = H.Leases->eject(Service, Server, Time(0));
+    auto Write = H.Leases->reply(
+        H.Table.apply(std::get<TableRequest>(Read.front())), Time(0));
+    const auto Late = H.Table.apply(std::get<TableRequest>(Write.front()));
+    H.Table = test::OneRowTable();
+    H.TableDown = true;
+    H.restoreStore(Time(100));
+    H.handle(H.Leases->reply(Late, Time(200)), Time(200));
+    CPPUNIT_ASSERT_EQUAL(0U, H.Ejections);
+    H.TableDown = false;
+    H.handle(H.Leases->tick(Time(2000)), Time(2000));
+    CPPUNIT_ASSERT_EQUAL(1U, H.Ejections);
+  }
+
   /// Guards against an ejection that leaves fewer backend servers in use than
   /// the floor.
   void floorPreventsEjection() {
--- a/unittests/Platform/StoreFaultTest.cpp
+++ b/unittests/Platform/StoreFaultTest.cpp
@@ -113,6 +113,8 @@
     return "unavailable";
   case TableStatus::Unknown:
     return "unknown";
+  case TableStatus::StoreRestored:
+    return "store-restored";
   }
   return "";
 }
