--- a/include/teaselhitch/Guard/DepartureLog.h
+++ b/include/teaselhitch/Guard/DepartureLog.h
@@ -50,7 +50,8 @@
   std::optional<TableRequest> tick(Time Now);
 
   /// Handles a reply; replies to requests of others are ignored. Returns the
-  /// departures that earlier processes of the node recorded.
+  /// departures that earlier processes of the node recorded. After a restore of
+  /// the store, the row is read again, and what it lost is written again.
   std::vector<DepartedServer> reply(const TableReply &Reply, Time Now);
 
 private:
@@ -66,6 +67,7 @@
     std::vector<DepartedServer> Servers;
   };
 
+  void forgetStore();
   std::vector<DepartedServer> merge(const std::string &Row);
   bool hasUnsaved() const;
 
@@ -74,6 +76,9 @@
   std::vector<Entry> Entries;
   /// Version of the row; 0 if there is no row, nullopt if this is not known.
   std::optional<std::uint64_t> RowVersion;
+  /// The row was read. What it contains is known from then on, also if an older
+  /// copy of it returns.
+  bool HasRead = false;
   std::optional<Request> InFlight;
   std::uint64_t LastToken = 0;
   Time NextTryAt;
--- a/lib/Guard/DepartureLog.cpp
+++ b/lib/Guard/DepartureLog.cpp
@@ -124,6 +124,10 @@
 
 std::vector<DepartedServer> DepartureLog::reply(const TableReply &Reply,
                                                 Time Now) {
+  if (Reply.Status == TableStatus::StoreRestored) {
+    forgetStore();
+    return {};
+  }
   if (!InFlight || InFlight->Token != Reply.Token)
     return {};
   Request Done = std::move(*InFlight);
@@ -131,6 +135,7 @@
   bool IsRead = Done.Operation == TableOperation::Read;
   if (Reply.Status == TableStatus::NotFound && IsRead) {
     RowVersion = 0;
+    HasRead = true;
     return {};
   }
   if (Reply.Status != TableStatus::Ok) {
@@ -150,8 +155,16 @@
   return {};
 }
 
-/// Marks the entries that the row holds as saved, and adds the others of the
-/// row, except those of servers that have departed again since.
+/// Called when the store was restored from an older copy.
+void DepartureLog::forgetStore() {
+  RowVersion.reset();
+  InFlight.reset();
+  for (Entry &E : Entries)
+    E.IsSaved = false;
+}
+
+/// Marks the entries that the row holds as saved. The first time, also adds the
+/// others of the row, except those of servers that have departed again since.
 std::vector<DepartedServer> DepartureLog::merge(const std::string &Row) {
   std::vector<DepartedServer> Restored;
   std::vector<Entry> Merged;
@@ -160,6 +173,8 @@
         std::find_if(Entries.begin(), Entries.end(),
                      [&](const Entry &E) { return E.Server.Name == S.Name; });
     if (Known == Entries.end()) {
+      if (HasRead)
+        continue;
       Merged.push_back({S, true});
       Restored.push_back(std::move(S));
     } else if (Known->Server == S) {
@@ -171,6 +186,7 @@
     Merged.erase(Merged.begin(),
                  Merged.end() - static_cast<std::ptrdiff_t>(MaxEntries));
   Entries = std::move(Merged);
+  HasRead = true;
   return Restored;
 }
 
--- a/unittests/Guard/DepartureTest.cpp
+++ b/unittests/Guard/DepartureTest.cpp
@@ -40,6 +40,9 @@
     while (std::optional<TableRequest> Next = Log.tick(F.Now))
       Log.reply({Next->Token, Status, {}}, F.Now);
   }
+  void restoreStore() {
+    Log.reply({0, TableStatus::StoreRestored, {}, 2}, F.Now);
+  }
   bool runs(std::uint64_t Sequence) {
     return text(F.dispatch(F.info(Sequence))).rfind("start", 0) == 0;
   }
@@ -62,6 +65,9 @@
   CPPUNIT_TEST(laterProcessesKeepEarlierDepartures);
   CPPUNIT_TEST(invalidRowsAreIgnored);
   CPPUNIT_TEST(firstStartReadsNothing);
+  CPPUNIT_TEST(lostDeparturesAreWrittenAgain);
+  CPPUNIT_TEST(olderRowsRestoreNothing);
+  CPPUNIT_TEST(writesInFlightAreRepeatedAfterRestore);
   CPPUNIT_TEST_SUITE_END();
 
   /// Guards against a late announcement that puts a departed server into use
@@ -179,6 +185,66 @@
     CPPUNIT_ASSERT(!Next.runs(1));
   }
 
+  /// Guards against a departure that is acknowledged and forgotten, because the
+  /// store was restored from a copy that lacks it, also twice in a row.
+  void lostDeparturesAreWrittenAgain() {
+    Process First;
+    MemoryTableStore Store;
+    First.sync(Store);
+    First.announce(numbered("w1", 5));
+    First.depart("w1");
+    First.sync(Store);
+    for (int Restore = 0; Restore != 2; ++Restore) {
+      First.restoreStore();
+      CPPUNIT_ASSERT(First.Log.isUnsaved(BackendServerName("w1")));
+      MemoryTableStore Restored;
+      First.sync(Restored);
+      CPPUNIT_ASSERT(!First.Log.isUnsaved(BackendServerName("w1")));
+      Process Next;
+      Next.sync(Restored);
+      Next.announce(numbered("w1", 6));
+      CPPUNIT_ASSERT(!Next.runs(1));
+    }
+  }
+
+  /// Guards against an older copy of the row that replaces a newer departure,
+  /// or that makes a server of a later incarnation count as departed.
+  void olderRowsRestoreNothing() {
+    MemoryTableStore Older;
+    Process First;
+    First.sync(Older);
+    First.announce(numbered("w1", 5));
+    First.depart("w1");
+    First.sync(Older);
+    First.announce(numbered("w1", 1, 6));
+    First.depart("w1");
+    First.announce(numbered("w1", 1, 7));
+    First.restoreStore();
+    First.sync(Older);
+    CPPUNIT_ASSERT(First.runs(1));
+    Process Next;
+    Next.sync(Older);
+    Next.announce(numbered("w1", 2, 6));
+    CPPUNIT_ASSERT(!Next.runs(1));
+  }
+
+  /// Guards against a reply from before a restore that marks a departure as
+  /// saved although the restored store lacks it.
+  void writesInFlightAreRepeatedAfterRestore() {
+    MemoryTableStore Lost;
+    MemoryTableStore Restored;
+    Process First;
+    First.sync(Lost);
+    First.depart("w1");
+    std::optional<TableRequest> Write = First.Log.tick(First.F.Now);
+    TableReply Late = runTableRequest(Lost, *Write);
+    First.restoreStore();
+    First.Log.reply(Late, First.F.Now);
+    CPPUNIT_ASSERT(First.Log.isUnsaved(BackendServerName("w1")));
+    First.sync(Restored);
+    CPPUNIT_ASSERT(Restored.read("departures", "n1").value().has_value());
+  }
+
   /// Guards against a read of the store by each node of a fleet that starts for
   /// the first time, and against a departure that is lost because there is a
   /// row all the same.
