--- a/include/teaselhitch/Integration/NodeDirectory.h
+++ b/include/teaselhitch/Integration/NodeDirectory.h
@@ -18,6 +18,13 @@
 public:
   virtual ~NodeDirectory() = default;
 
+  /// See TableStore::incarnation(). After a change the entry of this node may
+  /// be lost and must be registered again.
+  virtual std::uint64_t incarnation() const { return 0; }
+  /// Makes a small call that brings incarnation() up to date. Does nothing if
+  /// the directory cannot be restored from an older copy.
+  virtual Result<void> probe(const NodeRecord & /*Self*/) { return {}; }
+
   /// Registers the address of this node. Fails with Unavailable or Timeout if
   /// it is not certain that the entry was written.
   virtual Result<void> registerNode(const NodeRecord &Self) = 0;
--- a/lib/Node/BackendsThread.cpp
+++ b/lib/Node/BackendsThread.cpp
@@ -202,6 +202,7 @@
 }
 
 void BackendsThread::receive(const TableReply &Reply) {
+  StoreIncarnation = Reply.StoreIncarnation;
   std::vector<DepartedServer> Restored = Departures.reply(Reply, now());
   for (const DepartedServer &D : Restored)
     logEvent(LogLevel::Info, "backends", "departure-restored",
@@ -437,7 +438,9 @@
 }
 
 void BackendsThread::perform(const TableRequest &Action) {
-  if (Shared.BackendsToPlatform.trySend(TableRequest(Action)))
+  TableRequest Sent = Action;
+  Sent.StoreIncarnation = StoreIncarnation;
+  if (Shared.BackendsToPlatform.trySend(Sent))
     return;
   TableReply Refused;
   Refused.Token = Action.Token;
--- a/lib/Node/BackendsThread.h
+++ b/lib/Node/BackendsThread.h
@@ -124,6 +124,8 @@
   std::unique_ptr<GrayFailureControl> Control;
   std::map<AttemptId, ActiveAttempt> Attempts;
   DepartureLog Departures;
+  /// Of the last reply of the platform thread.
+  std::uint64_t StoreIncarnation = 0;
   /// A message about a departure whose reply waits until the departure is
   /// saved.
   struct WaitingReply {
--- a/lib/Node/CallersThread.cpp
+++ b/lib/Node/CallersThread.cpp
@@ -100,6 +100,7 @@
       [Self](RunChange &&Change) { Self->receive(Change); });
   Self->EventLoopThread::subscribe(
       Shared.PlatformToCallers, [Self](TableReply &&Reply) {
+        Self->StoreIncarnation = Reply.StoreIncarnation;
         Self->execute(Self->Core->handleTableReply(Reply, Self->now()));
       });
   Self->Loop.schedulePeriodic(TickInterval, [Self] {
@@ -356,6 +357,7 @@
 
 void CallersThread::perform(TableRequest Action) {
   std::uint64_t Token = Action.Token;
+  Action.StoreIncarnation = StoreIncarnation;
   if (Shared.CallersToPlatform.trySend(Action))
     return;
   TableReply Refused;
--- a/lib/Node/CallersThread.h
+++ b/lib/Node/CallersThread.h
@@ -95,6 +95,8 @@
   std::unique_ptr<RandomSource> Random;
   std::unique_ptr<CallerProtocol> Protocol;
   /// Routes requests; this thread performs the actions that it returns.
+  /// Of the last reply of the platform thread.
+  std::uint64_t StoreIncarnation = 0;
   std::unique_ptr<Entry> Core;
   std::unordered_map<std::uint64_t, PendingRequest> Requests;
   std::unordered_map<std::uint64_t, std::shared_ptr<HttpExchange>> KeyRequests;
--- a/lib/Node/PlatformThread.cpp
+++ b/lib/Node/PlatformThread.cpp
@@ -2,6 +2,9 @@
 
 #include "teaselhitch/Config/Head.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace teaselhitch {
 
 namespace {
@@ -13,6 +16,16 @@
 /// Delay before a failed call to the node directory is retried.
 constexpr Duration DirectoryRetryDelay = Duration(500);
 
+/// Bounds the reads by which all nodes together check whether the store was
+/// restored, in reads per second: 1,400 nodes check each 30 s, and up to 80
+/// nodes each 2 s.
+constexpr double FleetProbeRate = 40;
+constexpr Duration MinProbeInterval = Duration::seconds(2);
+constexpr Duration MaxProbeInterval = Duration::seconds(30);
+/// Share of the interval that is random, so that nodes which start together do
+/// not make their calls together.
+constexpr double ProbeJitter = 0.25;
+
 /// After a call without an answer, calls are refused for this time. Otherwise
 /// each of many queued calls would block for the whole time limit in turn.
 constexpr Duration SuspensionPeriod = Duration(500);
@@ -37,15 +50,13 @@
   NewThread->SelfRecord.Domain = Settings.Domain;
   NewThread->SelfRecord.Version.Incarnation = Incarnation;
   PlatformThread *Self = NewThread.get();
-  // If a reply is dropped, the requester treats the result of the operation as
-  // unknown after its own time limit.
   Self->subscribe(Shared.CallersToPlatform, [Self](TableRequest &&Request) {
-    (void)Self->Shared.PlatformToCallers.trySend(
-        Self->runTableOperation(Request));
+    Self->send(Self->Shared.PlatformToCallers, Self->IsCallersNoticeDue,
+               Self->runTableOperation(Request));
   });
   Self->subscribe(Shared.BackendsToPlatform, [Self](TableRequest &&Request) {
-    (void)Self->Shared.PlatformToBackends.trySend(
-        Self->runTableOperation(Request));
+    Self->send(Self->Shared.PlatformToBackends, Self->IsBackendsNoticeDue,
+               Self->runTableOperation(Request));
   });
   Self->subscribe(
       Shared.PeersToPlatform, [Self](PeersToPlatformMessage &&Message) {
@@ -62,14 +73,81 @@
       });
   if (Settings.UploadsAudit)
     Self->Loop.schedulePeriodic(AuditInterval, [Self] { Self->uploadAudit(); });
-  if (Self->Directory)
+  if (Self->Directory) {
     Self->Loop.post([Self] { Self->joinDirectory(); });
+    Self->scheduleProbe();
+  }
   return NewThread;
 }
 
+void PlatformThread::send(Channel<TableReply> &To, bool &IsNoticeDue,
+                          TableReply Reply) {
+  if (!sendNotice(To, IsNoticeDue))
+    return;
+  Reply.StoreIncarnation = StoreIncarnation;
+  (void)To.trySend(Reply);
+}
+
+bool PlatformThread::sendNotice(Channel<TableReply> &To, bool &IsNoticeDue) {
+  if (!IsNoticeDue)
+    return true;
+  TableReply Notice;
+  Notice.Status = TableStatus::StoreRestored;
+  Notice.StoreIncarnation = StoreIncarnation;
+  IsNoticeDue = !To.trySend(Notice);
+  return !IsNoticeDue;
+}
+
+void PlatformThread::updateStoreIncarnation() {
+  std::uint64_t Current = Table->incarnation();
+  if (Directory)
+    Current = std::max(Current, Directory->incarnation());
+  if (Current <= StoreIncarnation)
+    return;
+  bool IsRestored = StoreIncarnation != 0;
+  StoreIncarnation = Current;
+  if (!IsRestored)
+    return;
+  logEvent(LogLevel::Warning, "platform", "store-restored",
+           {{"incarnation", static_cast<std::int64_t>(Current)}});
+  Restores.add();
+  IsCallersNoticeDue = true;
+  IsBackendsNoticeDue = true;
+  // The directory is read again after this node has registered: of two nodes
+  // whose entries were lost, the one that registers last finds the other.
+  if (Directory && !IsLeaving && std::exchange(IsRegistered, false))
+    Loop.post([this] { joinDirectory(); });
+}
+
+void PlatformThread::scheduleProbe() {
+  std::shared_ptr<const FleetView> View = Shared.View.current();
+  std::size_t Nodes = View && View->Nodes ? View->Nodes->size() : 1;
+  Duration Interval =
+      std::clamp(Duration::seconds(static_cast<double>(Nodes) / FleetProbeRate),
+                 MinProbeInterval, MaxProbeInterval);
+  Loop.schedule(Interval * (1 - ProbeJitter * Random.uniform()), [this] {
+    probeDirectory();
+    scheduleProbe();
+  });
+}
+
+void PlatformThread::probeDirectory() {
+  if (IsLeaving || isSuspended())
+    return;
+  handleError([&]() -> Result<void> { return Directory->probe(SelfRecord); },
+              [&](const Error &) { updateSuspension(false); });
+  updateStoreIncarnation();
+  sendNotice(Shared.PlatformToCallers, IsCallersNoticeDue);
+  sendNotice(Shared.PlatformToBackends, IsBackendsNoticeDue);
+}
+
 void PlatformThread::joinDirectory() {
+  if (IsLeaving)
+    return;
   IsRegistered = IsRegistered || registerNode();
-  if (!IsRegistered || !readDirectory())
+  bool IsDone = IsRegistered && readDirectory();
+  updateStoreIncarnation();
+  if (!IsDone)
     Loop.schedule(DirectoryRetryDelay, [this] { joinDirectory(); });
 }
 
@@ -77,6 +155,7 @@
   return handleError(
       [&]() -> Result<bool> {
         BOOST_LEAF_CHECK(Directory->registerNode(SelfRecord));
+        updateStoreIncarnation();
         return true;
       },
       [](const Error &E) {
@@ -106,6 +185,7 @@
   if (!Directory)
     return;
   Loop.post([this] {
+    IsLeaving = true;
     handleError(
         [&]() -> Result<bool> {
           BOOST_LEAF_CHECK(Directory->remove(SelfRecord));
@@ -160,7 +240,15 @@
   Reply.Status = TableStatus::Unavailable;
   if (isSuspended())
     return Reply;
+  // A version from before a restore may belong to other content by now.
+  if (Request.Operation == TableOperation::Replace &&
+      Request.StoreIncarnation != 0 &&
+      Request.StoreIncarnation < StoreIncarnation) {
+    Reply.Status = TableStatus::Conflict;
+    return Reply;
+  }
   Reply = runTableRequest(*Table, Request);
+  updateStoreIncarnation();
   updateSuspension(hasAnswer(Reply.Status));
   return Reply;
 }
--- a/lib/Node/PlatformThread.h
+++ b/lib/Node/PlatformThread.h
@@ -10,9 +10,11 @@
 #include "teaselhitch/Integration/PlatformAdapter.h"
 #include "teaselhitch/Platform/Stores.h"
 #include "teaselhitch/Settings/NodeSettings.h"
+#include "teaselhitch/Support/Random.h"
 
 #include <memory>
 #include <optional>
+#include <random>
 #include <string>
 
 namespace teaselhitch {
@@ -30,7 +32,11 @@
 private:
   PlatformThread(const NodeSettings &Settings, std::uint64_t Incarnation,
                  SharedState &Shared)
-      : Settings(Settings), Incarnation(Incarnation), Shared(Shared) {}
+      : Settings(Settings), Incarnation(Incarnation), Shared(Shared),
+        Random(std::random_device()()),
+        Restores(Shared.Metrics.counter(
+            "teaselhitch_store_restores_total",
+            "restores of the store from an older copy that were noticed")) {}
 
   TableReply runTableOperation(const TableRequest &Request);
   PieceReadResult readPiece(const PieceReadRequest &Request);
@@ -38,6 +44,20 @@
   bool isSuspended() const { return now() < SuspendedUntil; }
   /// Suspends calls if the platform did not answer.
   void updateSuspension(bool Answered);
+  /// Sends a reply; requesters treat one that is dropped as unknown after their
+  /// own time limit.
+  void send(Channel<TableReply> &To, bool &IsNoticeDue, TableReply Reply);
+  /// Sends the notice of a restore if it is due. Returns false if it still is.
+  bool sendNotice(Channel<TableReply> &To, bool &IsNoticeDue);
+  /// Checks whether a call has shown that the store was restored from an older
+  /// copy. The other threads are then told before they get any reply from the
+  /// restored store.
+  void updateStoreIncarnation();
+  /// Checks regularly whether the store was restored, since a node without
+  /// changes makes no other calls.
+  void probeDirectory();
+  void scheduleProbe();
+
   /// Registers this node in the node directory and reads the addresses of the
   /// other nodes. Each step is retried until it succeeds.
   void joinDirectory();
@@ -64,9 +84,16 @@
   std::unique_ptr<NodeDirectory> Directory;
   NodeRecord SelfRecord;
   bool IsRegistered = false;
+  bool IsLeaving = false;
+  /// See TableStore::incarnation().
+  std::uint64_t StoreIncarnation = 0;
+  bool IsCallersNoticeDue = false;
+  bool IsBackendsNoticeDue = false;
+  SeededRandom Random;
   Time SuspendedUntil;
   std::optional<AuditBatch> PendingBatch;
   std::uint64_t UploadedSequence = 0;
+  Counter &Restores;
 };
 
 } // namespace teaselhitch
--- a/unittests/RowStorePlatform/EndToEndTest.cpp
+++ b/unittests/RowStorePlatform/EndToEndTest.cpp
@@ -9,6 +9,7 @@
 
 #include <chrono>
 #include <csignal>
+#include <future>
 #include <thread>
 
 using namespace teaselhitch;
@@ -69,6 +70,26 @@
   void setFault(standin::RowStoreFault Fault) {
     asio::post(Context, [=, this] { Store.setFault(Fault); });
   }
+  void saveCopy() {
+    asio::post(Context, [this] { Store.saveCopy(); });
+  }
+  void restore() {
+    asio::post(Context, [this] { Store.restore(); });
+  }
+  bool hasRow(const std::string &Table, const std::string &Key) {
+    std::promise<bool> Found;
+    asio::post(Context, [&] { Found.set_value(Store.hasRow(Table, Key)); });
+    return Found.get_future().get();
+  }
+  /// Waits until a row is in the store.
+  bool awaitRow(const std::string &Table, const std::string &Key) {
+    for (int Try = 0; Try != MaxTries; ++Try) {
+      if (hasRow(Table, Key))
+        return true;
+      std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    }
+    return false;
+  }
 
   Endpoint StoreAddress;
   Endpoint BackendAddress;
@@ -120,12 +141,15 @@
 public:
   explicit RunningFleet(const PlatformFixture &Platform,
                         int Count = NodeCount) {
-    for (int I = 0; I != Count; ++I) {
-      Settings.push_back(makeSettings(I, Platform));
-      RunningNodes.push_back(Node::create(Settings.back()).value());
-    }
+    for (int I = 0; I != Count; ++I)
+      create(Platform);
     for (auto &RunningNode : RunningNodes)
-      Threads.emplace_back([&RunningNode] { RunningNode->run(); });
+      run(*RunningNode);
+  }
+  /// Starts one more node.
+  void add(const PlatformFixture &Platform) {
+    create(Platform);
+    run(*RunningNodes.back());
   }
   ~RunningFleet() {
     std::raise(SIGTERM);
@@ -138,6 +162,15 @@
   std::vector<NodeSettings> Settings;
 
 private:
+  void create(const PlatformFixture &Platform) {
+    Settings.push_back(
+        makeSettings(static_cast<int>(Settings.size()), Platform));
+    RunningNodes.push_back(Node::create(Settings.back()).value());
+  }
+  void run(Node &Started) {
+    Threads.emplace_back([&Started] { Started.run(); });
+  }
+
   std::vector<std::unique_ptr<Node>> RunningNodes;
   std::vector<std::thread> Threads;
 };
@@ -182,6 +215,7 @@
   CPPUNIT_TEST(requestRunsOnOtherNode);
   CPPUNIT_TEST(firstViewIsPublished);
   CPPUNIT_TEST(departureOutlivesRestart);
+  CPPUNIT_TEST(rowsAreWrittenAgainAfterRestores);
   CPPUNIT_TEST_SUITE_END();
 
   /// Guards against faults between components, which the tests of single
@@ -265,6 +299,46 @@
     CPPUNIT_ASSERT_MESSAGE(Status, Status.find("\"state\":\"draining\"") !=
                                        std::string::npos);
   }
+
+  /// Guards against rows of a node that stay lost after the store was restored
+  /// from an older copy, though the node makes no other calls to the store, and
+  /// against a configuration that reverts. A second node starts between two
+  /// restores and writes its rows again as well.
+  void rowsAreWrittenAgainAfterRestores() {
+    PlatformFixture Platform;
+    Platform.publish("3");
+    Platform.saveCopy();
+    Platform.publish("4");
+    RunningFleet Fleet(Platform, 1);
+    const Endpoint &Listener = Fleet.Settings[0].BackendServers;
+    CPPUNIT_ASSERT_EQUAL(
+        200U,
+        callUntil(
+            200, Listener,
+            {"POST", "/Instances.Heartbeat/i-1", {}, announcement(Platform, 1)})
+            .Status);
+    CPPUNIT_ASSERT_EQUAL(
+        200U, call(Listener, {"POST", "/Instances.Leave/i-1", {}, ""}).Status);
+    CPPUNIT_ASSERT(Platform.awaitRow("nodes", "n0"));
+    CPPUNIT_ASSERT(Platform.awaitRow("departures", "n0"));
+    const auto HasVersion4 = [&] {
+      return call(Fleet.Settings[0].Operators, {"GET", "/v1/status", {}, ""})
+                 .Body.find("\"configuration_version\":4") != std::string::npos;
+    };
+    for (int Try = 0; Try != MaxTries && !HasVersion4(); ++Try)
+      std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    Platform.restore();
+    CPPUNIT_ASSERT(!Platform.hasRow("nodes", "n0"));
+    CPPUNIT_ASSERT(Platform.awaitRow("nodes", "n0"));
+    CPPUNIT_ASSERT(Platform.awaitRow("departures", "n0"));
+    Fleet.add(Platform);
+    CPPUNIT_ASSERT(Platform.awaitRow("nodes", "n1"));
+    Platform.restore();
+    for (const char *Node : {"n0", "n1"})
+      CPPUNIT_ASSERT(Platform.awaitRow("nodes", Node));
+    CPPUNIT_ASSERT(Platform.awaitRow("departures", "n0"));
+    CPPUNIT_ASSERT(HasVersion4());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(EndToEndTest);
