--- a/include/teaselhitch/Membership/Membership.h
+++ b/include/teaselhitch/Membership/Membership.h
@@ -85,6 +85,8 @@
 struct SendDatagram {
   Endpoint Destination;
   Datagram Message;
+  /// True if the destination is known to be in another failure domain.
+  bool CrossesDomains = false;
 
   auto operator<=>(const SendDatagram &) const = default;
 };
@@ -141,6 +143,10 @@
   /// Addresses of nodes to contact in order to join the fleet; the own address
   /// is ignored.
   std::vector<Endpoint> Seeds;
+  /// A failure domain is remote if crossing to it adds at least this much to
+  /// the round trip of a probe. Few messages are sent to remote domains; with
+  /// 0, no domain is remote.
+  Duration RemoteDomainRoundTrip;
 };
 
 /// Monotonic counters of faults that a node detected, mostly in messages from
--- a/include/teaselhitch/Model/Records.h
+++ b/include/teaselhitch/Model/Records.h
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -124,6 +125,8 @@
   /// Nodes sorted by name, without dead nodes.
   std::shared_ptr<const std::map<NodeName, NodeRecord>> Nodes;
   std::map<ServiceName, std::shared_ptr<const ServiceView>> Services;
+  /// Failure domains to which messages are expensive, from this node.
+  std::set<FailureDomain> RemoteDomains;
 
   /// Returns true if guards publish by gossip which of their backend servers
   /// look faulty. In larger fleets, each entry learns it from the guards that
--- a/lib/Membership/GossipQueue.cpp
+++ b/lib/Membership/GossipQueue.cpp
@@ -2,10 +2,10 @@
 
 namespace teaselhitch {
 
-void GossipQueue::add(const GossipItem &Item) {
+void GossipQueue::add(const GossipItem &Item, std::uint32_t Sent) {
   remove(Item);
-  auto It = Items.emplace(Item, Progress{0, ++LastInsertionId}).first;
-  Order.insert({0, LastInsertionId, &It->first});
+  auto It = Items.emplace(Item, Progress{Sent, ++LastInsertionId}).first;
+  Order.insert({Sent, LastInsertionId, &It->first});
 }
 
 void GossipQueue::remove(const GossipItem &Item) {
--- a/lib/Membership/GossipQueue.h
+++ b/lib/Membership/GossipQueue.h
@@ -58,8 +58,8 @@
   enum class OfferResult { Taken, DoesNotFit, Obsolete };
 
   /// Adds an item. Adding a queued item again, because its content changed,
-  /// resets its transmission count to 0.
-  void add(const GossipItem &Item);
+  /// resets its transmission count to Sent.
+  void add(const GossipItem &Item, std::uint32_t Sent = 0);
   void remove(const GossipItem &Item);
   /// Records that another node sent a record that is already known here. This
   /// counts as DuplicateWeight transmissions: the more nodes know an item, the
--- a/lib/Membership/Membership.cpp
+++ b/lib/Membership/Membership.cpp
@@ -65,7 +65,8 @@
                                Time Now)
     : Settings(std::move(InitialSettings)), Random(Random),
       Records(SelfRecord.Name),
-      Self(Records.findOrCreate(SelfRecord.Name, Now)) {
+      Self(Records.findOrCreate(SelfRecord.Name, Now)),
+      Distance(SelfRecord.Domain, Settings.RemoteDomainRoundTrip) {
   std::erase(Settings.Seeds, SelfRecord.Address);
   Queue.add(GossipItem::node(SelfRecord.Name));
   Records.setNode(*Self, std::move(SelfRecord), Now);
@@ -110,19 +111,19 @@
 void MembershipCore::writeServer(BackendServerRecord Record) {
   Record.Version = {Self->Record.Version.Incarnation, ++ServerSequence};
   if (Records.setServer(*Self, Record))
-    Queue.add(GossipItem::server(Record.Id));
+    enqueue(GossipItem::server(Record.Id), ItemOrigin::Own);
   else
     ++Counters.Rejected;
 }
 
 void MembershipCore::mergeOwnServer(const BackendServerRecord &Record,
-                                    Time Now) {
+                                    MergeContext &M) {
   const RecordVersion &Version = Record.Version;
   std::uint64_t OwnIncarnation = Self->Record.Version.Incarnation;
   auto It = Self->Servers.find(Record.Id.Name);
   bool IsKnown = It != Self->Servers.end();
   if (IsKnown && Record == It->second) {
-    Queue.noteDuplicate(GossipItem::server(Record.Id), transmitLimit());
+    noteDuplicate(GossipItem::server(Record.Id), M.Sender);
     return;
   }
   if (Version.Incarnation < OwnIncarnation ||
@@ -130,7 +131,7 @@
     return;
   ++Counters.ForeignWrites;
   if (Version.Incarnation > OwnIncarnation) {
-    raiseIncarnation(Version.Incarnation, Now);
+    raiseIncarnation(Version.Incarnation, M.Now);
     return;
   }
   if (Version.Sequence >= MaxIncarnation || !isValidName(Record.Id.Name.str()))
@@ -151,7 +152,7 @@
   NodeRecord Next = Self->Record;
   Next.Version.Sequence = Claim.Sequence + 1;
   Records.setNode(*Self, Next, Now);
-  Queue.add(GossipItem::node(Next.Name));
+  enqueue(GossipItem::node(Next.Name), ItemOrigin::Own);
 }
 
 /// Sets the own incarnation above the claimed one and rewrites all own records
@@ -167,7 +168,7 @@
   NodeRecord Next = Self->Record;
   Next.Version = {Claimed + 1, 1};
   Records.setNode(*Self, Next, Now);
-  Queue.add(GossipItem::node(Next.Name));
+  enqueue(GossipItem::node(Next.Name), ItemOrigin::Own);
   for (auto &[Name, Record] : Servers)
     writeServer(std::move(Record));
 }
@@ -177,14 +178,14 @@
   if (Offered.Version <= Head.Version)
     return;
   Head = Offered;
-  Queue.add(GossipItem::head());
+  enqueue(GossipItem::head(), ItemOrigin::Shared);
 }
 
 void MembershipCore::publishQuarantine(const QuarantineRecord &Record,
                                        Time Now) {
   QuarantineKey Key = makeQuarantineKey(Record);
   storeQuarantine(Key, Now + Duration(Record.RemainingMs), Now);
-  Queue.add(GossipItem::quarantine(Key));
+  enqueue(GossipItem::quarantine(Key), ItemOrigin::Own);
 }
 
 void MembershipCore::storeQuarantine(const QuarantineKey &Key, Time ExpiresAt,
@@ -207,7 +208,7 @@
   Next.State = NodeState::Leaving;
   ++Next.Version.Sequence;
   Records.setNode(*Self, Next, Now);
-  Queue.add(GossipItem::node(Next.Name));
+  enqueue(GossipItem::node(Next.Name), ItemOrigin::Own);
 }
 
 Digest MembershipCore::digest() const { return Records.digest(Head); }
@@ -251,7 +252,7 @@
     return Out;
   }
   for (const GossipItem &Item : M.NewItems)
-    Queue.add(Item);
+    enqueue(Item, ItemOrigin::Shared, Sender);
   return Out;
 }
 
--- a/lib/Membership/MembershipCore.cpp
+++ b/lib/Membership/MembershipCore.cpp
@@ -112,7 +112,11 @@
       continue;
     }
     It = PendingProbes.erase(It);
+    bool WasSuspected = Target->SuspicionDeadline.has_value();
     suspect(*Target, Now, Out);
+    if (!WasSuspected && Target->Record.State == NodeState::Suspected)
+      enqueueForRemote(GossipItem::node(Target->Record.Name), ItemOrigin::Own,
+                       NodeName());
   }
 }
 
@@ -141,7 +145,7 @@
       Now < Entry.NextSuspectProbe)
     return;
   Entry.NextSuspectProbe = Now + SuspectProbeInterval;
-  contact(Entry.Record.Address, {Entry.Record}, Now, Out);
+  contact(Entry.Record.Address, &Entry, {Entry.Record}, Now, Out);
 }
 
 void MembershipCore::startDueProbes(Time Now, MembershipActions &Out) {
@@ -167,16 +171,18 @@
 }
 
 NodeEntry *MembershipCore::nextProbeTarget() {
+  if (NodeEntry *Target = nextRemoteProbeTarget())
+    return Target;
   NextIsRingProbe = !NextIsRingProbe;
   // Random choice alone occasionally leaves a node without a probe for several
   // intervals. Every second probe goes to the ring successor, so that each node
   // is probed by its predecessor in every second interval.
   if (NextIsRingProbe)
-    return Records.ringSuccessor();
+    return Records.ringSuccessor(Distance.remote());
   for (int Round = 0; Round != 2; ++Round) {
     while (ProbePosition < ProbeOrder.size()) {
       NodeEntry *Entry = Records.find(ProbeOrder[ProbePosition++]);
-      if (Entry != nullptr && Entry->LiveIndex)
+      if (Entry != nullptr && Entry->LiveIndex && !isRemote(*Entry))
         return Entry;
     }
     shuffleProbeOrder();
@@ -199,12 +205,12 @@
   Datagram Message;
   if (PriorityRecords.empty() && Target.Record.State == NodeState::Suspected)
     PriorityRecords.push_back(Target.Record);
-  Message = compose(DatagramKind::Probe, PriorityRecords, 1, Now);
+  Message = compose(DatagramKind::Probe, &Target, PriorityRecords, 1, Now);
   Message.Sequence = ++LastSequence;
   PendingProbes[Message.Sequence] = {Target.Record.Name,
                                      Now + Settings.ProbeTimeout,
-                                     Now + Settings.ProbeInterval, false};
-  Out.emplace_back(SendDatagram{Target.Record.Address, std::move(Message)});
+                                     Now + Settings.ProbeInterval, false, Now};
+  send(Target.Record.Address, &Target, std::move(Message), Out);
 }
 
 void MembershipCore::sendIndirectProbes(std::uint64_t Sequence,
@@ -212,15 +218,14 @@
                                         MembershipActions &Out) {
   // Repeat the direct probe, because the loss of one datagram is the most
   // frequent cause of a missing answer.
-  Datagram Retry = compose(DatagramKind::Probe, {}, 1, Now);
+  Datagram Retry = compose(DatagramKind::Probe, &Target, {}, 1, Now);
   Retry.Sequence = Sequence;
-  Out.emplace_back(SendDatagram{Target.Record.Address, std::move(Retry)});
+  send(Target.Record.Address, &Target, std::move(Retry), Out);
   for (const NodeEntry *RelayNode : chooseRelayNodes(Target)) {
-    Datagram Message =
-        compose(DatagramKind::IndirectProbe, {}, 1, Now, Target.Record.Name);
+    Datagram Message = compose(DatagramKind::IndirectProbe, RelayNode, {}, 1,
+                               Now, Target.Record.Name);
     Message.Sequence = Sequence;
-    Out.emplace_back(
-        SendDatagram{RelayNode->Record.Address, std::move(Message)});
+    send(RelayNode->Record.Address, RelayNode, std::move(Message), Out);
   }
 }
 
@@ -228,22 +233,35 @@
 MembershipCore::chooseRelayNodes(const NodeEntry &Target) {
   const std::vector<NodeEntry *> &LivePeers = Records.livePeers();
   std::vector<const NodeEntry *> Chosen;
-  auto TryCandidate = [&](bool OnlyOtherDomains) {
+  auto TryCandidate = [&](std::size_t Count, auto &&IsPreferred) {
     const NodeEntry *Entry = LivePeers[Random.uniformInt(LivePeers.size())];
     bool IsUsable =
         Entry != &Target && Entry->Record.State == NodeState::Alive &&
         std::find(Chosen.begin(), Chosen.end(), Entry) == Chosen.end();
-    if (OnlyOtherDomains && Entry->Record.Domain == Self->Record.Domain)
-      IsUsable = false;
-    if (IsUsable && Chosen.size() < Settings.IndirectProbes)
+    if (IsUsable && IsPreferred(Entry->Record.Domain) && Chosen.size() < Count)
       Chosen.push_back(Entry);
   };
+  auto TryCandidates = [&](std::size_t Count, auto &&IsPreferred) {
+    for (unsigned I = 0; I != DrawsPerRelayNode * Settings.IndirectProbes; ++I)
+      TryCandidate(Count, IsPreferred);
+  };
   if (LivePeers.empty())
     return Chosen;
-  for (unsigned I = 0; I != DrawsPerRelayNode * Settings.IndirectProbes; ++I)
-    TryCandidate(true);
-  for (unsigned I = 0; I != DrawsPerRelayNode * Settings.IndirectProbes; ++I)
-    TryCandidate(false);
+  // A near target is asked by near nodes, but for one. A remote target is asked
+  // from a third domain, because all paths between two domains may fail at
+  // once.
+  if (!Distance.remote().empty() && Settings.IndirectProbes > 1) {
+    bool IsNearTarget = !isRemote(Target);
+    TryCandidates(Settings.IndirectProbes - 1, [&](const FailureDomain &D) {
+      return IsNearTarget ? !Distance.isRemote(D)
+                          : D != Target.Record.Domain && Distance.isRemote(D);
+    });
+  }
+  TryCandidates(Settings.IndirectProbes, [&](const FailureDomain &D) {
+    return D != Self->Record.Domain;
+  });
+  TryCandidates(Settings.IndirectProbes,
+                [](const FailureDomain &) { return true; });
   return Chosen;
 }
 
@@ -280,16 +298,20 @@
 }
 
 void MembershipCore::gossip(Time Now, MembershipActions &Out) {
+  gossipToRemote(Now, Out);
   if (Now < NextGossip || Queue.empty() || Records.livePeers().empty())
     return;
   NextGossip = Now + Settings.GossipInterval;
-  std::vector<const NodeEntry *> Targets = gossipTargets();
-  Datagram Message = compose(DatagramKind::Gossip, {},
+  std::vector<const NodeEntry *> Targets =
+      Distance.remote().empty() ? gossipTargets() : nearGossipTargets();
+  if (Targets.empty())
+    return;
+  Datagram Message = compose(DatagramKind::Gossip, nullptr, {},
                              static_cast<std::uint32_t>(Targets.size()), Now);
   if (Message.Changes == Delta())
     return;
   for (const NodeEntry *Target : Targets)
-    Out.emplace_back(SendDatagram{Target->Record.Address, Message});
+    send(Target->Record.Address, Target, Message, Out);
 }
 
 std::vector<NodeEntry *> MembershipCore::sameDomainPeers() const {
@@ -302,7 +324,9 @@
 
 /// Chooses mostly peers of the own failure domain, because the records that
 /// anti-entropy transfers would cost more between domains.
-const NodeEntry *MembershipCore::chooseSyncPeer() {
+const NodeEntry *MembershipCore::chooseSyncPeer(Time Now) {
+  if (!Distance.remote().empty())
+    return chooseSyncPeerByDistance(Now);
   std::vector<NodeEntry *> SameDomain = sameDomainPeers();
   if (!SameDomain.empty() && Random.uniform() < SameDomainSyncShare)
     return SameDomain[Random.uniformInt(SameDomain.size())];
@@ -321,7 +345,7 @@
   const NodeEntry *Preferred = Records.find(PreferredSyncPeer);
   PreferredSyncPeer = NodeName();
   bool UsesPreferred = Preferred != nullptr && Preferred->LiveIndex;
-  const NodeEntry *Peer = UsesPreferred ? Preferred : chooseSyncPeer();
+  const NodeEntry *Peer = UsesPreferred ? Preferred : chooseSyncPeer(Now);
   Out.emplace_back(StartSync{Peer->Record.Name});
 }
 
@@ -340,7 +364,7 @@
       std::max(IdleDiscoveryShare, UnreachableRatio / PartitionRatio);
   if (!Unreachable.empty() && Random.uniform() < Share) {
     const NodeEntry *Entry = Unreachable[Random.uniformInt(Unreachable.size())];
-    contact(Entry->Record.Address, {Entry->Record}, Now, Out);
+    contact(Entry->Record.Address, Entry, {Entry->Record}, Now, Out);
   }
   if (!LivePeers.empty() && !isJoining(Now) &&
       Random.uniform() >= IdleDiscoveryShare)
@@ -355,16 +379,16 @@
   std::size_t Contacts =
       std::min(IsIsolated ? IsolatedSeedContacts : 1, Unknown.size());
   for (std::size_t I = 0; I != Contacts; ++I)
-    contact(Unknown[Random.uniformInt(Unknown.size())], {}, Now, Out);
+    contact(Unknown[Random.uniformInt(Unknown.size())], nullptr, {}, Now, Out);
 }
 
-void MembershipCore::contact(const Endpoint &To,
+void MembershipCore::contact(const Endpoint &Address, const NodeEntry *To,
                              std::vector<NodeRecord> PriorityRecords, Time Now,
                              MembershipActions &Out) {
   PriorityRecords.insert(PriorityRecords.begin(), Self->Record);
-  Datagram Message = compose(DatagramKind::Probe, PriorityRecords, 1, Now);
+  Datagram Message = compose(DatagramKind::Probe, To, PriorityRecords, 1, Now);
   Message.Sequence = ++LastSequence;
-  Out.emplace_back(SendDatagram{To, std::move(Message)});
+  send(Address, To, std::move(Message), Out);
 }
 
 void MembershipCore::dropExpired(Time Now) {
--- a/lib/Membership/MembershipCore.h
+++ b/lib/Membership/MembershipCore.h
@@ -4,9 +4,10 @@
 /// \file
 /// The state machine that implements Membership. MembershipCore.cpp has the
 /// probes and timers, MembershipMessages.cpp the datagrams, MembershipMerge.cpp
-/// the rules for received records, and Membership.cpp the records that this
-/// node writes.
+/// the rules for received records, MembershipRemote.cpp what is sent to remote
+/// failure domains, and Membership.cpp the records that this node writes.
 
+#include "DomainDistance.h"
 #include "GossipQueue.h"
 #include "Roster.h"
 #include "teaselhitch/Membership/DatagramSize.h"
@@ -48,6 +49,9 @@
   MembershipCounters counters() const override { return Counters; }
 
 private:
+  /// Number of times that a node sends an item to each remote domain at most.
+  static constexpr std::uint32_t RemoteCopies = 3;
+
   /// Channel by which a record arrived. Claims that arrive by anti-entropy may
   /// be outdated, so a probe verifies them before they are accepted.
   enum class ChannelKind : std::uint8_t { Gossip, Sync };
@@ -71,12 +75,14 @@
     Time IndirectProbeTime;
     Time Deadline;
     bool IndirectSent = false;
+    Time SentAt;
   };
 
   /// A probe that this node sends on behalf of Origin.
   struct RelayedProbe {
     NodeName Target;
     Endpoint Origin;
+    NodeName OriginNode;
     std::uint64_t Sequence = 0;
     Time ExpiresAt;
   };
@@ -102,11 +108,13 @@
   void sendIndirectProbes(std::uint64_t Sequence, const NodeEntry &Target,
                           Time Now, MembershipActions &Out);
   std::vector<const NodeEntry *> chooseRelayNodes(const NodeEntry &Target);
-  void contact(const Endpoint &To, std::vector<NodeRecord> PriorityRecords,
-               Time Now, MembershipActions &Out);
+  /// \param To the node with this address, or null if it is not known.
+  void contact(const Endpoint &Address, const NodeEntry *To,
+               std::vector<NodeRecord> PriorityRecords, Time Now,
+               MembershipActions &Out);
   std::vector<const NodeEntry *> gossipTargets();
   std::vector<NodeEntry *> sameDomainPeers() const;
-  const NodeEntry *chooseSyncPeer();
+  const NodeEntry *chooseSyncPeer(Time Now);
   std::vector<const NodeEntry *> randomPeers(std::size_t Count);
 
   // Messages.
@@ -118,15 +126,52 @@
   std::optional<NodeRecord> senderClaim(const Datagram &Message) const;
   /// Composes a datagram of PriorityRecords and then of queued gossip items.
   /// The items count as sent Copies times.
-  Datagram compose(DatagramKind Kind,
+  /// \param To receiver, or null if it is not known. A receiver in a remote
+  /// domain gets only items that are queued for that domain.
+  Datagram compose(DatagramKind Kind, const NodeEntry *To,
                    const std::vector<NodeRecord> &PriorityRecords,
                    std::uint32_t Copies, Time Now, const NodeName &Target = {});
+  /// \param To the node with this address, or null if it is not known.
+  void send(const Endpoint &Address, const NodeEntry *To, Datagram Message,
+            MembershipActions &Out) const;
   GossipQueue::OfferResult addItem(const GossipItem &Item, Delta &Changes,
                                    DatagramSize &Size, Time Now) const;
-  void reply(const Endpoint &To, const NodeRecord &Record, Time Now,
-             MembershipActions &Out);
+  void reply(const Endpoint &Address, const NodeEntry *To,
+             const NodeRecord &Record, Time Now, MembershipActions &Out);
   std::uint32_t transmitLimit() const;
 
+  // Remote failure domains.
+  enum class ItemOrigin : std::uint8_t {
+    /// This node wrote the record or found the change.
+    Own,
+    /// Other nodes of the own domain learn the change as well.
+    Shared,
+  };
+  bool isRemote(const NodeEntry &Entry) const {
+    return Distance.isRemote(Entry.Record.Domain);
+  }
+  /// Queues an item for gossip in the near domains, and for remote ones if it
+  /// is this node's task.
+  void enqueue(const GossipItem &Item, ItemOrigin Origin,
+               const NodeName &Sender = {});
+  void enqueueForRemote(const GossipItem &Item, ItemOrigin Origin,
+                        const NodeName &Sender);
+  /// Records that Sender knows an item.
+  void noteDuplicate(const GossipItem &Item, const NodeName &Sender);
+  /// Returns true if this node is among those of its domain that forward the
+  /// item to remote domains.
+  bool isForwarder(const GossipItem &Item) const;
+  bool isRoutine(const GossipItem &Item) const;
+  std::uint64_t itemHash(const GossipItem &Item) const;
+  void gossipToRemote(Time Now, MembershipActions &Out);
+  std::vector<const NodeEntry *> nearGossipTargets();
+  /// Returns the live peers that are in remote domains, or those that are not.
+  std::vector<NodeEntry *> peersByDistance(bool Remote) const;
+  NodeEntry *nextRemoteProbeTarget();
+  NodeEntry *probeTargetInFailingDomain();
+  const NodeEntry *chooseSyncPeerByDistance(Time Now);
+  void recordRoundTrip(const PendingProbe &Probe, Time Now);
+
   // Merging.
   void merge(const Delta &Changes, MergeContext &M);
   void mergeNode(const NodeRecord &Record, MergeContext &M);
@@ -134,7 +179,7 @@
   void mergeClaim(NodeEntry &Entry, NodeState Claim, MergeContext &M);
   void mergeSelf(const NodeRecord &Record, MergeContext &M);
   void mergeServer(const BackendServerRecord &Record, MergeContext &M);
-  void mergeOwnServer(const BackendServerRecord &Record, Time Now);
+  void mergeOwnServer(const BackendServerRecord &Record, MergeContext &M);
   void mergeQuarantine(const QuarantineRecord &Record, MergeContext &M);
   void mergeHead(const ConfigHead &Received, MergeContext &M);
   void setState(NodeEntry &Entry, NodeState State, Time Now,
@@ -154,6 +199,9 @@
   Roster Records;
   NodeEntry *Self;
   GossipQueue Queue;
+  DomainDistance Distance;
+  /// Changes to send to remote domains.
+  std::map<FailureDomain, GossipQueue> RemoteQueues;
   MembershipCounters Counters;
 
   ConfigHead Head;
@@ -169,6 +217,7 @@
   std::size_t ProbePosition = 0;
   std::uint64_t LastSequence = 0;
   bool NextIsRingProbe = true;
+  std::uint64_t ProbeCount = 0;
 
   std::uint64_t ServerSequence = 0;
   std::optional<Time> LastRaise;
@@ -182,6 +231,7 @@
   std::optional<Time> JoinEnd;
   Time NextProbe;
   Time NextGossip;
+  Time NextRemoteGossip;
   Time NextSync;
   Time NextDiscovery;
   Time NextCleanup;
--- a/lib/Membership/MembershipMerge.cpp
+++ b/lib/Membership/MembershipMerge.cpp
@@ -47,7 +47,7 @@
   }
   for (const BackendServerRecord &Record : Changes.Servers) {
     if (Record.Id.Node == Self->Record.Name)
-      mergeOwnServer(Record, M.Now);
+      mergeOwnServer(Record, M);
     else
       mergeServer(Record, M);
   }
@@ -87,7 +87,7 @@
     return;
   }
   if (Record.State == Entry->Record.State)
-    Queue.noteDuplicate(GossipItem::node(Record.Name), transmitLimit());
+    noteDuplicate(GossipItem::node(Record.Name), M.Sender);
   else
     mergeClaim(*Entry, Record.State, M);
 }
@@ -180,7 +180,7 @@
   Records.setNode(Entry, Record, Now);
   if (State == NodeState::Dead)
     Entry.SuspicionDeadline.reset();
-  Queue.add(GossipItem::node(Record.Name));
+  enqueue(GossipItem::node(Record.Name), ItemOrigin::Shared);
   Out.emplace_back(NodeStateChanged{Record.Name, State});
 }
 
@@ -191,13 +191,13 @@
   if (Record.Version < Own.Version) {
     // The sender has an outdated record of this node.
     if (IsClaim && M.ReplyAddress != nullptr)
-      reply(*M.ReplyAddress, Own, M.Now, M.Out);
+      reply(*M.ReplyAddress, Records.find(M.Sender), Own, M.Now, M.Out);
     return;
   }
   bool IsForeign =
       Record.Version > Own.Version || !sameExceptState(Record, Own);
   if (!IsForeign && Record.State == Own.State) {
-    Queue.noteDuplicate(GossipItem::node(Own.Name), transmitLimit());
+    noteDuplicate(GossipItem::node(Own.Name), M.Sender);
     return;
   }
   if (IsForeign)
@@ -206,7 +206,7 @@
     ++Counters.Refutations;
   refute(Record.Version, M.Now);
   if (M.ReplyAddress != nullptr && Own.Version > Record.Version)
-    reply(*M.ReplyAddress, Own, M.Now, M.Out);
+    reply(*M.ReplyAddress, Records.find(M.Sender), Own, M.Now, M.Out);
 }
 
 void MembershipCore::mergeServer(const BackendServerRecord &Record,
@@ -230,7 +230,7 @@
       return;
     if (Record.Version == Known.Version) {
       if (Record == Known)
-        Queue.noteDuplicate(GossipItem::server(Record.Id), transmitLimit());
+        noteDuplicate(GossipItem::server(Record.Id), M.Sender);
       else
         ++Counters.Conflicts;
       return;
@@ -253,7 +253,7 @@
   auto It = Quarantines.find(Key);
   if (It != Quarantines.end() &&
       ExpiresAt <= It->second + QuarantineTolerance) {
-    Queue.noteDuplicate(GossipItem::quarantine(Key), transmitLimit());
+    noteDuplicate(GossipItem::quarantine(Key), M.Sender);
     return;
   }
   storeQuarantine(Key, ExpiresAt, M.Now);
@@ -266,7 +266,7 @@
     return;
   if (Received.Version == Head.Version) {
     if (Received == Head)
-      Queue.noteDuplicate(GossipItem::head(), transmitLimit());
+      noteDuplicate(GossipItem::head(), M.Sender);
     else
       ++Counters.Conflicts;
     return;
--- a/lib/Membership/MembershipMessages.cpp
+++ b/lib/Membership/MembershipMessages.cpp
@@ -36,7 +36,7 @@
   MergeContext M{ChannelKind::Gossip, &From, Message.Sender, Now, Out, {}};
   merge(Message.Changes, M);
   for (const GossipItem &Item : M.NewItems)
-    Queue.add(Item);
+    enqueue(Item, ItemOrigin::Shared, Message.Sender);
   switch (Message.Kind) {
   case DatagramKind::Probe:
     onProbe(Message, From, Now, Out);
@@ -51,7 +51,7 @@
     break;
   }
   if (std::optional<NodeRecord> Claim = senderClaim(Message))
-    reply(From, *Claim, Now, Out);
+    reply(From, Records.find(Message.Sender), *Claim, Now, Out);
   return Out;
 }
 
@@ -64,18 +64,21 @@
       PriorityRecords.push_back(Self->Record);
   if (std::optional<NodeRecord> Claim = senderClaim(Message))
     PriorityRecords.push_back(*Claim);
-  Datagram Ack = compose(DatagramKind::ProbeAck, PriorityRecords, 1, Now);
+  const NodeEntry *Sender = Records.find(Message.Sender);
+  Datagram Ack =
+      compose(DatagramKind::ProbeAck, Sender, PriorityRecords, 1, Now);
   Ack.Sequence = Message.Sequence;
-  Out.emplace_back(SendDatagram{From, std::move(Ack)});
+  send(From, Sender, std::move(Ack), Out);
 }
 
 void MembershipCore::onProbeAck(const Datagram &Message, Time Now,
                                 MembershipActions &Out) {
   if (auto It = RelayedProbes.find(Message.Sequence);
       It != RelayedProbes.end() && It->second.Target == Message.Sender) {
-    Datagram Ack = compose(DatagramKind::ProbeAck, {}, 1, Now);
+    const NodeEntry *Origin = Records.find(It->second.OriginNode);
+    Datagram Ack = compose(DatagramKind::ProbeAck, Origin, {}, 1, Now);
     Ack.Sequence = It->second.Sequence;
-    Out.emplace_back(SendDatagram{It->second.Origin, std::move(Ack)});
+    send(It->second.Origin, Origin, std::move(Ack), Out);
     RelayedProbes.erase(It);
     return;
   }
@@ -85,6 +88,7 @@
   // A relay node may answer for the target after the indirect probes were sent.
   if (It->second.Target != Message.Sender && !It->second.IndirectSent)
     return;
+  recordRoundTrip(It->second, Now);
   PendingProbes.erase(It);
 }
 
@@ -95,11 +99,12 @@
   if (Target == nullptr || !Target->isKnown() ||
       RelayedProbes.size() >= MaxRelayedProbes)
     return;
-  Datagram Probe = compose(DatagramKind::Probe, {}, 1, Now);
+  Datagram Probe = compose(DatagramKind::Probe, Target, {}, 1, Now);
   Probe.Sequence = ++LastSequence;
-  RelayedProbes[Probe.Sequence] = {Message.Target, From, Message.Sequence,
+  RelayedProbes[Probe.Sequence] = {Message.Target, From, Message.Sender,
+                                   Message.Sequence,
                                    Now + Settings.ProbeInterval};
-  Out.emplace_back(SendDatagram{Target->Record.Address, std::move(Probe)});
+  send(Target->Record.Address, Target, std::move(Probe), Out);
 }
 
 /// Returns a claim for the sender to refute: that it is suspected or dead, that
@@ -122,7 +127,7 @@
   return std::nullopt;
 }
 
-Datagram MembershipCore::compose(DatagramKind Kind,
+Datagram MembershipCore::compose(DatagramKind Kind, const NodeEntry *To,
                                  const std::vector<NodeRecord> &PriorityRecords,
                                  std::uint32_t Copies, Time Now,
                                  const NodeName &Target) {
@@ -136,12 +141,23 @@
   for (const NodeRecord &Record : PriorityRecords)
     if (Size.add(Record, Settings.MaxDatagramBytes))
       Message.Changes.Nodes.push_back(Record);
-  Queue.take(Copies, transmitLimit(), [&](const GossipItem &Item) {
+  auto Add = [&](const GossipItem &Item) {
     return addItem(Item, Message.Changes, Size, Now);
-  });
+  };
+  if (To == nullptr || !isRemote(*To))
+    Queue.take(Copies, transmitLimit(), Add);
+  else
+    RemoteQueues[To->Record.Domain].take(Copies, RemoteCopies, Add);
   return Message;
 }
 
+void MembershipCore::send(const Endpoint &Address, const NodeEntry *To,
+                          Datagram Message, MembershipActions &Out) const {
+  bool CrossesDomains = To != nullptr && To->isKnown() &&
+                        To->Record.Domain != Self->Record.Domain;
+  Out.emplace_back(SendDatagram{Address, std::move(Message), CrossesDomains});
+}
+
 GossipQueue::OfferResult MembershipCore::addItem(const GossipItem &Item,
                                                  Delta &Changes,
                                                  DatagramSize &Size,
@@ -176,13 +192,14 @@
                                     : Add(Changes.Servers, It->second);
 }
 
-void MembershipCore::reply(const Endpoint &To, const NodeRecord &Record,
-                           Time Now, MembershipActions &Out) {
+void MembershipCore::reply(const Endpoint &Address, const NodeEntry *To,
+                           const NodeRecord &Record, Time Now,
+                           MembershipActions &Out) {
   if (RepliesLeft == 0)
     return;
   --RepliesLeft;
-  Datagram Message = compose(DatagramKind::Gossip, {Record}, 1, Now);
-  Out.emplace_back(SendDatagram{To, std::move(Message)});
+  Datagram Message = compose(DatagramKind::Gossip, To, {Record}, 1, Now);
+  send(Address, To, std::move(Message), Out);
 }
 
 std::uint32_t MembershipCore::transmitLimit() const {
--- a/lib/Membership/Roster.cpp
+++ b/lib/Membership/Roster.cpp
@@ -102,15 +102,23 @@
   return Found;
 }
 
-NodeEntry *Roster::ringSuccessor() const {
+void Roster::setRemoteDomains(std::set<FailureDomain> Domains) {
+  RemoteDomains = std::move(Domains);
+  NodesAreDirty = true;
+}
+
+NodeEntry *Roster::ringSuccessor(const std::set<FailureDomain> &Skipped) const {
   std::uint64_t Origin = hash64(Self.str());
   NodeEntry *Best = nullptr;
-  for (NodeEntry *Entry : LivePeers)
+  for (NodeEntry *Entry : LivePeers) {
+    if (!Skipped.empty() && Skipped.count(Entry->Record.Domain) != 0)
+      continue;
     // The unsigned distances wrap around, so the first node follows the last
     // one.
     if (Best == nullptr ||
         Entry->RingPosition - Origin < Best->RingPosition - Origin)
       Best = Entry;
+  }
   return Best;
 }
 
@@ -192,6 +200,7 @@
       if (!Entry.isDead())
         Usable->emplace_hint(Usable->end(), Name, Entry.Record);
     Next->Nodes = std::move(Usable);
+    Next->RemoteDomains = RemoteDomains;
   }
   for (const ServiceName &Service : DirtyServices) {
     auto It = Services.find(Service);
--- a/lib/Membership/Roster.h
+++ b/lib/Membership/Roster.h
@@ -71,8 +71,11 @@
   /// Returns the dead nodes that did not announce a shutdown and may come back.
   std::vector<const NodeEntry *> unreachable() const;
   /// Returns the live peer that follows the own node on the ring, or null if
-  /// there is none.
-  NodeEntry *ringSuccessor() const;
+  /// there is none. Peers in the domains of Skipped are left out.
+  NodeEntry *ringSuccessor(const std::set<FailureDomain> &Skipped) const;
+
+  /// Sets the remote domains of the snapshot.
+  void setRemoteDomains(std::set<FailureDomain> Domains);
 
   /// Drops dead nodes whose retention time has passed.
   void dropExpired(Time Now);
@@ -113,6 +116,7 @@
       std::make_shared<const FleetView>();
   mutable std::set<ServiceName> DirtyServices;
   mutable bool NodesAreDirty = true;
+  std::set<FailureDomain> RemoteDomains;
 };
 
 } // namespace teaselhitch
--- a/unittests/Membership/TestNetwork.h
+++ b/unittests/Membership/TestNetwork.h
@@ -22,6 +22,18 @@
   return std::move(R.value());
 }
 
+/// Failure domains of a TestNetwork and the paths between them.
+struct TestDomains {
+  std::size_t Count = 4;
+  /// One-way latency that crossing to another domain adds.
+  Duration Latency;
+  /// MembershipSettings::RemoteDomainRoundTrip of all nodes.
+  Duration RemoteRoundTrip;
+  /// Whether nodes handle a message when it arrives, with little jitter, and
+  /// not with their next tick.
+  bool IsExact = false;
+};
+
 class TestNetwork {
 public:
   struct Node {
@@ -34,13 +46,15 @@
     std::vector<std::function<void()>> Inbox;
   };
 
-  TestNetwork(std::size_t Count, std::uint64_t Seed) : Random(Seed) {
+  TestNetwork(std::size_t Count, std::uint64_t Seed, TestDomains Domains = {})
+      : Random(Seed), Domains(Domains) {
     for (std::size_t I = 0; I != Count; ++I)
       Nodes.push_back(start(I, 1000 + I));
     advance(Duration::seconds(15));
     Deaths.clear();
   }
 
+  std::size_t domainOf(std::size_t I) const { return I % Domains.Count; }
   static NodeName nodeName(std::size_t I) {
     return NodeName("node-" + std::to_string(I));
   }
@@ -59,10 +73,11 @@
     Node N;
     N.Record.Name = nodeName(I);
     N.Record.Address = {"10.0.0." + std::to_string(I), 7000};
-    N.Record.Domain = FailureDomain("domain-" + std::to_string(I % 4));
+    N.Record.Domain = FailureDomain("domain-" + std::to_string(domainOf(I)));
     N.Record.Version = {Incarnation, 1};
     MembershipSettings Settings;
     Settings.Seeds = {{"10.0.0.0", 7000}, {"10.0.0.1", 7000}};
+    Settings.RemoteDomainRoundTrip = Domains.RemoteRoundTrip;
     N.Random = std::make_unique<SeededRandom>(Random.next());
     N.Core = valueOf(Membership::create(Settings, N.Record, *N.Random, Now));
     return N;
@@ -74,8 +89,12 @@
       Now = Now + TickInterval;
       while (!Events.empty() && Events.begin()->first <= Now.ms()) {
         auto Event = std::move(Events.begin()->second);
+        Time TickTime = Now;
+        if (Domains.IsExact)
+          Now = Time(Events.begin()->first);
         Events.erase(Events.begin());
         Event();
+        Now = TickTime;
       }
       for (std::size_t I = 0; I != Nodes.size(); ++I)
         step(I);
@@ -120,10 +139,17 @@
     std::string Bytes = encodeDatagram(Out.Message, Auth);
     CPPUNIT_ASSERT(Bytes.size() <= MembershipSettings().MaxDatagramBytes);
     DatagramBytes += Bytes.size();
+    if (domainOf(From) != domainOf(To))
+      CrossingBytes += Bytes.size();
+    if (RecordsTraffic)
+      Traffic += std::to_string(From) + ">" + std::to_string(To) + ":" + Bytes;
+    if (To < Nodes.size() && knows(From, To) &&
+        Out.CrossesDomains != (domainOf(From) != domainOf(To)))
+      ++WrongCrossings;
     if (IsBlocked(From, To) || Random.uniform() < LossRate)
       return;
     Endpoint Origin = Nodes[From].Record.Address;
-    deliver(To, [this, To, Origin, Bytes] {
+    deliver(From, To, [this, To, Origin, Bytes] {
       Datagram Message = valueOf(decodeDatagram(Bytes, Auth));
       perform(To, Nodes[To].Core->receive(Message, Origin, Now));
     });
@@ -141,6 +167,16 @@
   std::function<bool(std::size_t, std::size_t)> IsBlocked =
       [](std::size_t, std::size_t) { return false; };
   std::size_t DatagramBytes = 0;
+  /// Datagrams to known nodes with another SendDatagram::CrossesDomains than
+  /// the domains of both nodes imply.
+  std::size_t WrongCrossings = 0;
+  /// Size of all datagrams between failure domains.
+  std::size_t CrossingBytes = 0;
+  /// All datagrams in their order, while RecordsTraffic is set.
+  std::string Traffic;
+  bool RecordsTraffic = false;
+  /// Size of all digests and deltas between failure domains.
+  std::size_t CrossingSyncBytes = 0;
   /// Size of all deltas sent by anti-entropy.
   std::size_t DeltaBytes = 0;
   /// Observer and subject of each declaration of death.
@@ -160,12 +196,25 @@
     perform(I, N.Core->tick(Now));
   }
 
-  void deliver(std::size_t To, const std::function<void()> &Receive) {
+  bool knows(std::size_t From, std::size_t To) const {
+    return Nodes[From].Core->view()->Nodes->count(nodeName(To)) != 0;
+  }
+
+  void deliver(std::size_t From, std::size_t To,
+               const std::function<void()> &Receive) {
     if (To >= Nodes.size())
       return;
-    Time At = Now + Duration(0.5 + 3 * Random.uniform());
-    Events.emplace(At.ms(), [this, To, Receive] {
-      if (Nodes[To].IsRunning)
+    Duration Latency(0.5 + 3 * Random.uniform());
+    if (Domains.IsExact)
+      Latency = Duration(0.1) + Latency * 0.1;
+    if (domainOf(From) != domainOf(To))
+      Latency = Latency + Domains.Latency;
+    Events.emplace((Now + Latency).ms(), [this, To, Receive] {
+      if (!Nodes[To].IsRunning)
+        return;
+      if (Domains.IsExact && Now >= Nodes[To].PauseEnd)
+        Receive();
+      else
         Nodes[To].Inbox.push_back(Receive);
     });
   }
@@ -193,12 +242,16 @@
     if (IsBlocked(From, To) || IsBlocked(To, From))
       return;
     std::string Sent = encodeDigest(Nodes[From].Core->digest());
-    deliver(To, [this, From, To, Sent] {
+    if (domainOf(From) != domainOf(To))
+      CrossingSyncBytes += Sent.size();
+    deliver(From, To, [this, From, To, Sent] {
       Digest Other = valueOf(decodeDigest(Sent));
       for (const Delta &Part : Nodes[To].Core->deltasFor(Other, 1000)) {
         std::string Bytes = encodeDelta(Part);
         DeltaBytes += Bytes.size();
-        deliver(From, [this, From, Bytes] {
+        if (domainOf(From) != domainOf(To))
+          CrossingSyncBytes += Bytes.size();
+        deliver(To, From, [this, From, Bytes] {
           Delta Received = valueOf(decodeDelta(Bytes));
           perform(From, Nodes[From].Core->apply(Received, Now));
         });
@@ -206,6 +259,7 @@
     });
   }
 
+  TestDomains Domains;
   std::multimap<double, std::function<void()>> Events;
 };
 
