--- a/include/teaselhitch/Net/PeerLinks.h
+++ b/include/teaselhitch/Net/PeerLinks.h
@@ -35,6 +35,12 @@
   virtual void onGuardDisconnect(const NodeName &Node, bool WasOpen) = 0;
   /// A link that another node opened to this node was closed.
   virtual void onEntryDisconnect(LinkId Link) = 0;
+  /// A message to Node was encoded for sending. Type is the index of the
+  /// message in PeerMessage, Bytes the size of its frame.
+  virtual void onSent(const NodeName &Node, std::size_t Type,
+                      std::size_t Bytes) {
+    (void)Node, (void)Type, (void)Bytes;
+  }
 };
 
 struct PeerLinksSettings {
--- a/include/teaselhitch/Settings/NodeSettings.h
+++ b/include/teaselhitch/Settings/NodeSettings.h
@@ -88,6 +88,9 @@
   Duration RetryWindow = Duration::seconds(10);
   /// Retry percentage for configurations whose source does not specify one.
   std::uint32_t RetryPercent = 20;
+  /// A failure domain is remote if crossing to it adds at least this much to a
+  /// round trip; with 0, no domain is remote.
+  Duration RemoteDomainRoundTrip = Duration(6);
 
   // [log]
   LogLevel Level = LogLevel::Info;
--- a/lib/Net/PeerLinks.cpp
+++ b/lib/Net/PeerLinks.cpp
@@ -41,6 +41,8 @@
   virtual ~LinkOwner() = default;
   virtual void onMessage(Link &From, PeerMessage Message) = 0;
   virtual void onClose(Link &Closed) = 0;
+  virtual void onSent(const NodeName &Node, std::size_t Type,
+                      std::size_t Bytes) = 0;
 };
 
 /// A TCP connection between two nodes.
@@ -73,6 +75,7 @@
   void read();
   void onBytes(ErrorCodeT EC, std::size_t Count);
   void handle(PeerMessage Message);
+  void reportSent(const PeerMessage &Message, std::size_t Bytes);
   void flush();
   void fail(const char *Cause);
 
@@ -95,6 +98,7 @@
   /// sent only while it is not zero.
   std::int64_t PendingReplies = 0;
   std::uint64_t HeartbeatSequence = 0;
+  std::size_t UnreportedHelloBytes = 0;
   Time LastHeartbeat;
 };
 
@@ -140,6 +144,7 @@
   if (Frame.empty())
     return false;
   Pending += Frame;
+  reportSent(Message, Frame.size());
   LastUse = Monotonic.now();
   if (expectsReply(Message)) {
     // The receive timeout starts with the first request that awaits a reply.
@@ -154,6 +159,15 @@
   return true;
 }
 
+/// The remote node of an accepted link is known from its Hello. Until then,
+/// only the own Hello is sent, and it is reported afterwards.
+void Link::reportSent(const PeerMessage &Message, std::size_t Bytes) {
+  if (Remote.str().empty())
+    UnreportedHelloBytes += Bytes;
+  else if (Owner)
+    Owner->onSent(Remote, Message.index(), Bytes);
+}
+
 void Link::flush() {
   if (IsWriting || Pending.empty() || IsClosed)
     return;
@@ -213,6 +227,9 @@
       return fail("bad-hello");
     HasHello = true;
     Remote = H->Node;
+    if (UnreportedHelloBytes != 0 && Owner)
+      Owner->onSent(Remote, Message.index(), UnreportedHelloBytes);
+    UnreportedHelloBytes = 0;
     return;
   }
   if (!HasHello)
@@ -371,6 +388,11 @@
       Handler.onEntryMessage(From.Id, From.Remote, std::move(Message));
   }
 
+  void onSent(const NodeName &Node, std::size_t Type,
+              std::size_t Bytes) override {
+    Handler.onSent(Node, Type, Bytes);
+  }
+
   void onClose(Link &Closed) override {
     if (Closed.Id != 0) {
       Incoming.erase(Closed.Id);
--- a/lib/Node/PeersThread.cpp
+++ b/lib/Node/PeersThread.cpp
@@ -49,6 +49,7 @@
 MembershipSettings membershipSettings(const NodeSettings &Settings) {
   MembershipSettings Result;
   Result.Seeds = Settings.Seeds;
+  Result.RemoteDomainRoundTrip = Settings.RemoteDomainRoundTrip;
   return Result;
 }
 
@@ -68,7 +69,11 @@
                          SharedState &Shared)
     : Settings(Settings), Shared(Shared),
       Random(std::make_unique<SeededRandom>(std::random_device()())),
-      Config(Settings.Node, StoreHasPieces),
+      Config(Settings.Node, StoreHasPieces), Traffic(Shared.Metrics),
+      RemoteDomains(
+          Shared.Metrics.gauge("teaselhitch_remote_domains",
+                               "Failure domains that are remote from this "
+                               "node.")),
       BytesSent(Shared.Metrics.counter("teaselhitch_gossip_sent_bytes_total",
                                        "Bytes of datagrams sent.")),
       BytesReceived(
@@ -162,10 +167,24 @@
   std::shared_ptr<const FleetView> View = Members->view();
   if (View == LastView)
     return;
+  reportRemoteDomains(*View);
   LastView = View;
   Shared.View.publish(std::move(View));
 }
 
+void PeersThread::reportRemoteDomains(const FleetView &View) {
+  std::set<FailureDomain> Known;
+  if (LastView)
+    Known = LastView->RemoteDomains;
+  if (View.RemoteDomains == Known)
+    return;
+  RemoteDomains.set(static_cast<double>(View.RemoteDomains.size()));
+  std::string Names;
+  for (const FailureDomain &Domain : View.RemoteDomains)
+    Names += (Names.empty() ? "" : " ") + Domain.str();
+  logEvent(LogLevel::Info, "peers", "remote-domains", {{"domains", Names}});
+}
+
 std::shared_ptr<const FleetView> PeersThread::currentView() const {
   return LastView ? LastView : Members->view();
 }
@@ -273,6 +292,8 @@
     LastMessage = Action.Message;
   }
   BytesSent.add(LastEncoded.size());
+  Traffic.countDatagram(Action.Message.Kind, Action.CrossesDomains,
+                        LastEncoded.size());
   Datagrams->send(Action.Destination, LastEncoded);
 }
 
@@ -407,6 +428,15 @@
     sendToCallers(std::move(Message));
 }
 
+void PeersThread::onSent(const NodeName &Node, std::size_t Type,
+                         std::size_t Bytes) {
+  std::shared_ptr<const FleetView> View = currentView();
+  auto It = View->Nodes->find(Node);
+  bool CrossesDomains =
+      It != View->Nodes->end() && It->second.Domain != Settings.Domain;
+  Traffic.countFrame(Type, CrossesDomains, Bytes);
+}
+
 void PeersThread::onEntryDisconnect(LinkId Link) {
   sendToBackends(EntryLinkClosed{Link});
 }
--- a/lib/Node/PeersThread.h
+++ b/lib/Node/PeersThread.h
@@ -8,6 +8,7 @@
 #include "ConfigFetcher.h"
 #include "EventLoopThread.h"
 #include "OutstandingAttempts.h"
+#include "PeerTraffic.h"
 #include "SharedState.h"
 #include "teaselhitch/Net/DatagramSocket.h"
 #include "teaselhitch/Net/PeerLinks.h"
@@ -39,6 +40,8 @@
                       PeerMessage Message) override;
   void onGuardDisconnect(const NodeName &Node, bool WasOpen) override;
   void onEntryDisconnect(LinkId Link) override;
+  void onSent(const NodeName &Node, std::size_t Type,
+              std::size_t Bytes) override;
 
   void handleDatagram(std::string_view Bytes, const Endpoint &From);
   void receive(OutboundGuardMessage Message);
@@ -69,6 +72,8 @@
   /// published yet.
   std::shared_ptr<const FleetView> currentView() const;
   void publishStatus();
+  /// Logs the remote failure domains when they have changed.
+  void reportRemoteDomains(const FleetView &View);
 
   NodeSettings Settings;
   SharedState &Shared;
@@ -83,6 +88,8 @@
   /// The datagram that was sent last, and its encoding.
   Datagram LastMessage;
   std::string LastEncoded;
+  PeerTraffic Traffic;
+  Gauge &RemoteDomains;
   Counter &BytesSent;
   Counter &BytesReceived;
   Counter &BadDatagrams;
--- a/lib/Settings/NodeSettings.cpp
+++ b/lib/Settings/NodeSettings.cpp
@@ -107,6 +107,8 @@
   // Rounded down, because more retries than allowed break the bound.
   if (std::optional<double> Share = Reader.bound("retry_share", 0, 1))
     S.RetryPercent = static_cast<std::uint32_t>(*Share * Percent + 1e-9);
+  S.RemoteDomainRoundTrip =
+      Reader.duration("remote_domain_ms", S.RemoteDomainRoundTrip, 0, 60000);
 }
 
 void readLog(SettingsReader &Reader, NodeSettings &S) {
--- a/unittests/Node/NodePartsTest.cpp
+++ b/unittests/Node/NodePartsTest.cpp
@@ -1,6 +1,7 @@
 #include "../../lib/Integration/Announcement.h"
 #include "../../lib/Node/ConfigFetcher.h"
 #include "../../lib/Node/OutstandingAttempts.h"
+#include "../../lib/Node/PeerTraffic.h"
 #include "../../lib/Node/SlotGrant.h"
 #include "teaselhitch/Integration/Problem.h"
 
@@ -57,6 +58,7 @@
   CPPUNIT_TEST(seriesOfChangesBecomesOverdue);
   CPPUNIT_TEST(problemResponseHasReasonAndOutcome);
   CPPUNIT_TEST(grantEndsDuringPause);
+  CPPUNIT_TEST(sentBytesAreCountedByKind);
   CPPUNIT_TEST_SUITE_END();
 
   /// Guards against a process that was paused between its grant and the arrival
@@ -240,6 +242,24 @@
     CPPUNIT_ASSERT(Fetcher.isOverdue(Time(900)));
   }
 
+  /// Guards against metrics that name another kind of message than the one that
+  /// was sent, and against bytes that cross and do not count as such.
+  void sentBytesAreCountedByKind() {
+    MetricRegistry Metrics;
+    PeerTraffic Traffic(Metrics);
+    Traffic.countDatagram(DatagramKind::ProbeAck, false, 11);
+    Traffic.countDatagram(DatagramKind::Gossip, true, 22);
+    Traffic.countFrame(PeerMessage(Offer()).index(), true, 33);
+    Traffic.countFrame(PeerMessage(AttemptAnswer()).index(), false, 44);
+    std::string Text = Metrics.render();
+    for (const char *Line : {"kind=\"probe-ack\",crossing=\"no\"} 11\n",
+                             "kind=\"gossip\",crossing=\"yes\"} 22\n",
+                             "kind=\"offer\",crossing=\"yes\"} 33\n",
+                             "kind=\"attempt-answer\",crossing=\"no\"} 44\n",
+                             "kind=\"dispatch\",crossing=\"yes\"} 0\n"})
+      CPPUNIT_ASSERT(Text.find(Line) != std::string::npos);
+  }
+
   /// Guards against refusals without a status, outcome and reason that callers
   /// can interpret.
   void problemResponseHasReasonAndOutcome() {
--- a/unittests/Settings/NodeSettingsTest.cpp
+++ b/unittests/Settings/NodeSettingsTest.cpp
@@ -81,13 +81,15 @@
   /// Guards against values that are stored in the wrong field.
   void readsValidSettings() {
     CheckedSettings Checked = readNodeSettings(
-        std::string(ValidText) + "[limits]\ndrain_timeout_ms = 500\n");
+        std::string(ValidText) + "[limits]\ndrain_timeout_ms = 500\n" +
+        "[policy]\nremote_domain_ms = 9\n");
     CPPUNIT_ASSERT(Checked.Errors.empty());
     const NodeSettings &S = Checked.Settings;
     CPPUNIT_ASSERT_EQUAL(std::string("n1"), S.Node.str());
     CPPUNIT_ASSERT((S.Peers == Endpoint{"127.0.0.1", 7004}));
     CPPUNIT_ASSERT((S.Seeds[1] == Endpoint{"::1", 7204}));
     CPPUNIT_ASSERT(S.DrainTimeout == Duration(500));
+    CPPUNIT_ASSERT(S.RemoteDomainRoundTrip == Duration(9));
   }
 
   /// Guards against invalid settings that are accepted, and against error
