--- a/include/teaselhitch/Routing/Balancer.h
+++ b/include/teaselhitch/Routing/Balancer.h
@@ -15,7 +15,13 @@
 namespace teaselhitch {
 
 /// Distance from an entry to a backend server.
-enum class Distance : std::uint8_t { OwnInstance, OwnDomain, OtherDomain };
+enum class Distance : std::uint8_t {
+  OwnInstance,
+  OwnDomain,
+  OtherDomain,
+  /// In a domain of FleetView::RemoteDomains.
+  RemoteDomain,
+};
 
 /// A backend server that may be chosen, with the data that the entry has about
 /// it.
--- a/lib/Entry/EntryAttempts.cpp
+++ b/lib/Entry/EntryAttempts.cpp
@@ -19,6 +19,11 @@
 /// have no free slot. A request that must not run twice looks longer for a
 /// backend server with evidence of health.
 constexpr std::size_t MaxStrictOffersWhenBusy = 2;
+/// Number of strict offers to near guards before remote ones are asked. An
+/// entry learns the load of a guard from its replies, a few times a second: in
+/// a full domain it would otherwise ask only near guards, and queue the request
+/// there while a remote domain is idle.
+constexpr std::size_t MaxNearStrictOffers = 2;
 /// Share of busy guards from which a service counts as busy.
 constexpr double BusyThreshold = 0.7;
 /// Weight of the newest offer in the share of busy guards.
@@ -85,9 +90,11 @@
   if (!P.ClaimRow.empty() && Now - P.ClaimedAt > Settings.ClaimLifetime)
     return fail(P, Reason::ClaimStoreUnavailable, Now, Actions);
   if (!P.IsQueueable) {
-    Selection Next = P.StrictOffers < maxStrictOffers(P)
-                         ? Selector.choose(P, Now)
-                         : Selection();
+    std::size_t MaxOffers = maxStrictOffers(P);
+    P.SearchesRemote =
+        P.StrictOffers >= std::min(MaxNearStrictOffers, MaxOffers - 1);
+    Selection Next =
+        P.StrictOffers < MaxOffers ? Selector.choose(P, Now) : Selection();
     if (Next.Server) {
       sendOffer(P, Next, Now, Actions);
       ++P.StrictOffers;
--- a/lib/Entry/RequestTable.h
+++ b/lib/Entry/RequestTable.h
@@ -67,6 +67,9 @@
   /// is free, and queueable ones, which guards may queue.
   std::uint32_t StrictOffers = 0;
   std::uint32_t QueueableOffers = 0;
+  /// Guards of near failure domains refused strict offers, so the next one goes
+  /// to a remote domain, if there is one.
+  bool SearchesRemote = false;
   /// The request was hedged; its guards may have refused the hedge.
   bool IsHedged = false;
   std::vector<RunningAttempt> Running;
--- a/lib/Entry/ServerSelector.cpp
+++ b/lib/Entry/ServerSelector.cpp
@@ -35,12 +35,54 @@
   return std::max(0.0, Risk - PriorRisk) * RetryableRiskWeight;
 }
 
+/// Risk up to which a backend server of a near domain is preferred to all
+/// remote ones.
+constexpr double AcceptableRisk = 0.33;
+constexpr double AcceptablePathFailures = 0.5;
+/// Share of the trials of suspected and ejected backend servers that go to
+/// remote domains, where other entries are near. It is not zero, because these
+/// may have no requests.
+constexpr double RemoteTrialShare = 0.125;
+
+bool isRemote(const Candidate &C) {
+  return C.ServerDistance == Distance::RemoteDomain;
+}
+
+double usableSlots(const Candidate &C) {
+  return C.Server->Slots * C.Server->Weight / 100.0;
+}
+
+/// Returns true if the candidate can take a request: at once, or, if it may be
+/// queued, after waiting for at most about one run time.
+bool hasRoom(const Candidate &C, bool IsQueueable) {
+  if (C.Risk > AcceptableRisk || C.PathFailures > AcceptablePathFailures)
+    return false;
+  return IsQueueable ? C.Waiting < usableSlots(C)
+                     : C.InProgress + 1 <= usableSlots(C);
+}
+
+/// Leaves only remote candidates if one of them has a free slot.
+void searchRemote(std::vector<Candidate> &Candidates) {
+  if (std::any_of(Candidates.begin(), Candidates.end(), [](const Candidate &C) {
+        return isRemote(C) && hasRoom(C, false);
+      }))
+    std::erase_if(Candidates, [](const Candidate &C) { return !isRemote(C); });
+}
+
+/// Removes the remote candidates while a near one has room.
+void preferNear(std::vector<Candidate> &Candidates, bool IsQueueable) {
+  if (std::any_of(Candidates.begin(), Candidates.end(),
+                  [&](const Candidate &C) {
+                    return !isRemote(C) && hasRoom(C, IsQueueable);
+                  }))
+    std::erase_if(Candidates, isRemote);
+}
+
 /// Returns true if no candidate has a free slot, as far as the entry knows.
 bool isSaturated(const std::vector<Candidate> &Candidates) {
   return std::all_of(
-      Candidates.begin(), Candidates.end(), [](const Candidate &C) {
-        return C.InProgress >= C.Server->Slots * C.Server->Weight / 100.0;
-      });
+      Candidates.begin(), Candidates.end(),
+      [](const Candidate &C) { return C.InProgress >= usableSlots(C); });
 }
 
 } // namespace
@@ -53,6 +95,9 @@
     C.ServerDistance = Distance::OwnInstance;
   else if (Server.Domain == Domain)
     C.ServerDistance = Distance::OwnDomain;
+  else if (!View->RemoteDomains.empty() &&
+           View->RemoteDomains.count(Server.Domain) != 0)
+    C.ServerDistance = Distance::RemoteDomain;
   Load.fillCandidate(C, Now);
   return C;
 }
@@ -85,6 +130,12 @@
       (IsSuspected ? Suspected : Healthy).push_back(C);
   }
   bool TrialAllowed = P.Dispatches == 0 && P.hasSpareAttempt();
+  if (P.SearchesRemote && !P.IsQueueable)
+    searchRemote(Healthy);
+  else
+    preferNear(Healthy, P.IsQueueable);
+  if (TrialAllowed && !View->RemoteDomains.empty())
+    limitRemoteTrials(Healthy, Suspected, Ejected);
   if (TrialAllowed && !Ejected.empty() && Random.uniform() < EjectedTrialShare)
     return {pick(Ejected), true};
   double Share =
@@ -95,9 +146,25 @@
     return {Suspected[Random.uniformInt(Suspected.size())].Server, false};
   // Suspected servers are asked last, and only for requests that may be queued.
   bool UseSuspected = Healthy.empty() && P.IsQueueable;
+  if (UseSuspected)
+    preferNear(Suspected, true);
   return {pick(UseSuspected ? Suspected : Healthy), false};
 }
 
+/// Leaves most trials of remote backend servers to entries that are near them.
+/// Without a near backend server, all trials go to remote ones.
+void ServerSelector::limitRemoteTrials(const std::vector<Candidate> &Healthy,
+                                       std::vector<Candidate> &Suspected,
+                                       std::vector<Candidate> &Ejected) {
+  auto HasNear = [](const std::vector<Candidate> &Candidates) {
+    return !std::all_of(Candidates.begin(), Candidates.end(), isRemote);
+  };
+  if (!HasNear(Healthy) || Random.uniform() < RemoteTrialShare)
+    return;
+  std::erase_if(Suspected, isRemote);
+  std::erase_if(Ejected, isRemote);
+}
+
 bool ServerSelector::isMostlyRisky(const PendingRequest &P, Time Now) const {
   auto It = View->Services.find(P.Target.Dest.TargetService->Name);
   if (It == View->Services.end())
@@ -122,6 +189,7 @@
   for (const BackendServerRecord &Server : *It->second)
     if (Server.isCapacity())
       Candidates.push_back(makeCandidate(Server, Now));
+  preferNear(Candidates, false);
   return pick(Candidates);
 }
 
--- a/lib/Entry/ServerSelector.h
+++ b/lib/Entry/ServerSelector.h
@@ -9,6 +9,7 @@
 #include "teaselhitch/Routing/LoadTracker.h"
 
 #include <memory>
+#include <vector>
 
 namespace teaselhitch {
 
@@ -48,6 +49,9 @@
 
 private:
   Candidate makeCandidate(const BackendServerRecord &Server, Time Now) const;
+  void limitRemoteTrials(const std::vector<Candidate> &Healthy,
+                         std::vector<Candidate> &Suspected,
+                         std::vector<Candidate> &Ejected);
   const BackendServerRecord *pick(const std::vector<Candidate> &From);
 
   NodeName Node;
--- a/lib/Routing/LeastRiskBalancer.cpp
+++ b/lib/Routing/LeastRiskBalancer.cpp
@@ -6,6 +6,7 @@
 #include "teaselhitch/Routing/Balancer.h"
 
 #include <algorithm>
+#include <utility>
 
 TEASELHITCH_PLUGIN(LeastRisk)
 
@@ -23,6 +24,13 @@
 constexpr double QueueingCost = 0.3;
 /// Cost of a round trip to another failure domain, in bytes and time.
 constexpr double CrossDomainCost = 0.1;
+/// The same for a remote failure domain: less than waiting one run time in the
+/// own domain, more than any load of a backend server with a free slot.
+constexpr double RemoteDomainCost = 0.25;
+/// Cost of a remote backend server all of whose slots are in use. When the load
+/// of a domain rises, all its entries look elsewhere at the same time; a remote
+/// domain takes fewer of them the fuller it is.
+constexpr double RemoteLoadCost = 0.1;
 /// Cost of sharing a backend server with other requests: they slow each other
 /// down, and a fault of the server affects all of them.
 constexpr double LoadCost = 0.05;
@@ -32,8 +40,12 @@
 /// server.
 constexpr double Jitter = 0.01;
 
+double usableSlots(const Candidate &C) {
+  return std::max(1U, C.Server->Slots) * C.Server->Weight / 100.0;
+}
+
 double cost(const Candidate &C, RandomSource &Random) {
-  double Slots = std::max(1U, C.Server->Slots) * C.Server->Weight / 100.0;
+  double Slots = usableSlots(C);
   double Utilization = C.InProgress / std::max(Slots, 0.1);
   double Cost = FailureCost * C.Risk + LoadCost * std::min(Utilization, 1.0) +
                 PathFailureCost * C.PathFailures + Jitter * Random.uniform();
@@ -41,6 +53,8 @@
     Cost += QueueingCost * (1 + C.Waiting / std::max(Slots, 0.1));
   if (C.ServerDistance == Distance::OtherDomain)
     Cost += CrossDomainCost;
+  if (C.ServerDistance == Distance::RemoteDomain)
+    Cost += RemoteDomainCost + RemoteLoadCost * std::min(Utilization, 1.0);
   return Cost;
 }
 
@@ -50,15 +64,43 @@
                                     RandomSource &Random) override {
     std::optional<std::size_t> Best;
     double BestCost = 0;
-    for (std::size_t I = 0; I != Candidates.size(); ++I) {
+    auto Consider = [&](std::size_t I) {
       double Cost = cost(Candidates[I], Random);
       if (Best && Cost >= BestCost)
-        continue;
+        return;
       Best = I;
       BestCost = Cost;
-    }
+    };
+    Remote.clear();
+    for (std::size_t I = 0; I != Candidates.size(); ++I)
+      if (Candidates[I].ServerDistance == Distance::RemoteDomain)
+        Remote.push_back(I);
+      else
+        Consider(I);
+    considerTwoRemote(Candidates, Random, Consider);
     return Best;
   }
+
+private:
+  /// Considers two random remote candidates, with a free slot if possible. The
+  /// load of remote backend servers is known late, so the entries of a domain
+  /// would all choose the one that was reported as the least loaded.
+  template <typename FunctionT>
+  void considerTwoRemote(const std::vector<Candidate> &Candidates,
+                         RandomSource &Random, FunctionT &&Consider) {
+    auto HasRoom = [&](std::size_t I) {
+      return Candidates[I].InProgress + 1 <= usableSlots(Candidates[I]);
+    };
+    if (std::any_of(Remote.begin(), Remote.end(), HasRoom))
+      std::erase_if(Remote, [&](std::size_t I) { return !HasRoom(I); });
+    for (unsigned Draws = 0; Draws != 2 && !Remote.empty(); ++Draws) {
+      std::swap(Remote[Random.uniformInt(Remote.size())], Remote.back());
+      Consider(Remote.back());
+      Remote.pop_back();
+    }
+  }
+
+  std::vector<std::size_t> Remote;
 };
 
 const BalancerRegistry::Entry
--- a/lib/Routing/TwoChoicesBalancer.cpp
+++ b/lib/Routing/TwoChoicesBalancer.cpp
@@ -16,6 +16,9 @@
 /// Round-trip time to another failure domain in milliseconds: the larger of the
 /// two deployments has 1.5 ms one way.
 constexpr double CrossDomainMs = 3.0;
+/// Round-trip time to a remote failure domain in milliseconds; the deployment
+/// with remote domains has 5.4 ms one way.
+constexpr double RemoteDomainMs = 10.8;
 /// Time to reach another instance of the same failure domain, in milliseconds.
 constexpr double SameDomainMs = 0.3;
 /// Assumed run time of a backend server that has not answered yet.
@@ -31,6 +34,8 @@
     return SameDomainMs;
   case Distance::OtherDomain:
     return CrossDomainMs;
+  case Distance::RemoteDomain:
+    return RemoteDomainMs;
   }
   return CrossDomainMs;
 }
@@ -55,7 +60,7 @@
     NearIndices.clear();
     FarIndices.clear();
     for (std::size_t I = 0; I != Candidates.size(); ++I)
-      (Candidates[I].ServerDistance == Distance::OtherDomain ? FarIndices
+      (Candidates[I].ServerDistance >= Distance::OtherDomain ? FarIndices
                                                              : NearIndices)
           .push_back(I);
 
