--- a/lib/Node/PeerTraffic.cpp
+++ b/lib/Node/PeerTraffic.cpp
@@ -25,6 +25,8 @@
 const char *frameName(const AttemptOverdue &) { return "attempt-overdue"; }
 const char *frameName(const Offer &) { return "offer"; }
 const char *frameName(const Grant &) { return "grant"; }
+const char *frameName(const CreditRequest &) { return "credit-request"; }
+const char *frameName(const CreditReply &) { return "credit-reply"; }
 
 template <std::size_t... I>
 std::array<const char *, PeerTraffic::FrameTypes>
