--- a/include/teaselhitch/RateLimit/CreditAccount.h
+++ b/include/teaselhitch/RateLimit/CreditAccount.h
@@ -131,6 +131,7 @@
   };
   /// A node that did not reply.
   struct Outage {
+    /// From when the even share accrues.
     Time Since;
     /// The node is not asked before then.
     Time RetryAt;
@@ -161,7 +162,8 @@
   /// Brings the owners and the credits up to date.
   void refresh(const OrganisationName &Organisation, Account &A, Time Now);
   bool isReachable(const NodeName &Node, Time Now) const;
-  void markUnreachable(const NodeName &Node, Time Now);
+  /// \param Since when the even share begins to accrue.
+  void markUnreachable(const NodeName &Node, Time Since, Time Now);
   static std::uint32_t credits(const Account &A);
   /// Serves waiting requests from the credits and the even share, and asks for
   /// more credits if needed.
--- a/lib/RateLimit/CreditAccount.cpp
+++ b/lib/RateLimit/CreditAccount.cpp
@@ -29,6 +29,10 @@
 /// their lifetime.
 constexpr Duration ReturnPeriod = Duration(500);
 constexpr Duration CheckInterval = Duration(100);
+/// How long a node must be silent before the even share begins to accrue. If
+/// the node is cut off, it lends the whole rate to its own side until it
+/// suspects the other one, which takes 1.0 to 1.5 s.
+constexpr Duration SilencePeriod = Duration::seconds(1);
 /// Maximum time from the loss of a link to a missing reply, within which the
 /// loss counts as the beginning of the outage.
 constexpr Duration LinkLossPeriod = Duration::seconds(5);
@@ -80,11 +84,12 @@
   return It == Unreachable.end() || It->second.RetryAt <= Now;
 }
 
-void CreditAccount::markUnreachable(const NodeName &Node, Time Now) {
+void CreditAccount::markUnreachable(const NodeName &Node, Time Since,
+                                    Time Now) {
   ++Counters.Unreachable;
-  Outage &O = Unreachable.try_emplace(Node, Outage{Now, Now}).first->second;
+  Outage &O = Unreachable.try_emplace(Node, Outage{Since, Now}).first->second;
   if (O.RetryAt == O.Since && Now - O.Since > LinkLossPeriod)
-    O.Since = Now;
+    O.Since = Since;
   O.RetryAt = Now + UnreachablePeriod;
 }
 
@@ -162,9 +167,11 @@
 
 void CreditAccount::accrueEvenShare(const RateLimit &Limit, Account &A,
                                     Time Now) const {
+  if (Now < A.EvenAt)
+    return;
   double Share = evenShare(Limit, Now);
   double Capacity = A.IsFallback ? std::max(1.0, Share) : A.EvenStart;
-  double Accrued = Share * std::max(0.0, (Now - A.EvenAt).ms()) / 1000;
+  double Accrued = Share * (Now - A.EvenAt).ms() / 1000;
   A.EvenAt = Now;
   if (A.Even < Capacity)
     A.Even = std::min(Capacity, A.Even + Accrued);
@@ -304,7 +311,7 @@
     Unreachable.insert_or_assign(Node, Outage{Now, Now});
     return;
   }
-  markUnreachable(Node, Now);
+  markUnreachable(Node, Now, Now);
   for (auto &[Organisation, A] : Accounts) {
     if (!A.Pending || A.Pending->Node != Node)
       continue;
@@ -317,7 +324,7 @@
 void CreditAccount::tick(Time Now, CreditActions &Actions) {
   for (auto &[Organisation, A] : Accounts) {
     if (A.Pending && Now - A.Pending->SentAt >= ReplyTimeout) {
-      markUnreachable(A.Pending->Node, Now);
+      markUnreachable(A.Pending->Node, Now + SilencePeriod, Now);
       A.LateSentAt = A.Pending->SentAt;
       A.Pending.reset();
       serve(Organisation, A, Now, Actions);
--- a/unittests/RateLimit/CreditAccountTest.cpp
+++ b/unittests/RateLimit/CreditAccountTest.cpp
@@ -297,36 +297,45 @@
   /// its detection, while it lasts, and when it heals.
   void partition() {
     for (std::size_t Count : {35, 18, 5, 1})
-      for (double Rate : {5.0, 116.0}) {
-        CreditNetwork Net(70, {{Org, {Rate, Rate}}}, Seed + 7);
-        Net.addDemand(Org, Rate * UsualDemand * 7.5, Duration::seconds(50),
-                      [&Net] { return Net.uniformNode(); });
-        Net.advance(Duration::seconds(10));
-        std::map<NodeName, NodeState> Whole = Net.states(0);
-        Time Start = Net.Now;
-        split(Net, Count);
-        // A node without any contact finds out after a second.
-        if (Count == 1)
-          Net.schedule(Duration::seconds(1), [&Net] {
-            Net.Nodes[0].Owner->setContact(false, Net.Now);
-          });
-        Net.advance(Duration::seconds(20));
-        Net.IsCut = [](std::size_t, std::size_t) { return false; };
-        Net.Nodes[0].Owner->setContact(true, Net.Now);
-        for (std::size_t I = 0; I != 70; ++I)
-          Net.schedule(Duration(1000 * Net.Random.uniform()),
-                       [&Net, I, Whole] { Net.setView(I, Whole); });
-        Net.advance(Duration::seconds(20));
-        std::string Case = "partition " + std::to_string(Count) +
-                           " of 70, rate " +
-                           std::to_string(static_cast<int>(Rate));
-        checkBound(Net, Case);
-        report(
-            Case, "share of the rate while partitioned",
-            static_cast<double>(Net.results(Org).grantedBetween(
-                Start + Duration::seconds(5), Start + Duration::seconds(20))) /
-                (Rate * 15));
-      }
+      for (double Rate : {5.0, 116.0})
+        // The demand begins before the partition, with it, or after a second,
+        // when the buckets are still full.
+        for (double BeforeS : {10.0, 0.0, -1.0})
+          checkPartition(Count, Rate, BeforeS);
+  }
+
+  static void checkPartition(std::size_t Count, double Rate, double BeforeS) {
+    CreditNetwork Net(70, {{Org, {Rate, Rate}}}, Seed + 7);
+    auto Start = [&Net, Rate] {
+      Net.addDemand(Org, Rate * UsualDemand * 7.5, Duration::seconds(50),
+                    [&Net] { return Net.uniformNode(); });
+    };
+    Net.schedule(Duration::seconds(std::max(0.0, -BeforeS)), Start);
+    Net.advance(Duration::seconds(std::max(0.0, BeforeS)));
+    std::map<NodeName, NodeState> Whole = Net.states(0);
+    Time SplitAt = Net.Now;
+    split(Net, Count);
+    // A node without any contact finds out after a second.
+    if (Count == 1)
+      Net.schedule(Duration::seconds(1),
+                   [&Net] { Net.Nodes[0].Owner->setContact(false, Net.Now); });
+    Net.advance(Duration::seconds(20));
+    Net.IsCut = [](std::size_t, std::size_t) { return false; };
+    Net.Nodes[0].Owner->setContact(true, Net.Now);
+    for (std::size_t I = 0; I != 70; ++I)
+      Net.schedule(Duration(1000 * Net.Random.uniform()),
+                   [&Net, I, Whole] { Net.setView(I, Whole); });
+    Net.advance(Duration::seconds(20));
+    std::string Case = "partition " + std::to_string(Count) +
+                       " of 70, demand " + std::to_string(BeforeS) +
+                       " s before, rate " +
+                       std::to_string(static_cast<int>(Rate));
+    checkBound(Net, Case);
+    report(
+        Case, "share of the rate while partitioned",
+        static_cast<double>(Net.results(Org).grantedBetween(
+            SplitAt + Duration::seconds(5), SplitAt + Duration::seconds(20))) /
+            (Rate * 15));
   }
 
   /// Guards against twice the rate while some nodes do not know of a new node
