--- a/include/teaselhitch/RateLimit/CreditFleet.h
+++ b/include/teaselhitch/RateLimit/CreditFleet.h
@@ -60,6 +60,9 @@
   /// Applies a new view. Returns false if its nodes are those of the last one.
   bool update(const FleetView &View, Time Now);
 
+  /// Returns true if this node has announced its shutdown.
+  bool isLeaving() const;
+
   /// Returns the owner and its deputy: the nodes with the two highest scores
   /// for the organisation (rendezvous hashing), without those that are leaving.
   CreditOwners owners(const OrganisationName &Organisation) const;
--- a/include/teaselhitch/RateLimit/CreditOwner.h
+++ b/include/teaselhitch/RateLimit/CreditOwner.h
@@ -81,6 +81,9 @@
     Time Since;
     Time UsedAt;
     bool IsOwner = false;
+    /// Until when the node lends the credits that it has left, after it stopped
+    /// to be the owner because it leaves.
+    Time HandOverEnd;
     /// Credits that may be lent while the state of the rate is not known.
     double Spare = 0;
     Time SpareAt;
--- a/lib/RateLimit/CreditFleet.cpp
+++ b/lib/RateLimit/CreditFleet.cpp
@@ -70,6 +70,13 @@
   return true;
 }
 
+bool CreditFleet::isLeaving() const {
+  if (!Nodes)
+    return false;
+  auto It = Nodes->find(Self);
+  return It != Nodes->end() && It->second.State == NodeState::Leaving;
+}
+
 CreditOwners CreditFleet::owners(const OrganisationName &Organisation) const {
   std::uint64_t Hash = hash64(Organisation.str());
   const NodeName *First = nullptr;
--- a/lib/RateLimit/CreditOwner.cpp
+++ b/lib/RateLimit/CreditOwner.cpp
@@ -25,6 +25,9 @@
 /// Time in which the spare credits are renewed. Much longer than 5 s, so that
 /// they are lent at most once in that time.
 constexpr Duration SparePeriod = Duration::seconds(60);
+/// How long a leaving owner still lends. Until the entries have the new view,
+/// which takes about 0.5 s, they ask it.
+constexpr Duration HandOverPeriod = Duration::seconds(1);
 /// Delay after which an entry asks a node that is not the owner again.
 constexpr Duration NotOwnerRetry = Duration(200);
 constexpr Duration MaxRetryAfter = Duration::seconds(3600);
@@ -78,6 +81,8 @@
       B.Since = Now;
       B.UpdatedAt = Now;
     }
+    if (!IsOwner && B.IsOwner && Fleet.isLeaving())
+      B.HandOverEnd = Now + HandOverPeriod;
     B.IsOwner = IsOwner;
   }
 }
@@ -210,7 +215,10 @@
     return Request.Amount == 0 ? std::nullopt : std::optional(Reply);
   }
   CreditOwners Owners = Fleet.owners(Request.Organisation);
-  if (Owners.Owner != Self && Owners.Deputy != Self) {
+  auto Existing = Buckets.find(Request.Organisation);
+  bool IsHandingOver =
+      Existing != Buckets.end() && Now < Existing->second.HandOverEnd;
+  if (Owners.Owner != Self && Owners.Deputy != Self && !IsHandingOver) {
     Reply.Amount = 0;
     Reply.RetryAfter = NotOwnerRetry;
     return Request.Amount == 0 ? std::nullopt : std::optional(Reply);
@@ -218,7 +226,7 @@
   Bucket &B = findOrCreate(Request.Organisation, Now);
   B.UsedAt = Now;
   accrue(B, Limit->second, Now);
-  if (!B.IsOwner)
+  if (!B.IsOwner && !IsHandingOver)
     B.Credits = 0;
   advanceLentPeriod(B, Now);
   takeBack(B, Limit->second, Request.Returned);
