--- a/include/teaselhitch/Model/Messages.h
+++ b/include/teaselhitch/Model/Messages.h
@@ -8,6 +8,7 @@
 #include "teaselhitch/Model/Names.h"
 #include "teaselhitch/Model/Outcome.h"
 #include "teaselhitch/Support/Clock.h"
+#include "teaselhitch/Support/SharedBytes.h"
 
 #include <compare>
 #include <cstdint>
@@ -31,7 +32,7 @@
   /// Path and query.
   std::string Target;
   HeaderList Headers;
-  std::string Body;
+  SharedBytes Body;
 
   auto operator<=>(const HttpRequest &) const = default;
 };
@@ -44,7 +45,7 @@
 struct HttpAnswer {
   unsigned Status = 0;
   HeaderList Headers;
-  std::string Body;
+  SharedBytes Body;
 
   auto operator<=>(const HttpAnswer &) const = default;
 };
@@ -146,6 +147,8 @@
   /// Hash of the organisation, the rule and the key or body. Identifies
   /// requests that crash backend servers, which are then quarantined.
   std::uint64_t Fingerprint = 0;
+  /// Size of the request body, for which the guard reserves memory.
+  std::uint64_t BodyBytes = 0;
   ServiceBaseline Baseline;
 
   auto operator<=>(const DispatchInfo &) const = default;
--- a/include/teaselhitch/Model/Outcome.h
+++ b/include/teaselhitch/Model/Outcome.h
@@ -57,10 +57,11 @@
   AnswerTooLarge,
   GrantExpired,
   DependencyBusy,
+  OutOfMemory,
 };
 
 /// The last enumerator of Reason; decoders reject greater values.
-inline constexpr Reason LastReason = Reason::DependencyBusy;
+inline constexpr Reason LastReason = Reason::OutOfMemory;
 
 /// Documented properties of a reason.
 struct ReasonInfo {
--- a/include/teaselhitch/Net/BackendClient.h
+++ b/include/teaselhitch/Net/BackendClient.h
@@ -8,6 +8,7 @@
 #include "teaselhitch/Integration/BackendProtocol.h"
 #include "teaselhitch/Model/Messages.h"
 #include "teaselhitch/Net/EventLoop.h"
+#include "teaselhitch/Support/MemoryBudget.h"
 
 #include <functional>
 #include <memory>
@@ -24,10 +25,13 @@
   /// \param MaxAnswerBytes limit of the response body; an attempt with a larger
   /// response ends as TooLarge.
   /// \param Protocol classifies the responses; must outlive the client.
+  /// \param Memory accounts for the response bodies; an attempt whose response
+  /// does not fit ends as TooLarge. May be null; must outlive the responses.
   static std::unique_ptr<BackendClient> create(EventLoop &Loop,
                                                std::uint64_t MaxAnswerBytes,
                                                const BackendProtocol &Protocol,
-                                               CompletionHandler OnComplete);
+                                               CompletionHandler OnComplete,
+                                               MemoryBudget *Memory = nullptr);
   virtual ~BackendClient() = default;
 
   /// Sends a request on an idle connection or a new one. The completion handler
--- a/include/teaselhitch/Net/PeerLinks.h
+++ b/include/teaselhitch/Net/PeerLinks.h
@@ -7,11 +7,13 @@
 
 #include "teaselhitch/Model/Records.h"
 #include "teaselhitch/Net/EventLoop.h"
+#include "teaselhitch/Support/MemoryBudget.h"
 #include "teaselhitch/Support/Result.h"
 #include "teaselhitch/Wire/FrameCodec.h"
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 
 namespace teaselhitch {
 
@@ -35,6 +37,15 @@
   virtual void onGuardDisconnect(const NodeName &Node, bool WasOpen) = 0;
   /// A link that another node opened to this node was closed.
   virtual void onEntryDisconnect(LinkId Link) = 0;
+  /// A dispatch with a large body begins to arrive from another node. Returns
+  /// the memory that was reserved for the body when the attempt was granted, or
+  /// nothing if the grant has ended; the dispatch is then refused and its body
+  /// discarded.
+  virtual std::optional<MemoryBudget::Reservation>
+  takeGrantedMemory(const AttemptId &Attempt) {
+    (void)Attempt;
+    return MemoryBudget::Reservation();
+  }
 };
 
 struct PeerLinksSettings {
@@ -51,6 +62,9 @@
   Duration IdleTimeout = Duration::seconds(30);
   /// A link with more unsent bytes than this accepts no further messages.
   std::uint64_t MaxPendingBytes = 8ULL * 1024 * 1024;
+  /// Accounts for bodies that arrive and for buffered bytes of the links; may
+  /// be null. Must outlive the links and the bodies.
+  MemoryBudget *Memory = nullptr;
 };
 
 class PeerLinks {
--- a/include/teaselhitch/Settings/NodeSettings.h
+++ b/include/teaselhitch/Settings/NodeSettings.h
@@ -63,6 +63,8 @@
   std::uint64_t MaxAnswerBytes = 1024ULL * 1024;
   std::uint32_t MaxCallerConnections = 1024;
   std::uint32_t MaxRequests = 8192;
+  /// Memory of the instance in bytes; 0 if it is not limited.
+  std::uint64_t MemoryBytes = 0;
   /// Maximum duration of a graceful shutdown, counted from the end of
   /// DrainGrace.
   Duration DrainTimeout = Duration::seconds(30);
@@ -120,6 +122,10 @@
   std::vector<SettingsError> Warnings;
 };
 
+/// Returns the number of bytes that a node with these settings may hold for
+/// requests and answers; 0 for no limit.
+std::uint64_t heldBytesLimit(const NodeSettings &Settings);
+
 /// Parses and validates the text of a settings file. Reports all errors, or
 /// only the syntax error if the text is not valid TOML.
 CheckedSettings readNodeSettings(std::string_view Text);
--- a/include/teaselhitch/Support/Hash.h
+++ b/include/teaselhitch/Support/Hash.h
@@ -23,6 +23,8 @@
 /// Returns the 64-bit XXH3 hash of Data, which is the same on every machine.
 /// Not suitable for security purposes.
 std::uint64_t hash64(std::string_view Data);
+/// Returns the hash of both parts in sequence, without joining them in memory.
+std::uint64_t hash64(std::string_view First, std::string_view Second);
 
 } // namespace teaselhitch
 
--- a/lib/Entry/Entry.cpp
+++ b/lib/Entry/Entry.cpp
@@ -95,6 +95,7 @@
     P.ClaimRow = Claims::rowKey(Request.Organisation, R.Name, Request.Key);
   std::string Identity = Request.Key.empty() ? std::to_string(Request.BodyHash)
                                              : "key " + Request.Key;
+  P.BodyBytes = Request.BodyBytes;
   P.Fingerprint =
       hash64(Request.Organisation.str() + "\n" + R.Name.str() + "\n" +
              Request.Method + " " + Request.Path + "\n" + Identity);
--- a/lib/Entry/EntryAttempts.cpp
+++ b/lib/Entry/EntryAttempts.cpp
@@ -188,6 +188,7 @@
   Info.Remaining = P.Deadline - Now;
   Info.GuardKey = P.GuardKey;
   Info.Fingerprint = P.Fingerprint;
+  Info.BodyBytes = P.BodyBytes;
   Info.Baseline = baseline(P).baseline(Now);
   return Info;
 }
--- a/lib/Entry/RequestTable.h
+++ b/lib/Entry/RequestTable.h
@@ -44,6 +44,7 @@
   /// Priority in queues; 0 goes first.
   std::uint32_t Priority = 0;
   std::uint64_t Fingerprint = 0;
+  std::uint64_t BodyBytes = 0;
   /// A guard-bound key, or empty.
   std::string GuardKey;
   /// Row key of the claim of a caller-supplied key, or empty.
--- a/lib/Integration/NativeCallerProtocol.cpp
+++ b/lib/Integration/NativeCallerProtocol.cpp
@@ -43,7 +43,7 @@
     Description.Organisation = OrganisationName(Organisation);
     Description.Key = headerValue(Request.Headers, KeyHeader);
     Description.BodyBytes = Request.Body.size();
-    Description.BodyHash = hash64(Request.Target + "\n" + Request.Body);
+    Description.BodyHash = hash64(Request.Target + "\n", Request.Body.str());
     if (!isValidName(Organisation) || Description.Path.empty() ||
         Description.Path[0] != '/' || Description.Key.size() > MaxKeyLength ||
         !isVisibleAscii(Description.Key))
--- a/lib/Model/Outcome.cpp
+++ b/lib/Model/Outcome.cpp
@@ -70,6 +70,8 @@
        "the guard no longer held a slot when the request came"},
       {DependencyBusy, "dependency-busy", 503, NotRun,
        "a service that the request needs has no room"},
+      {OutOfMemory, "out-of-memory", 503, NotRun,
+       "the node has no memory left for the body"},
   };
   return Reasons;
 }
--- a/lib/Net/BackendClient.cpp
+++ b/lib/Net/BackendClient.cpp
@@ -127,7 +127,7 @@
   bool IsHead;
   /// Request headers as sent; the protocol compares the response with them.
   HeaderList Headers;
-  http::request<http::string_body> Message;
+  http::request<SharedBytesBody> Message;
   std::optional<http::response_parser<http::string_body>> Parser;
   ConnectionPtr Conn;
   std::unique_ptr<beast::tcp_stream> Probe;
@@ -142,6 +142,8 @@
   int SkippedResponses = 0;
   /// Bytes of the body that are counted in the total of the client.
   std::uint64_t CountedBytes = 0;
+  /// Accounts for the body of the response.
+  MemoryBudget::Reservation Held;
   bool Ended = false;
 };
 
@@ -149,9 +151,9 @@
 public:
   BackendClientImpl(EventLoop &Loop, std::uint64_t MaxAnswerBytes,
                     const BackendProtocol &Protocol,
-                    CompletionHandler OnComplete)
+                    CompletionHandler OnComplete, MemoryBudget *Memory)
       : Context(contextOf(Loop)), MaxAnswerBytes(MaxAnswerBytes),
-        Protocol(Protocol), OnComplete(std::move(OnComplete)) {}
+        Protocol(Protocol), Memory(Memory), OnComplete(std::move(OnComplete)) {}
 
   void start(const AttemptId &Attempt, const Endpoint &Server,
              HttpRequest Request, bool Idempotent) override {
@@ -205,6 +207,7 @@
   /// Bytes of all response bodies that are being received.
   std::uint64_t AnswerBytes = 0;
   const BackendProtocol &Protocol;
+  MemoryBudget *Memory;
   SteadyClock Monotonic;
 
 private:
@@ -308,6 +311,8 @@
 }
 
 void Exchange::read() {
+  if (Client.Memory)
+    Held = Client.Memory->open();
   Parser.emplace();
   Parser->body_limit(Client.MaxAnswerBytes);
   Parser->skip(IsHead);
@@ -329,7 +334,7 @@
     return onRead(EC);
   // A faulty server may send bytes without end. The limit holds for all
   // responses together, because several of them would fill the memory.
-  if (Client.AnswerBytes > Client.MaxAnswerBytes)
+  if (Client.AnswerBytes > Client.MaxAnswerBytes || !Held.resize(Bytes))
     return onRead(http::error::body_limit);
   readSome();
 }
@@ -362,7 +367,9 @@
     return skipResponse();
   bool Reusable = Parser->get().keep_alive() && !Parser->need_eof();
   std::string KeepAlive(Parser->get()[http::field::keep_alive]);
-  HttpAnswer Answer = toAnswer(Parser->release());
+  // The bytes that were received last are in memory already.
+  Held.force(Parser->get().body().size());
+  HttpAnswer Answer = toAnswer(Parser->release(), std::move(Held));
   AnswerKind Kind = Client.Protocol.classify(Headers, Answer);
   if (Kind == AnswerKind::Mismatched) {
     // A duplicate response to an earlier request; the response to this request
@@ -460,6 +467,7 @@
     return;
   Ended = true;
   Client.AnswerBytes -= std::exchange(CountedBytes, 0);
+  Held.release();
   // Keeps this object alive while the client removes its reference.
   auto Self = shared_from_this();
   RunResult Result;
@@ -475,9 +483,9 @@
 std::unique_ptr<BackendClient>
 BackendClient::create(EventLoop &Loop, std::uint64_t MaxBytes,
                       const BackendProtocol &Protocol,
-                      CompletionHandler OnComplete) {
+                      CompletionHandler OnComplete, MemoryBudget *Memory) {
   return std::make_unique<BackendClientImpl>(Loop, MaxBytes, Protocol,
-                                             std::move(OnComplete));
+                                             std::move(OnComplete), Memory);
 }
 
 } // namespace teaselhitch
--- a/lib/Net/Http.cpp
+++ b/lib/Net/Http.cpp
@@ -43,17 +43,18 @@
   return Request;
 }
 
-HttpAnswer toAnswer(http::response<http::string_body> &&Message) {
+HttpAnswer toAnswer(http::response<http::string_body> &&Message,
+                    MemoryBudget::Reservation Held) {
   HttpAnswer Answer;
   Answer.Status = Message.result_int();
   Answer.Headers = endToEndHeaders(Message);
-  Answer.Body = std::move(Message.body());
+  Answer.Body = SharedBytes(std::move(Message.body()), std::move(Held));
   return Answer;
 }
 
-http::request<http::string_body> fromRequest(HttpRequest &&Request,
-                                             const std::string &Authority) {
-  http::request<http::string_body> Message;
+http::request<SharedBytesBody> fromRequest(HttpRequest &&Request,
+                                           const std::string &Authority) {
+  http::request<SharedBytesBody> Message;
   Message.version(Http11);
   Message.method_string(Request.Method);
   Message.target(Request.Target);
@@ -66,14 +67,14 @@
   Message.body() = std::move(Request.Body);
   // prepare_payload() throws for TRACE with a body.
   if (Message.method() == http::verb::trace)
-    Message.body().clear();
+    Message.body() = SharedBytes();
   Message.prepare_payload();
   return Message;
 }
 
-http::response<http::string_body> fromAnswer(HttpAnswer &&Answer,
-                                             bool KeepAlive, bool IsHead) {
-  http::response<http::string_body> Message;
+http::response<SharedBytesBody> fromAnswer(HttpAnswer &&Answer, bool KeepAlive,
+                                           bool IsHead) {
+  http::response<SharedBytesBody> Message;
   Message.version(Http11);
   Message.result(Answer.Status);
   for (const Header &H : Answer.Headers)
@@ -85,11 +86,11 @@
   constexpr unsigned NotModified = 304;
   // These responses have no body, and a Content-Length would announce one.
   if (Message.result_int() == NoContent || Message.result_int() == NotModified)
-    Message.body().clear();
+    Message.body() = SharedBytes();
   else
     Message.prepare_payload();
   if (IsHead)
-    Message.body().clear();
+    Message.body() = SharedBytes();
   return Message;
 }
 
--- a/lib/Net/Http.h
+++ b/lib/Net/Http.h
@@ -6,28 +6,62 @@
 
 #include "teaselhitch/Model/Messages.h"
 
+#include <boost/asio/buffer.hpp>
 #include <boost/beast/http/fields.hpp>
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/string_body.hpp>
+#include <boost/optional/optional.hpp>
+
+#include <utility>
 
 namespace teaselhitch {
 
 namespace http = boost::beast::http;
 
+/// Beast body that sends shared bytes without a copy.
+struct SharedBytesBody {
+  using value_type = SharedBytes;
+
+  static std::uint64_t size(const value_type &Bytes) { return Bytes.size(); }
+
+  class writer { // NOLINT(readability-identifier-naming): required name
+  public:
+    using const_buffers_type = boost::asio::const_buffer;
+
+    template <bool IsRequest, typename FieldsT>
+    writer(const http::header<IsRequest, FieldsT> &, const value_type &Bytes)
+        : Bytes(Bytes) {}
+
+    void init(boost::beast::error_code &EC) { EC = {}; }
+
+    boost::optional<std::pair<const_buffers_type, bool>>
+    get(boost::beast::error_code &EC) {
+      EC = {};
+      return std::make_pair(
+          const_buffers_type(Bytes.str().data(), Bytes.size()), false);
+    }
+
+  private:
+    const value_type &Bytes;
+  };
+};
+
 /// True for headers that apply to a single connection and are not forwarded.
 bool isHopByHop(boost::beast::string_view Name);
 
 HttpRequest toRequest(http::request<http::string_body> &&Message);
-HttpAnswer toAnswer(http::response<http::string_body> &&Message);
+/// \param Held accounts for the body.
+HttpAnswer toAnswer(http::response<http::string_body> &&Message,
+                    MemoryBudget::Reservation Held);
 
 /// Drops the hop-by-hop headers. Host is set to Authority unless the request
 /// has a Host header of its own.
-http::request<http::string_body> fromRequest(HttpRequest &&Request,
-                                             const std::string &Authority);
+http::request<SharedBytesBody> fromRequest(HttpRequest &&Request,
+                                           const std::string &Authority);
 /// \param IsHead the answer is to a HEAD request: it has the header of the
 /// answer to GET, but no body.
-http::response<http::string_body> fromAnswer(HttpAnswer &&Answer,
-                                             bool KeepAlive, bool IsHead);
+http::response<SharedBytesBody> fromAnswer(HttpAnswer &&Answer, bool KeepAlive,
+                                           bool IsHead);
 
 } // namespace teaselhitch
 
--- a/lib/Net/HttpServer.cpp
+++ b/lib/Net/HttpServer.cpp
@@ -120,7 +120,7 @@
   beast::tcp_stream Stream;
   beast::flat_buffer Buffer;
   std::optional<http::request_parser<http::string_body>> Parser;
-  std::optional<http::response<http::string_body>> Response;
+  std::optional<http::response<SharedBytesBody>> Response;
   HttpRequest Request;
   std::shared_ptr<ServerState> Server;
   std::function<void()> OnDisconnect;
--- a/lib/Net/PeerLinks.cpp
+++ b/lib/Net/PeerLinks.cpp
@@ -3,12 +3,16 @@
 #include "Asio.h"
 #include "teaselhitch/Support/Log.h"
 
+#include <boost/asio/completion_condition.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
+#include <algorithm>
 #include <array>
 #include <map>
 #include <optional>
+#include <utility>
+#include <vector>
 
 namespace teaselhitch {
 
@@ -17,6 +21,11 @@
 /// Size of the read buffer of each link. It is small because a node has up to
 /// 2,800 links.
 constexpr std::size_t ReadBufferBytes = 4096;
+/// Bodies up to this size are copied behind their header, so that several
+/// messages are sent with one buffer.
+constexpr std::size_t MaxCopiedBodyBytes = 16UL * 1024;
+/// Changes of the buffered bytes of a link by less than this are not accounted.
+constexpr std::uint64_t AccountingStepBytes = 4096;
 
 /// True for requests, to which the other side sends a reply.
 bool expectsReply(const PeerMessage &Message) {
@@ -41,6 +50,8 @@
   virtual ~LinkOwner() = default;
   virtual void onMessage(Link &From, PeerMessage Message) = 0;
   virtual void onClose(Link &Closed) = 0;
+  virtual std::optional<MemoryBudget::Reservation>
+  takeGrantedMemory(const AttemptId &Attempt) = 0;
 };
 
 /// A TCP connection between two nodes.
@@ -49,8 +60,14 @@
   Link(asio::io_context &Context, LinkOwner &Owner, bool IsOutgoing,
        const PeerLinksSettings &Settings)
       : Socket(Context), Timer(Context), Owner(&Owner), Settings(Settings),
-        IsOutgoing(IsOutgoing), LastReceived(Monotonic.now()),
-        LastUse(LastReceived) {}
+        IsOutgoing(IsOutgoing),
+        Reader([this](const PeerMessage &Message, std::uint64_t Bytes) {
+          return reserveBody(Message, Bytes);
+        }),
+        LastReceived(Monotonic.now()), LastUse(LastReceived) {
+    if (Settings.Memory)
+      Buffered = Settings.Memory->open();
+  }
 
   void connect(const Tcp::endpoint &Address);
   void attach(Tcp::socket Accepted);
@@ -73,7 +90,15 @@
   void read();
   void onBytes(ErrorCodeT EC, std::size_t Count);
   void handle(PeerMessage Message);
+  /// Handles a message whose body was discarded.
+  void handleDiscarded(PeerMessage Message);
+  std::optional<MemoryBudget::Reservation>
+  reserveBody(const PeerMessage &Message, std::uint64_t Bytes);
+  void enqueue(EncodedFrame Frame);
   void flush();
+  void recordWriteProgress(std::size_t BytesWritten);
+  /// Accounts for the bytes that the link buffers itself.
+  void accountBuffers();
   void fail(const char *Cause);
 
   Tcp::socket Socket;
@@ -86,10 +111,23 @@
   bool IsWriting = false;
   FrameReader Reader;
   std::array<char, ReadBufferBytes> Input{};
-  std::string WriteBuffer;
-  std::string Pending;
+  /// Frames that are being written, and those that follow. A body is shared
+  /// with the rest of the node.
+  std::vector<EncodedFrame> Writing;
+  std::vector<EncodedFrame> Pending;
+  /// Bytes of Pending, bodies included.
+  std::uint64_t PendingBytes = 0;
+  /// Bytes of Pending and Writing without shared bodies.
+  std::uint64_t UnsentHeadBytes = 0;
+  std::uint64_t WritingHeadBytes = 0;
+  std::size_t BytesWritten = 0;
+  /// A large body is being written.
+  bool IsWritingBody = false;
+  MemoryBudget::Reservation Buffered;
   SteadyClock Monotonic;
   Time LastReceived;
+  /// Time at which the other side last took a part of a large body.
+  Time LastWritten;
   Time LastUse;
   /// Number of replies that the other side has still to send. Heartbeats are
   /// sent only while it is not zero.
@@ -123,23 +161,27 @@
   Timer.cancel();
   LastReceived = LastUse = Monotonic.now();
   configureSocket(Socket);
-  std::string Queued = std::move(Pending);
-  Pending.clear();
-  // Hello precedes the messages that were queued while connecting.
+  std::vector<EncodedFrame> Queued = std::exchange(Pending, {});
+  // Hello precedes the messages that were queued while connecting; it starts
+  // the first write alone.
+  PendingBytes = 0;
+  UnsentHeadBytes = 0;
   send(PeerMessage(Settings.LocalHello));
-  Pending += Queued;
+  for (EncodedFrame &Frame : Queued)
+    enqueue(std::move(Frame));
   flush();
   read();
 }
 
 bool Link::send(const PeerMessage &Message) {
-  if (IsClosed || Pending.size() > Settings.MaxPendingBytes)
+  if (IsClosed || PendingBytes > Settings.MaxPendingBytes)
     return false;
-  std::string Frame = handleError([&] { return encodeFrame(Message); },
-                                  [](const Error &) { return std::string(); });
-  if (Frame.empty())
+  EncodedFrame Frame =
+      handleError([&] { return encodeFrame(Message); },
+                  [](const Error &) { return EncodedFrame(); });
+  if (Frame.Head.empty())
     return false;
-  Pending += Frame;
+  enqueue(std::move(Frame));
   LastUse = Monotonic.now();
   if (expectsReply(Message)) {
     // The receive timeout starts with the first request that awaits a reply.
@@ -154,19 +196,86 @@
   return true;
 }
 
+void Link::enqueue(EncodedFrame Frame) {
+  if (Frame.Body.size() <= MaxCopiedBodyBytes) {
+    Frame.Head += Frame.Body.str();
+    Frame.Body = SharedBytes();
+  }
+  PendingBytes += Frame.Head.size() + Frame.Body.size();
+  UnsentHeadBytes += Frame.Head.size();
+  if (!Pending.empty() && Pending.back().Body.empty()) {
+    Pending.back().Head += Frame.Head;
+    Pending.back().Body = std::move(Frame.Body);
+  } else {
+    Pending.push_back(std::move(Frame));
+  }
+  accountBuffers();
+}
+
 void Link::flush() {
   if (IsWriting || Pending.empty() || IsClosed)
     return;
   IsWriting = true;
-  WriteBuffer = std::move(Pending);
-  Pending.clear();
-  asio::async_write(Socket, asio::buffer(WriteBuffer),
-                    [Self = shared_from_this()](ErrorCodeT EC, std::size_t) {
-                      Self->IsWriting = false;
-                      if (EC)
-                        return Self->fail("write-failed");
-                      Self->flush();
-                    });
+  Writing = std::exchange(Pending, {});
+  PendingBytes = 0;
+  WritingHeadBytes = UnsentHeadBytes;
+  BytesWritten = 0;
+  IsWritingBody = false;
+  std::vector<asio::const_buffer> Buffers;
+  Buffers.reserve(Writing.size() * 2);
+  for (const EncodedFrame &Frame : Writing) {
+    Buffers.emplace_back(Frame.Head.data(), Frame.Head.size());
+    if (Frame.Body.empty())
+      continue;
+    Buffers.emplace_back(Frame.Body.str().data(), Frame.Body.size());
+    IsWritingBody = true;
+  }
+  asio::async_write(
+      Socket, Buffers,
+      [Self = shared_from_this()](ErrorCodeT EC, std::size_t Count) {
+        Self->recordWriteProgress(Count);
+        return asio::transfer_all()(EC, Count);
+      },
+      [Self = shared_from_this()](ErrorCodeT EC, std::size_t) {
+        Self->IsWriting = false;
+        Self->Writing.clear();
+        Self->UnsentHeadBytes -= Self->WritingHeadBytes;
+        Self->accountBuffers();
+        if (EC)
+          return Self->fail("write-failed");
+        Self->flush();
+      });
+}
+
+void Link::recordWriteProgress(std::size_t Count) {
+  if (IsWritingBody && Count > BytesWritten)
+    LastWritten = Monotonic.now();
+  BytesWritten = Count;
+}
+
+void Link::accountBuffers() {
+  std::uint64_t Bytes = UnsentHeadBytes + Reader.bufferedBytes();
+  std::uint64_t Accounted = Buffered.bytes();
+  std::uint64_t Change =
+      Bytes > Accounted ? Bytes - Accounted : Accounted - Bytes;
+  if (Change >= AccountingStepBytes)
+    Buffered.force(Bytes);
+}
+
+std::optional<MemoryBudget::Reservation>
+Link::reserveBody(const PeerMessage &Message, std::uint64_t Bytes) {
+  if (Bytes > MemoryBudget::LargeBytes) {
+    if (const auto *D = std::get_if<Dispatch>(&Message))
+      return Owner ? Owner->takeGrantedMemory(D->Info.Attempt) : std::nullopt;
+    if (Settings.Memory)
+      return Settings.Memory->reserve(Bytes);
+  }
+  MemoryBudget::Reservation Held;
+  if (Settings.Memory) {
+    Held = Settings.Memory->open();
+    Held.force(Bytes);
+  }
+  return Held;
 }
 
 void Link::read() {
@@ -196,8 +305,12 @@
                     });
     if (!Message)
       break;
-    handle(std::move(*Message));
+    if (Reader.isBodyDiscarded())
+      handleDiscarded(std::move(*Message));
+    else
+      handle(std::move(*Message));
   }
+  accountBuffers();
   if (Corrupt)
     return fail("bad-frame");
   if (!IsClosed)
@@ -229,11 +342,32 @@
     Owner->onMessage(*this, std::move(Message));
 }
 
+void Link::handleDiscarded(PeerMessage Message) {
+  AttemptFailed Failure;
+  if (const auto *D = std::get_if<Dispatch>(&Message)) {
+    Failure.Attempt = D->Info.Attempt;
+    Failure.Cause = Reason::GrantExpired;
+    Failure.Result = Outcome::NotRun;
+    if (!send(Failure))
+      close();
+    return;
+  }
+  Failure.Attempt = std::get<AttemptAnswer>(Message).Attempt;
+  Failure.Cause = Reason::AnswerTooLarge;
+  Failure.Result = Outcome::Unknown;
+  handle(std::move(Failure));
+}
+
 void Link::tick(Time Now) {
   if (IsClosed || !IsOpen)
     return;
+  // The rest of the body would hold its memory without end.
+  if (!IsOutgoing && Reader.isInBody() &&
+      Now - LastReceived > Settings.ReceiveTimeout)
+    return fail("silent");
   if (IsOutgoing && PendingReplies > 0) {
-    if (Now - LastReceived > Settings.ReceiveTimeout)
+    // On a slow path, a large body delays the heartbeat that follows it.
+    if (Now - std::max(LastReceived, LastWritten) > Settings.ReceiveTimeout)
       return fail("silent");
     if (Now - LastReceived > Settings.HeartbeatInterval &&
         Now - LastHeartbeat > Settings.HeartbeatInterval) {
@@ -259,6 +393,8 @@
   if (IsClosed)
     return;
   IsClosed = true;
+  Pending.clear();
+  PendingBytes = 0;
   ErrorCodeT Ignored;
   Socket.close(Ignored);
   Timer.cancel();
@@ -371,6 +507,11 @@
       Handler.onEntryMessage(From.Id, From.Remote, std::move(Message));
   }
 
+  std::optional<MemoryBudget::Reservation>
+  takeGrantedMemory(const AttemptId &Attempt) override {
+    return Handler.takeGrantedMemory(Attempt);
+  }
+
   void onClose(Link &Closed) override {
     if (Closed.Id != 0) {
       Incoming.erase(Closed.Id);
--- a/lib/Node/BackendsThread.cpp
+++ b/lib/Node/BackendsThread.cpp
@@ -69,7 +69,8 @@
       [Self](const AttemptId &Attempt, const RunResult &Result,
              HttpAnswer Answer) {
         Self->handleRunEnd(Attempt, Result, std::move(Answer));
-      });
+      },
+      &Shared.Memory);
   HttpServerSettings Http;
   Http.Listen = Settings.BackendServers;
   BOOST_LEAF_ASSIGN(
@@ -243,6 +244,8 @@
   R.Organisation = Info.Organisation;
   R.Rule = Info.Rule;
   R.Priority = Info.Priority;
+  if (EntryLink && Info.BodyBytes > MemoryBudget::LargeBytes)
+    R.BytesToReserve = Info.BodyBytes;
   // A duplicate attempt id is an error of the sender; the first offer is kept.
   if (!Attempts.emplace(Info.Attempt, std::move(R)).second)
     return;
@@ -266,6 +269,8 @@
     return;
   }
   ActiveAttempt &R = It->second;
+  // A large body arrives only if its request began to arrive in time.
+  R.Slot.IsArriving = R.BytesToReserve > 0;
   Duration Remaining = R.Slot.remaining(Info.Remaining, now());
   if (Remaining <= Duration()) {
     R.IsSettled = true;
@@ -315,9 +320,15 @@
 
 void BackendsThread::expireGrants() {
   std::vector<AttemptId> Expired;
-  for (const auto &[Attempt, R] : Attempts)
-    if (!R.Server.empty() && !R.IsSent && R.Slot.isExpired(now()))
+  for (auto &[Attempt, R] : Attempts) {
+    if (R.Server.empty() || R.IsSent || !R.Slot.isExpired(now()))
+      continue;
+    // The peers thread takes the reservation when the request begins to arrive.
+    if (R.BytesToReserve > 0 && !Shared.Granted.take(Attempt))
+      R.Slot.IsArriving = true;
+    else
       Expired.push_back(Attempt);
+  }
   for (const AttemptId &Attempt : Expired)
     withdraw(Attempt);
 }
@@ -365,6 +376,8 @@
   R.Server = Action.Server;
   R.Address = Action.Address;
   R.Slot = SlotGrant{now(), now() + Action.Remaining};
+  if (!reserveBody(Action.Attempt, R))
+    return refuseForMemory(Action.Attempt, R);
   Grant Message{Action.Attempt, Core->load(Action.Server, now())};
   logEvent(LogLevel::Info, "guard", "attempt-granted",
            {{"attempt", toString(Action.Attempt)},
@@ -375,6 +388,45 @@
   reply(R.EntryLink, Message);
 }
 
+bool BackendsThread::reserveBody(const AttemptId &Attempt,
+                                 const ActiveAttempt &R) {
+  if (R.BytesToReserve == 0)
+    return true;
+  std::optional<MemoryBudget::Reservation> Reserved =
+      Shared.Memory.reserve(R.BytesToReserve);
+  if (!Reserved)
+    return false;
+  Shared.Granted.add(Attempt, std::move(*Reserved));
+  return true;
+}
+
+void BackendsThread::refuseForMemory(const AttemptId &Attempt,
+                                     ActiveAttempt &R) {
+  logEvent(LogLevel::Warning, "guard", "refused-for-memory",
+           {{"attempt", toString(Attempt)},
+            {"body_bytes", R.BytesToReserve},
+            {"held_bytes", Shared.Memory.held()}});
+  R.IsSettled = true;
+  AttemptFailed Failure = makeNotRunFailure(Attempt, Reason::OutOfMemory);
+  Failure.Load = Core->load(R.Server, now());
+  reply(R.EntryLink, Failure);
+  // Posted, because the guard must not be re-entered while its actions are
+  // being performed.
+  Loop.post([this, Attempt] { withdraw(Attempt); });
+}
+
+void BackendsThread::publishMemory() {
+  Shared.Metrics
+      .gauge("teaselhitch_held_bytes",
+             "Bytes of requests and answers that the node holds.")
+      .set(static_cast<double>(Shared.Memory.held()));
+  std::uint64_t Refusals = Shared.Memory.refusals();
+  Shared.Metrics
+      .counter("teaselhitch_memory_refusals_total",
+               "Reservations of memory that did not fit.")
+      .add(Refusals - std::exchange(PublishedRefusals, Refusals));
+}
+
 void BackendsThread::perform(const AbortAttempt &Action) {
   auto It = Attempts.find(Action.Attempt);
   if (It == Attempts.end())
@@ -512,6 +564,9 @@
   if (It == Attempts.end())
     return;
   BackendServerName Server = It->second.Server;
+  // Releases the memory of a grant whose request did not arrive.
+  if (It->second.BytesToReserve > 0)
+    (void)Shared.Granted.take(Attempt);
   sendRunChange(It->second, false);
   countRun(Shared.Metrics, Result);
   logEvent(LogLevel::Info, "guard", "attempt-ended",
@@ -549,6 +604,7 @@
 }
 
 void BackendsThread::publishStatus() {
+  publishMemory();
   std::map<BackendServerName, std::string> Evidence;
   for (MonitoredServer &S : Control->status(now()))
     Evidence[S.Server] = std::move(S.Evidence);
--- a/lib/Node/BackendsThread.h
+++ b/lib/Node/BackendsThread.h
@@ -54,6 +54,9 @@
     std::string CallerId;
     RuleName Rule;
     std::uint32_t Priority = 0;
+    /// Bytes for which memory is reserved when the attempt is granted; 0 if the
+    /// body is already on this node or is not large.
+    std::uint64_t BytesToReserve = 0;
     /// See DispatchInfo::IsRepeat.
     bool IsRepeat = false;
     /// The request arrived from the entry and was sent to the backend server.
@@ -73,6 +76,13 @@
   void receive(std::optional<LinkId> EntryLink, Dispatch &Message);
   void receive(const Cancel &Message);
   void receive(PeersToBackendsMessage Message);
+  /// Reserves memory for the body of an attempt that gets a slot. Returns false
+  /// if the body does not fit.
+  bool reserveBody(const AttemptId &Attempt, const ActiveAttempt &R);
+  /// Refuses an attempt that has a slot but for whose body there is no memory.
+  void refuseForMemory(const AttemptId &Attempt, ActiveAttempt &R);
+  /// Publishes how much memory is held.
+  void publishMemory();
   /// Releases the slots of grants whose requests did not arrive in time.
   void expireGrants();
   /// Ends an attempt that was granted a slot but whose request was not sent to
@@ -118,6 +128,8 @@
 
   NodeSettings Settings;
   SharedState &Shared;
+  /// Number of refused reservations that the metrics contain.
+  std::uint64_t PublishedRefusals = 0;
   std::unique_ptr<BackendProtocol> Protocol;
   /// Decides on admission; this thread performs the actions that it returns.
   std::unique_ptr<Guard> Core;
--- a/lib/Node/Node.cpp
+++ b/lib/Node/Node.cpp
@@ -9,6 +9,7 @@
 #include "teaselhitch/Support/Log.h"
 
 #include <csignal>
+#include <malloc.h>
 
 namespace teaselhitch {
 
@@ -39,6 +40,7 @@
     // back, the membership raises the incarnation above the one that peers
     // know.
     auto Incarnation = static_cast<std::uint64_t>(wallClockMs());
+    limitMemory();
     BOOST_LEAF_ASSIGN(
         Adapter, PlatformRegistry::create(Settings.PlatformKind, Settings));
     BOOST_LEAF_AUTO(Source, Adapter->configSource());
@@ -87,6 +89,17 @@
             Operators.get()};
   }
 
+  void limitMemory() {
+    Shared.Memory.setLimit(heldBytesLimit(Settings));
+    if (Settings.MemoryBytes == 0)
+      return;
+    // By default, the allocator raises this threshold to the size of a freed
+    // block, up to 32 MiB, and then keeps freed bodies resident.
+    constexpr int MapThresholdBytes = 128 * 1024;
+    mallopt(M_MMAP_THRESHOLD, MapThresholdBytes);
+    mallopt(M_TRIM_THRESHOLD, MapThresholdBytes);
+  }
+
   void stopAll() {
     if (Watcher)
       Watcher->stop();
--- a/lib/Node/PeersThread.cpp
+++ b/lib/Node/PeersThread.cpp
@@ -100,6 +100,7 @@
   LinkSettings.LocalHello.Node = Settings.Node;
   LinkSettings.LocalHello.Incarnation = Incarnation;
   LinkSettings.LocalHello.Domain = Settings.Domain;
+  LinkSettings.Memory = &Shared.Memory;
   BOOST_LEAF_ASSIGN(NewThread->Links,
                     PeerLinks::create(NewThread->Loop, LinkSettings, *Self));
   BOOST_LEAF_ASSIGN(NewThread->Datagrams,
--- a/lib/Node/PeersThread.h
+++ b/lib/Node/PeersThread.h
@@ -39,6 +39,10 @@
                       PeerMessage Message) override;
   void onGuardDisconnect(const NodeName &Node, bool WasOpen) override;
   void onEntryDisconnect(LinkId Link) override;
+  std::optional<MemoryBudget::Reservation>
+  takeGrantedMemory(const AttemptId &Attempt) override {
+    return Shared.Granted.take(Attempt);
+  }
 
   void handleDatagram(std::string_view Bytes, const Endpoint &From);
   void receive(OutboundGuardMessage Message);
--- a/lib/Node/SharedState.h
+++ b/lib/Node/SharedState.h
@@ -15,12 +15,15 @@
 #include "teaselhitch/Net/PeerLinks.h"
 #include "teaselhitch/Platform/TableRequests.h"
 #include "teaselhitch/Support/Channel.h"
+#include "teaselhitch/Support/MemoryBudget.h"
 #include "teaselhitch/Support/Metrics.h"
 #include "teaselhitch/Support/PublishedSnapshot.h"
 
 #include <boost/json/value.hpp>
 
 #include <atomic>
+#include <map>
+#include <mutex>
 #include <optional>
 #include <string>
 #include <variant>
@@ -120,8 +123,36 @@
 
 using SubRequestNotice = std::variant<SubRequestSeen, SubRequestEnded>;
 
+/// Memory that the guard has reserved for bodies whose requests were granted.
+/// The backends thread adds a reservation with each grant; the peers thread
+/// takes it when the request begins to arrive. Thread-safe.
+class GrantedBodies {
+public:
+  void add(const AttemptId &Attempt, MemoryBudget::Reservation Reserved) {
+    std::lock_guard<std::mutex> Lock(Mutex);
+    ByAttempt.insert_or_assign(Attempt, std::move(Reserved));
+  }
+  /// Returns nothing if the grant has ended.
+  std::optional<MemoryBudget::Reservation> take(const AttemptId &Attempt) {
+    std::lock_guard<std::mutex> Lock(Mutex);
+    auto Node = ByAttempt.extract(Attempt);
+    if (Node.empty())
+      return std::nullopt;
+    return std::move(Node.mapped());
+  }
+
+private:
+  std::mutex Mutex;
+  std::map<AttemptId, MemoryBudget::Reservation> ByAttempt;
+};
+
 /// State that the threads of a node share.
 struct SharedState {
+  /// Bytes that the node holds for requests and answers. First member, because
+  /// queued messages hold reservations.
+  MemoryBudget Memory;
+  GrantedBodies Granted;
+
   Channel<GuardMessage> CallersToBackends{ChannelCapacity};
   Channel<EntryMessage> BackendsToCallers{ChannelCapacity};
   Channel<RunChange> RunsToCallers{ChannelCapacity};
--- a/lib/Node/SlotGrant.h
+++ b/lib/Node/SlotGrant.h
@@ -21,7 +21,13 @@
   /// arrived.
   Time Deadline;
 
-  bool isExpired(Time Now) const { return Now - GrantedAt > GrantTimeout; }
+  /// The request has begun to arrive. A large body takes longer than
+  /// GrantTimeout on a slow link.
+  bool IsArriving = false;
+
+  bool isExpired(Time Now) const {
+    return !IsArriving && Now - GrantedAt > GrantTimeout;
+  }
 
   /// Returns the time that a request arriving now may run, or zero if it must
   /// not run. The process may have been paused since the grant: then the time
--- a/lib/Settings/NodeSettings.cpp
+++ b/lib/Settings/NodeSettings.cpp
@@ -21,6 +21,12 @@
 /// process after the drain.
 constexpr Duration ExitMargin = Duration(1000);
 
+/// Memory for the program itself: the control of a node takes at most 64 MB.
+constexpr std::uint64_t ProgramBytes = 64ULL * 1000 * 1000;
+/// Largest share of the memory that is reserved for the program; small
+/// instances serve small fleets.
+constexpr double MaxProgramShare = 0.4;
+
 bool isIpAddress(const std::string &Text) {
   std::array<unsigned char, sizeof(in6_addr)> Bytes{};
   return inet_pton(AF_INET, Text.c_str(), Bytes.data()) == 1 ||
@@ -79,6 +85,11 @@
       "max_caller_connections", S.MaxCallerConnections, 1, 65536));
   S.MaxRequests = static_cast<std::uint32_t>(
       Reader.integer("max_requests", S.MaxRequests, 1, 65536));
+  constexpr double MaxMemoryMb = 1e6;
+  constexpr double BytesPerMb = 1e6;
+  if (std::optional<double> MemoryMb =
+          Reader.bound("memory_mb", 0, MaxMemoryMb))
+    S.MemoryBytes = static_cast<std::uint64_t>(*MemoryMb * BytesPerMb);
   S.DrainTimeout =
       Reader.duration("drain_timeout_ms", S.DrainTimeout, 0, 600000);
   S.DrainGrace = Reader.duration("drain_grace_ms", S.DrainGrace, 0, 60000);
@@ -140,6 +151,12 @@
   return Result;
 }
 
+std::uint64_t heldBytesLimit(const NodeSettings &Settings) {
+  auto Share = static_cast<std::uint64_t>(
+      static_cast<double>(Settings.MemoryBytes) * MaxProgramShare);
+  return Settings.MemoryBytes - std::min(ProgramBytes, Share);
+}
+
 CheckedSettings readNodeSettings(std::string_view Text) {
   CheckedSettings Checked;
   SettingsReader Reader(Text, Checked.Errors, Checked.Warnings);
--- a/lib/Support/Hash.cpp
+++ b/lib/Support/Hash.cpp
@@ -55,4 +55,12 @@
   return XXH3_64bits(Data.data(), Data.size());
 }
 
+std::uint64_t hash64(std::string_view First, std::string_view Second) {
+  XXH3_state_t State;
+  XXH3_64bits_reset(&State);
+  XXH3_64bits_update(&State, First.data(), First.size());
+  XXH3_64bits_update(&State, Second.data(), Second.size());
+  return XXH3_64bits_digest(&State);
+}
+
 } // namespace teaselhitch
--- a/lib/Wire/MessageSerialize.h
+++ b/lib/Wire/MessageSerialize.h
@@ -174,6 +174,7 @@
   serializeDuration(Ar, I.Remaining);
   serializeText(Ar, I.GuardKey);
   Ar(I.Fingerprint);
+  wire::serializeVarint(Ar, I.BodyBytes);
   serializeBaseline(Ar, I.Baseline);
 }
 
@@ -191,7 +192,6 @@
   serializeText(Ar, M.Request.Method);
   serializeText(Ar, M.Request.Target);
   serializeHeaders(Ar, M.Request.Headers);
-  serializeText(Ar, M.Request.Body);
 }
 
 template <typename ArchiveT> void serializeFields(ArchiveT &Ar, Cancel &M) {
@@ -224,7 +224,6 @@
   if (M.Answer.Status < FirstStatus || M.Answer.Status > LastStatus)
     throw cereal::Exception("status out of range");
   serializeHeaders(Ar, M.Answer.Headers);
-  serializeText(Ar, M.Answer.Body);
 }
 
 template <typename ArchiveT>
--- a/tools/teaselhitch-bench/CapacityBench.cpp
+++ b/tools/teaselhitch-bench/CapacityBench.cpp
@@ -223,14 +223,15 @@
   Message.Request.Target = rulePath(0);
   Message.Request.Headers = {{"Accept", "application/json"},
                              {"Content-Type", "application/json"}};
-  Message.Request.Body.assign(BodyBytes, 'x');
+  Message.Request.Body = std::string(BodyBytes, 'x');
   FrameReader Reader;
   double Ms = measureMs([&] {
     for (int I = 0; I != RequestCount; ++I)
       handleError(
           [&]() -> Result<bool> {
             BOOST_LEAF_AUTO(Frame, encodeFrame(Message));
-            Reader.append(Frame);
+            Reader.append(Frame.Head);
+            Reader.append(Frame.Body.str());
             BOOST_LEAF_AUTO(Read, Reader.next());
             return Read.has_value();
           },
--- a/tools/teaselhitch/NodeQueries.cpp
+++ b/tools/teaselhitch/NodeQueries.cpp
@@ -131,11 +131,11 @@
       return makeError(ErrorCode::Unavailable,
                        "the node answered " + std::to_string(Response.Status));
     if (Json) {
-      std::cout << Response.Body;
+      std::cout << Response.Body.str();
       return static_cast<int>(ExitSuccess);
     }
     json::error_code Code;
-    json::value Value = json::parse(Response.Body, Code);
+    json::value Value = json::parse(Response.Body.str(), Code);
     if (Code || !Value.is_object())
       return makeError(ErrorCode::Corrupt, "the answer is not a JSON object");
     Print(Value.as_object());
--- a/unittests/Net/BackendClientTest.cpp
+++ b/unittests/Net/BackendClientTest.cpp
@@ -169,7 +169,7 @@
   Client = BackendClient::create(
       Loop, 1024, *Protocol,
       [&](const AttemptId &Id, const RunResult &, const HttpAnswer &Answer) {
-        Bodies += Answer.Body;
+        Bodies += Answer.Body.str();
         if (Id.Request.Sequence == 2)
           return Loop.stop();
         Loop.post([&] { Start(2); });
--- a/unittests/Net/HttpServerTest.cpp
+++ b/unittests/Net/HttpServerTest.cpp
@@ -128,7 +128,7 @@
     std::string Body = Request.Method + " " + Request.Target;
     for (const Header &H : Request.Headers)
       Body += "\n" + H.Name + "=" + H.Value;
-    E->reply(HttpAnswer{200, {}, Body + "\n" + Request.Body + ";end"});
+    E->reply(HttpAnswer{200, {}, Body + "\n" + Request.Body.str() + ";end"});
   }
 
   std::unique_ptr<EventLoop> Loop;
--- a/unittests/Net/PeerLinksTest.cpp
+++ b/unittests/Net/PeerLinksTest.cpp
@@ -8,6 +8,20 @@
 
 namespace {
 
+/// More than the buffers of a connection hold, so that a part of the body is
+/// still unsent when its first bytes arrive.
+constexpr std::size_t BodyBytes = 16UL * 1024 * 1024;
+
+Dispatch largeDispatch() {
+  Dispatch D;
+  D.Info.Attempt = AttemptId{RequestId{NodeName("a"), 7, 8}, 2};
+  D.Info.BodyBytes = BodyBytes;
+  D.Request.Method = "POST";
+  D.Request.Target = "/";
+  D.Request.Body = std::string(BodyBytes, 'b');
+  return D;
+}
+
 /// One side of a link with its own port; records the events that it receives.
 class TestPeer : public PeerLinksHandler {
 public:
@@ -16,6 +30,7 @@
     Settings.Listen = {"127.0.0.1", 0};
     Settings.LocalHello.Fleet = Fleet;
     Settings.LocalHello.Node = NodeName(Name);
+    Settings.Memory = &Memory;
     handleError(
         [&]() -> Result<int> {
           BOOST_LEAF_ASSIGN(Links, PeerLinks::create(Loop, Settings, *this));
@@ -44,7 +59,18 @@
     LastWasOpen = WasOpen;
     notify();
   }
-  void onEntryDisconnect(LinkId) override { notify(); }
+  void onEntryDisconnect(LinkId) override {
+    ++EntryDisconnects;
+    notify();
+  }
+  std::optional<MemoryBudget::Reservation>
+  takeGrantedMemory(const AttemptId &) override {
+    if (!IsGranted)
+      return std::nullopt;
+    auto Reserved = Memory.reserve(BodyBytes);
+    notify();
+    return Reserved;
+  }
 
   void notify() const {
     if (OnChange)
@@ -52,12 +78,16 @@
   }
 
   Endpoint Address;
+  MemoryBudget Memory;
+  /// Whether dispatches with large bodies find their grant.
+  bool IsGranted = true;
   std::unique_ptr<PeerLinks> Links;
   std::vector<PeerMessage> Replies;
   std::vector<PeerMessage> Requests;
   LinkId LastLink = 0;
   NodeName LastNode;
   int GuardDisconnects = 0;
+  int EntryDisconnects = 0;
   bool LastWasOpen = true;
   std::function<void()> OnChange;
 };
@@ -68,6 +98,11 @@
   CPPUNIT_TEST(disconnectTellsWhetherTheLinkWasOpen);
   CPPUNIT_TEST(refusesOtherFleets);
   CPPUNIT_TEST(silentLinkCloses);
+  CPPUNIT_TEST(largeBodyIsCountedUntilItIsDropped);
+  CPPUNIT_TEST(bodyWithoutGrantIsRefused);
+  CPPUNIT_TEST(answerWithoutMemoryFailsAttempt);
+  CPPUNIT_TEST(lostLinkReleasesItsMemory);
+  CPPUNIT_TEST(stalledBodyReleasesItsMemory);
   CPPUNIT_TEST_SUITE_END();
 
   /// Guards against replies that are sent on another link than their request.
@@ -133,6 +168,128 @@
     CPPUNIT_ASSERT_EQUAL(1, A.GuardDisconnects);
     CPPUNIT_ASSERT(A.LastWasOpen);
   }
+
+  /// Guards against a body that is stored twice, or that stays counted after
+  /// the attempt has ended.
+  void largeBodyIsCountedUntilItIsDropped() {
+    EventLoop Loop;
+    TestPeer A(Loop, "a");
+    TestPeer B(Loop, "b");
+    B.OnChange = [&] {
+      if (!B.Requests.empty())
+        Loop.stop();
+    };
+    CPPUNIT_ASSERT(A.Links->send(NodeName("b"), B.Address, largeDispatch()));
+    Loop.run();
+    CPPUNIT_ASSERT(B.Requests[0] == PeerMessage(largeDispatch()));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(BodyBytes), B.Memory.held());
+    B.Requests.clear();
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), B.Memory.held());
+  }
+
+  /// Guards against bodies that are held although their grant has ended, and
+  /// against a refusal that takes the link with it.
+  void bodyWithoutGrantIsRefused() {
+    EventLoop Loop;
+    TestPeer A(Loop, "a");
+    TestPeer B(Loop, "b");
+    B.IsGranted = false;
+    bool IsSentAgain = false;
+    // The next message follows the discarded body on the same link.
+    A.OnChange = [&] {
+      B.IsGranted = true;
+      IsSentAgain = A.Links->send(NodeName("b"), B.Address, largeDispatch());
+      if (!IsSentAgain)
+        Loop.stop();
+    };
+    B.OnChange = [&] {
+      if (!B.Requests.empty())
+        Loop.stop();
+    };
+    CPPUNIT_ASSERT(A.Links->send(NodeName("b"), B.Address, largeDispatch()));
+    Loop.run();
+    CPPUNIT_ASSERT(IsSentAgain);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), A.Replies.size());
+    const auto &Failure = std::get<AttemptFailed>(A.Replies[0]);
+    CPPUNIT_ASSERT(Failure.Attempt == largeDispatch().Info.Attempt);
+    CPPUNIT_ASSERT(Failure.Result == Outcome::NotRun);
+    CPPUNIT_ASSERT(Failure.Cause == Reason::GrantExpired);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), B.Requests.size());
+    CPPUNIT_ASSERT(B.Requests[0] == PeerMessage(largeDispatch()));
+    CPPUNIT_ASSERT_EQUAL(0, A.GuardDisconnects);
+  }
+
+  /// Guards against answers that exceed the memory of the entry, and against an
+  /// answer that is dropped without an end of its attempt.
+  void answerWithoutMemoryFailsAttempt() {
+    EventLoop Loop;
+    TestPeer A(Loop, "a");
+    TestPeer B(Loop, "b");
+    A.Memory.setLimit(BodyBytes);
+    auto Used = A.Memory.reserve(BodyBytes / 2);
+    CPPUNIT_ASSERT(Used);
+    A.OnChange = [&] { Loop.stop(); };
+    B.OnChange = [&] {
+      if (B.Requests.empty())
+        return;
+      AttemptAnswer Answer;
+      Answer.Attempt = largeDispatch().Info.Attempt;
+      Answer.Answer = HttpAnswer{200, {}, std::string(BodyBytes, 'c')};
+      B.Links->reply(B.LastLink, Answer);
+    };
+    CPPUNIT_ASSERT(A.Links->send(NodeName("b"), B.Address, largeDispatch()));
+    Loop.run();
+    const auto &Failure = std::get<AttemptFailed>(A.Replies.at(0));
+    CPPUNIT_ASSERT(Failure.Attempt == largeDispatch().Info.Attempt);
+    CPPUNIT_ASSERT(Failure.Result == Outcome::Unknown);
+    CPPUNIT_ASSERT_EQUAL(Used->bytes(), A.Memory.held());
+  }
+
+  /// Guards against memory that stays counted when the sender of a body dies.
+  void lostLinkReleasesItsMemory() {
+    EventLoop Loop;
+    TestPeer A(Loop, "a");
+    TestPeer B(Loop, "b");
+    std::uint64_t HeldWhileArriving = 0;
+    B.OnChange = [&] {
+      if (B.EntryDisconnects > 0)
+        return Loop.schedule(Duration(1), [&] { Loop.stop(); });
+      // The body begins to arrive.
+      HeldWhileArriving = B.Memory.held();
+      Loop.post([&] { A.Links.reset(); });
+    };
+    CPPUNIT_ASSERT(A.Links->send(NodeName("b"), B.Address, largeDispatch()));
+    Loop.run();
+    CPPUNIT_ASSERT(HeldWhileArriving >= BodyBytes);
+    CPPUNIT_ASSERT(B.Requests.empty());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), B.Memory.held());
+  }
+
+  /// Guards against a sender that stops within a body and keeps its memory
+  /// reserved. The test advances the time that it passes to tick().
+  void stalledBodyReleasesItsMemory() {
+    EventLoop Loop;
+    TestPeer A(Loop, "a");
+    TestPeer B(Loop, "b");
+    int DisconnectsBefore = -1;
+    B.OnChange = [&] {
+      if (B.EntryDisconnects > 0)
+        return Loop.schedule(Duration(1), [&] { Loop.stop(); });
+      // The body begins to arrive.
+      Loop.post([&] {
+        Time Now = SteadyClock().now();
+        B.Links->tick(Now);
+        DisconnectsBefore = B.EntryDisconnects;
+        B.Links->tick(Now + Duration::seconds(3));
+      });
+    };
+    CPPUNIT_ASSERT(A.Links->send(NodeName("b"), B.Address, largeDispatch()));
+    Loop.run();
+    CPPUNIT_ASSERT_EQUAL(0, DisconnectsBefore);
+    CPPUNIT_ASSERT_EQUAL(1, B.EntryDisconnects);
+    CPPUNIT_ASSERT(B.Requests.empty());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), B.Memory.held());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PeerLinksTest);
--- a/unittests/RowStorePlatform/EndToEndTest.cpp
+++ b/unittests/RowStorePlatform/EndToEndTest.cpp
@@ -203,7 +203,7 @@
         200U, callUntil(200, Settings[0].Operators, {"GET", "/readyz", {}, ""})
                   .Status);
     HttpAnswer Answer = callUntil(200, Settings[0].Callers, request("/3/x"));
-    CPPUNIT_ASSERT_EQUAL(std::string("whole"), Answer.Body);
+    CPPUNIT_ASSERT_EQUAL(std::string("whole"), Answer.Body.str());
     CPPUNIT_ASSERT_EQUAL(404U,
                          call(Settings[0].Callers, request("/4/x")).Status);
 
@@ -227,8 +227,8 @@
     for (int I = 0;
          I != Tries && Status.find("\"name\":\"n0\"") == std::string::npos;
          ++I) {
-      Status =
-          call(Fleet.Settings[0].Operators, {"GET", "/v1/status", {}, ""}).Body;
+      Status = call(Fleet.Settings[0].Operators, {"GET", "/v1/status", {}, ""})
+                   .Body.str();
       std::this_thread::sleep_for(std::chrono::milliseconds(50));
     }
     CPPUNIT_ASSERT(Status.find("\"name\":\"n0\"") != std::string::npos);
@@ -258,8 +258,8 @@
     for (int I = 0; I != MaxTries / 4 &&
                     Status.find("\"state\":\"draining\"") == std::string::npos;
          ++I) {
-      Status =
-          call(Fleet.Settings[0].Operators, {"GET", "/v1/status", {}, ""}).Body;
+      Status = call(Fleet.Settings[0].Operators, {"GET", "/v1/status", {}, ""})
+                   .Body.str();
       std::this_thread::sleep_for(std::chrono::milliseconds(50));
     }
     CPPUNIT_ASSERT_MESSAGE(Status, Status.find("\"state\":\"draining\"") !=
--- a/unittests/Settings/NodeSettingsTest.cpp
+++ b/unittests/Settings/NodeSettingsTest.cpp
@@ -144,9 +144,9 @@
   /// Guards against a fleet that does not start because a bound of the platform
   /// is a fraction, zero, very large or absent.
   void everyPlatformBoundIsAccepted() {
-    const char *const Names[] = {"Bounds.GraceS", "Bounds.RetrySlack",
+    const char *const Names[] = {"Bounds.GraceS",     "Bounds.RetrySlack",
                                  "Bounds.RetryRatio", "Bounds.BudgetWindowS",
-                                 "Region"};
+                                 "Limits.MemoryMb",   "Region"};
     const char *const Numbers[] = {"0",   "0.4", "24.15",      "3",
                                    "1e9", "inf", "99999999999"};
     CPPUNIT_ASSERT(settingsWithBounds({}).Errors.empty());
@@ -172,6 +172,17 @@
     CPPUNIT_ASSERT(Short.Settings.DrainGrace + Short.Settings.DrainTimeout <=
                    Duration(400));
     CPPUNIT_ASSERT(Short.Settings.DrainTimeout >= Duration());
+    // The template omits the setting if the platform does not state the memory.
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(0),
+                         heldBytesLimit(settingsWithBounds({}).Settings));
+    for (auto [MemoryMb, HeldMb] :
+         {std::pair("160", 96), std::pair("512", 448), std::pair("100", 60)}) {
+      CheckedSettings Limited =
+          settingsWithBounds({{"Limits.MemoryMb", MemoryMb}});
+      CPPUNIT_ASSERT(Limited.Errors.empty());
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t(HeldMb) * 1000 * 1000,
+                           heldBytesLimit(Limited.Settings));
+    }
     CheckedSettings Large = settingsWithBounds({{"Bounds.GraceS", "1e9"}});
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), Large.Warnings.size());
     CPPUNIT_ASSERT_EQUAL(std::string("limits.stop_time_s"),
--- a/unittests/Support/HashTest.cpp
+++ b/unittests/Support/HashTest.cpp
@@ -11,9 +11,19 @@
 class HashTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(HashTest);
   CPPUNIT_TEST(digestsMatchTestVectors);
+  CPPUNIT_TEST(partsHashLikeTheWhole);
   CPPUNIT_TEST(invalidNamesAreRejected);
   CPPUNIT_TEST_SUITE_END();
 
+  /// Guards against fingerprints that change with the way a body is stored.
+  void partsHashLikeTheWhole() {
+    for (std::size_t Size : {0, 1, 100, 1000, 100000}) {
+      std::string Bytes(Size, 'b');
+      CPPUNIT_ASSERT_EQUAL(hash64("target\n" + Bytes),
+                           hash64("target\n", Bytes));
+    }
+  }
+
   /// Guards against digests that differ between builds, because digests are the
   /// names of objects in the object store. The test vectors are from FIPS 180-4
   /// and RFC 4231 (test case 2).
--- a/unittests/Wire/FrameCodecTest.cpp
+++ b/unittests/Wire/FrameCodecTest.cpp
@@ -22,6 +22,7 @@
   D.Info.Remaining = Duration(1500);
   D.Info.GuardKey = "th1.x";
   D.Info.Fingerprint = 99;
+  D.Info.BodyBytes = 4;
   D.Info.Baseline = ServiceBaseline{0.01, 4.5, 80};
   D.Request = HttpRequest{"POST", "/a?b=c", {{"Accept", "*/*"}}, "body"};
   return D;
@@ -58,11 +59,12 @@
 }
 
 std::string encode(const PeerMessage &Message) {
-  return handleError([&] { return encodeFrame(Message); },
-                     [](const Error &E) {
-                       CPPUNIT_FAIL(E.Message);
-                       return std::string();
-                     });
+  EncodedFrame Frame = handleError([&] { return encodeFrame(Message); },
+                                   [](const Error &E) {
+                                     CPPUNIT_FAIL(E.Message);
+                                     return EncodedFrame();
+                                   });
+  return Frame.Head + Frame.Body.str();
 }
 
 /// Reads all complete messages of a stream; returns false at the first error.
@@ -106,6 +108,8 @@
   CPPUNIT_TEST(refusesMalformedFrames);
   CPPUNIT_TEST(refusesUnsafeValues);
   CPPUNIT_TEST(mutatedFramesDoNotCrash);
+  CPPUNIT_TEST(bodiesAreAccountedUntilTheyAreDropped);
+  CPPUNIT_TEST(discardedBodiesLeaveTheStreamIntact);
   CPPUNIT_TEST_SUITE_END();
 
   /// Guards against lost fields, and against wrong frame boundaries when a
@@ -137,7 +141,15 @@
     UnknownType[4] = 99;
     std::string Trailing = Good + "x";
     Trailing[3] = static_cast<char>(Good.size() - 4 + 1);
-    for (const std::string &Bytes : {Empty, Huge, UnknownType, Trailing}) {
+    // Fields that are longer than their frame, and a frame without room for
+    // their length.
+    std::string LongFields = encode(makeDispatch());
+    LongFields[5] = 1;
+    std::string NoFields = LongFields;
+    NoFields[2] = 0;
+    NoFields[3] = 3;
+    for (const std::string &Bytes :
+         {Empty, Huge, UnknownType, Trailing, LongFields, NoFields}) {
       FrameReader Reader;
       Reader.append(Bytes);
       std::vector<PeerMessage> Out;
@@ -145,10 +157,15 @@
     }
     Piece Large;
     Large.Bytes.assign(MaxFrameBytes, 'x');
-    std::string Frame =
+    EncodedFrame Frame =
         handleError([&] { return encodeFrame(Large); },
-                    [](const Error &) { return std::string(); });
-    CPPUNIT_ASSERT(Frame.empty());
+                    [](const Error &) { return EncodedFrame(); });
+    CPPUNIT_ASSERT(Frame.Head.empty());
+    Dispatch LargeBody = makeDispatch();
+    LargeBody.Request.Body = std::string(MaxFrameBytes, 'x');
+    Frame = handleError([&] { return encodeFrame(LargeBody); },
+                        [](const Error &) { return EncodedFrame(); });
+    CPPUNIT_ASSERT(Frame.Head.empty());
   }
 
   /// Guards against values of a malicious peer that would split an HTTP message
@@ -174,8 +191,65 @@
     // The encoder refuses unsafe values as well.
     D.Request.Headers[0].Value = "a\r\nb";
     CPPUNIT_ASSERT(handleError([&] { return encodeFrame(D); },
-                               [](const Error &) { return std::string(); })
-                       .empty());
+                               [](const Error &) { return EncodedFrame(); })
+                       .Head.empty());
+  }
+
+  /// Guards against bytes that stay counted after a body was dropped, or after
+  /// the link was lost while a body arrived.
+  void bodiesAreAccountedUntilTheyAreDropped() {
+    MemoryBudget Budget;
+    auto Reserve = [&](const PeerMessage &, std::uint64_t Bytes) {
+      return Budget.reserve(Bytes);
+    };
+    Dispatch D = makeDispatch();
+    D.Request.Body = std::string(100000, 'b');
+    std::string Frame = encode(D);
+    std::vector<PeerMessage> Out;
+    {
+      FrameReader Reader(Reserve);
+      Reader.append(Frame);
+      CPPUNIT_ASSERT(readAll(Reader, Out));
+      CPPUNIT_ASSERT(Out == std::vector<PeerMessage>{D});
+      Reader.append(Frame.substr(0, Frame.size() - 1));
+      CPPUNIT_ASSERT(readAll(Reader, Out));
+      CPPUNIT_ASSERT_EQUAL(std::size_t(1), Out.size());
+      CPPUNIT_ASSERT(Reader.isInBody());
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t(200000), Budget.held());
+    }
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(100000), Budget.held());
+    std::vector<PeerMessage> Copies = Out;
+    Out.clear();
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(100000), Budget.held());
+    Copies.clear();
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), Budget.held());
+  }
+
+  /// Guards against the bytes of a discarded body being read as messages, and
+  /// against a refusal that waits for a body which is not needed.
+  void discardedBodiesLeaveTheStreamIntact() {
+    Dispatch D = makeDispatch();
+    D.Request.Body = std::string(100000, 'b');
+    std::string Frame = encode(D);
+    for (std::size_t Step :
+         {std::size_t(1), std::size_t(70000), Frame.size()}) {
+      FrameReader Reader([](const PeerMessage &, std::uint64_t) {
+        return std::optional<MemoryBudget::Reservation>();
+      });
+      std::vector<PeerMessage> Out;
+      std::string Stream = Frame + encode(Heartbeat{9, true});
+      for (std::size_t I = 0; I < Stream.size(); I += Step) {
+        Reader.append(std::string_view(Stream).substr(I, Step));
+        CPPUNIT_ASSERT(readAll(Reader, Out));
+        if (Step == 70000 && I == 0) {
+          CPPUNIT_ASSERT_EQUAL(std::size_t(1), Out.size());
+          CPPUNIT_ASSERT(Reader.isInBody());
+        }
+      }
+      CPPUNIT_ASSERT_EQUAL(std::size_t(2), Out.size());
+      CPPUNIT_ASSERT(std::get<Dispatch>(Out[0]).Request.Body.empty());
+      CPPUNIT_ASSERT(Out[1] == PeerMessage(Heartbeat{9, true}));
+    }
   }
 
   /// Guards against crashes and uncaught exceptions on malicious input.
