--- a/lib/Net/BackendClient.cpp
+++ b/lib/Net/BackendClient.cpp
@@ -112,6 +112,9 @@
   void readSome();
   void onSome(ErrorCodeT EC);
   void onRead(ErrorCodeT EC);
+  /// Accounts for the received part of the body. Returns false if it does not
+  /// fit.
+  bool reserve(std::uint64_t Bytes);
   /// Reads the next response, because the last one does not belong to the
   /// request.
   void skipResponse();
@@ -334,11 +337,20 @@
     return onRead(EC);
   // A faulty server may send bytes without end. The limit holds for all
   // responses together, because several of them would fill the memory.
-  if (Client.AnswerBytes > Client.MaxAnswerBytes || !Held.resize(Bytes))
+  if (Client.AnswerBytes > Client.MaxAnswerBytes || !reserve(Bytes))
     return onRead(http::error::body_limit);
   readSome();
 }
 
+bool Exchange::reserve(std::uint64_t Bytes) {
+  if (Bytes > MemoryBudget::LargeBytes)
+    return Held.resize(Bytes);
+  // The slots of the server bound the small responses, and refusing one would
+  // lose the result of a request that has run.
+  Held.force(Bytes);
+  return true;
+}
+
 void Exchange::skipResponse() {
   if (++SkippedResponses > MaxSkippedResponses)
     return endConnectionLost();
--- a/lib/Net/Http.cpp
+++ b/lib/Net/Http.cpp
@@ -34,12 +34,13 @@
                      [&](const char *N) { return iequals(N, Name); });
 }
 
-HttpRequest toRequest(http::request<http::string_body> &&Message) {
+HttpRequest toRequest(http::request<http::string_body> &&Message,
+                      MemoryBudget::Reservation Held) {
   HttpRequest Request;
   Request.Method = std::string(Message.method_string());
   Request.Target = std::string(Message.target());
   Request.Headers = endToEndHeaders(Message);
-  Request.Body = std::move(Message.body());
+  Request.Body = SharedBytes(std::move(Message.body()), std::move(Held));
   return Request;
 }
 
--- a/lib/Net/Http.h
+++ b/lib/Net/Http.h
@@ -49,7 +49,10 @@
 /// True for headers that apply to a single connection and are not forwarded.
 bool isHopByHop(boost::beast::string_view Name);
 
-HttpRequest toRequest(http::request<http::string_body> &&Message);
+/// \param Held accounts for the body.
+HttpRequest
+toRequest(http::request<http::string_body> &&Message,
+          MemoryBudget::Reservation Held = MemoryBudget::Reservation());
 /// \param Held accounts for the body.
 HttpAnswer toAnswer(http::response<http::string_body> &&Message,
                     MemoryBudget::Reservation Held);
--- a/unittests/Node/NodePartsTest.cpp
+++ b/unittests/Node/NodePartsTest.cpp
@@ -1,6 +1,7 @@
 #include "../../lib/Integration/Announcement.h"
 #include "../../lib/Node/ConfigFetcher.h"
 #include "../../lib/Node/OutstandingAttempts.h"
+#include "../../lib/Node/SharedState.h"
 #include "../../lib/Node/SlotGrant.h"
 #include "teaselhitch/Integration/Problem.h"
 
@@ -57,6 +58,8 @@
   CPPUNIT_TEST(seriesOfChangesBecomesOverdue);
   CPPUNIT_TEST(problemResponseHasReasonAndOutcome);
   CPPUNIT_TEST(grantEndsDuringPause);
+  CPPUNIT_TEST(grantOutlastsTheArrivalOfABody);
+  CPPUNIT_TEST(grantedMemoryIsTakenOnce);
   CPPUNIT_TEST_SUITE_END();
 
   /// Guards against a process that was paused between its grant and the arrival
@@ -74,6 +77,32 @@
     CPPUNIT_ASSERT(Slot.remaining(Duration(-5), Time(1010)) == Duration());
   }
 
+  /// Guards against a large body that is refused because it takes longer to
+  /// arrive than a grant is held, and against a run beyond its deadline.
+  void grantOutlastsTheArrivalOfABody() {
+    SlotGrant Slot{Time(1000), Time(30000)};
+    Slot.IsArriving = true;
+    CPPUNIT_ASSERT(!Slot.isExpired(Time(20000)));
+    CPPUNIT_ASSERT(Slot.remaining(Duration(29000), Time(20000)) ==
+                   Duration(10000));
+    CPPUNIT_ASSERT(Slot.remaining(Duration(29000), Time(30001)) == Duration());
+  }
+
+  /// Guards against memory that stays reserved after a grant has ended, and
+  /// against a request that uses the reservation of an ended grant.
+  void grantedMemoryIsTakenOnce() {
+    MemoryBudget Budget;
+    GrantedBodies Granted;
+    AttemptId First{RequestId{NodeName("n1"), 1, 1}, 1};
+    AttemptId Second{RequestId{NodeName("n1"), 1, 1}, 2};
+    Granted.add(First, std::move(*Budget.reserve(100000)));
+    CPPUNIT_ASSERT(!Granted.take(Second));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(100000), Budget.held());
+    CPPUNIT_ASSERT(Granted.take(First));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), Budget.held());
+    CPPUNIT_ASSERT(!Granted.take(First));
+  }
+
   /// Guards against announcements that are accepted although a field is
   /// invalid, and against errors that do not name the field.
   void announcementErrorsNameField() {
--- a/unittests/UncontrolledCallers/accounting.py
+++ b/unittests/UncontrolledCallers/accounting.py
@@ -1,6 +1,6 @@
 #!/usr/bin/env python3
 """Ends requests with large bodies in each way in which an attempt can end, and
-checks that both nodes then count no held bytes. Bytes that stay counted would
+checks that all nodes then count no held bytes. Bytes that stay counted would
 make a node refuse every caller after some time.
 
 Exits with 1 if a check fails; the folder with the logs is then kept.
@@ -62,12 +62,12 @@
         writer.close()
 
 
-async def send(node, request, deadline_ms):
+async def send(node, request, deadline_ms, size=BODY_BYTES):
     reader, writer = await asyncio.open_connection(node.address,
                                                    PORTS["Outbound"])
     writer.write(message("POST /s1/x HTTP/1.1", {
         "Host": HOST, "Request-Id": request, "Deadline-Ms": deadline_ms},
-        b"b" * BODY_BYTES))
+        b"b" * size))
     return reader, writer
 
 
@@ -135,6 +135,28 @@
     await check_released(fleet, way)
 
 
+async def check_refused(fleet, ending):
+    """A second body that does not fit at the guard is refused and has not run.
+    It comes from another entry, which has the memory."""
+    ending.way = "hang"
+    before, size = ending.started, LOWERED.max_body_bytes
+    _, first = await send(fleet.nodes[0], "no-memory-1", 20000, size)
+    if not await await_run(ending, before):
+        fleet.fail("no-memory: the first request did not reach the worker")
+    reader, second = await send(fleet.nodes[2], "no-memory-2", 20000, size)
+    line, headers, _ = await asyncio.wait_for(read_message(reader),
+                                              ANSWER_TIMEOUT_S)
+    print(f"no-memory: {line}, Retry-After {headers.get('retry-after')}")
+    if line.split(" ")[1] != "503" or "retry-after" not in headers:
+        fleet.fail(f"no-memory: the second request got {line}")
+    if ending.started != before + 1:
+        fleet.fail("no-memory: the refused request has run")
+    first.transport.abort()
+    second.transport.abort()
+    await asyncio.sleep(1.2)
+    await check_released(fleet, "no-memory")
+
+
 async def play(fleet, ending):
     fleet.store.put("op", "config", configuration(fleet.services[:2], LOWERED))
     await fleet.start()
@@ -144,15 +166,21 @@
         ending.way = "answer"
         await await_start(fleet)
         await end_once(fleet, ending, way)
+    ending.way = "answer"
+    await await_start(fleet)
+    await check_refused(fleet, ending)
 
 
 def main():
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--program", default="build/bin/teaselhitch")
+    parser.add_argument("--network", type=int, default=NETWORK,
+                        help="addresses are 127.1.NETWORK.*; runs at the same "
+                             "time need different ones")
     options = parser.parse_args()
     folder = tempfile.mkdtemp(prefix="accounting-")
     fleet = Fleet(folder, [os.path.join(ROOT, options.program), "node"], BOUNDS,
-                  2, NETWORK)
+                  3, options.network)
     lower_limits(fleet, LOWERED, folder)
     ending = Ending(fleet.workers[1])
 
--- a/unittests/UncontrolledCallers/callers.py
+++ b/unittests/UncontrolledCallers/callers.py
@@ -339,6 +339,9 @@
         "trailers", "whole", "pieces", "stalled", "large-chunks",
         "small-chunks", "connections", "one-body"])
     parser.add_argument("--program", default="build/bin/teaselhitch")
+    parser.add_argument("--network", type=int, default=NETWORK,
+                        help="addresses are 127.1.NETWORK.*; runs at the same "
+                             "time need different ones")
     return parser.parse_args()
 
 
@@ -347,7 +350,7 @@
     folder = tempfile.mkdtemp(prefix="callers-")
     instance = SMALLEST if options.pattern == "one-body" else LOWERED
     fleet = Fleet(folder, [os.path.join(ROOT, options.program), "node"], BOUNDS,
-                  2, NETWORK)
+                  2, options.network)
     has_setting = lower_limits(fleet, instance, folder)
     watches = [Watch(node) for node in fleet.nodes]
 
