--- a/include/teaselhitch/Net/HttpServer.h
+++ b/include/teaselhitch/Net/HttpServer.h
@@ -88,7 +88,7 @@
 public:
   using Handler = std::function<void(std::shared_ptr<HttpExchange>)>;
   /// Builds the response to a request that the server itself refuses, such as a
-  /// malformed one or, with Reason::Overloaded, one that does not fit into the
+  /// malformed one or, with Reason::OutOfMemory, one that does not fit into the
   /// memory.
   using RefusalHandler = std::function<HttpAnswer(Reason)>;
 
--- a/lib/Net/RequestPipeline.h
+++ b/lib/Net/RequestPipeline.h
@@ -22,7 +22,7 @@
 struct ReceivedRequest {
   HttpRequest Request;
   Time ReceivedAt;
-  /// The memory of the request; held as long as the request.
+  /// The memory of the request without its body.
   MemoryBudget::Reservation Held;
   bool IsHead = false;
   /// The connection may be used for further requests after this one.
@@ -32,8 +32,6 @@
 /// A response that is to be written.
 struct PendingResponse {
   HttpAnswer Answer;
-  /// The memory of the response; held until it is written.
-  MemoryBudget::Reservation Held;
   bool IsHead = false;
   bool KeepAlive = true;
 };
@@ -82,8 +80,7 @@
   void onDisconnect(std::uint64_t Serial, std::function<void()> Function);
   /// Sets the response to a request that is being handled. Returns false if the
   /// request is not present or answered already.
-  bool answer(std::uint64_t Serial, HttpAnswer Answer,
-              MemoryBudget::Reservation Held = {});
+  bool answer(std::uint64_t Serial, HttpAnswer Answer);
 
   /// Returns the next response to write, or nothing if the response to the
   /// first request is missing or being written.
@@ -104,7 +101,6 @@
     State Current = State::Waiting;
     ReceivedRequest Received;
     HttpAnswer Answer;
-    MemoryBudget::Reservation AnswerHeld;
     std::function<void()> OnDisconnect;
     bool IsDeferred = false;
     bool HoldsLater = false;
--- a/lib/Net/RequestReader.h
+++ b/lib/Net/RequestReader.h
@@ -59,6 +59,9 @@
 
   /// Bytes of the request that is arriving, parsed or not.
   std::uint64_t heldBytes() const;
+  /// After Complete.
+  std::uint64_t bodyBytes() const { return Parser->get().body().size(); }
+  std::uint64_t headerBytes() const;
   /// In the phase Body: greatest size that the body can reach.
   std::uint64_t maxBodyBytes() const;
   bool isChunked() const;
@@ -73,7 +76,8 @@
   }
 
   /// After Complete: returns the request and prepares for the next one.
-  HttpRequest take();
+  /// \param Held accounts for the body.
+  HttpRequest take(MemoryBudget::Reservation Held);
 
 private:
   using RequestParser = boost::beast::http::request_parser<ReceivedBody>;
--- a/lib/Node/CallersThread.cpp
+++ b/lib/Node/CallersThread.cpp
@@ -32,7 +32,7 @@
 /// request.
 constexpr double IdleTimeoutFactor = 1.25;
 /// Smallest delay that `Retry-After` can state.
-constexpr Duration OverloadRetryAfter = Duration::seconds(1);
+constexpr Duration MemoryRetryAfter = Duration::seconds(1);
 constexpr const char *KeysPath = "/.teaselhitch/keys";
 constexpr const char *ReservedPathPrefix = "/.teaselhitch/";
 
@@ -173,8 +173,8 @@
   Refusal Details;
   Details.Cause = Cause;
   Details.CallerId = CallerId;
-  if (Cause == Reason::Overloaded)
-    Details.RetryAfter = OverloadRetryAfter;
+  if (Cause == Reason::OutOfMemory)
+    Details.RetryAfter = MemoryRetryAfter;
   return Protocol->refuse(Details);
 }
 
--- a/unittests/Net/HttpServerTest.cpp
+++ b/unittests/Net/HttpServerTest.cpp
@@ -155,7 +155,7 @@
     std::string Body = Request.Method + " " + Request.Target;
     for (const Header &H : Request.Headers)
       Body += "\n" + H.Name + "=" + H.Value;
-    E->reply(HttpAnswer{200, {}, Body + "\n" + Request.Body + ";end"});
+    E->reply(HttpAnswer{200, {}, Body + "\n" + Request.Body.str() + ";end"});
   }
 
   /// Outlives the loop, whose pending operations may hold reservations.
@@ -524,7 +524,7 @@
     waitFor(Handled, 3);
     flush();
     CPPUNIT_ASSERT_EQUAL(3, Handled.load());
-    CPPUNIT_ASSERT_EQUAL(std::string("x"), Pending.at(1)->request().Body);
+    CPPUNIT_ASSERT_EQUAL(std::string("x"), Pending.at(1)->request().Body.str());
     answer(1, "second;");
     std::string Text = Client.readUntil(";end");
     CPPUNIT_ASSERT(Text.find("second;") < Text.find("GET /3"));
--- a/unittests/Net/RequestReaderTest.cpp
+++ b/unittests/Net/RequestReaderTest.cpp
@@ -70,7 +70,7 @@
           CPPUNIT_ASSERT(F.Reader.phase() == RequestReader::Phase::Idle);
           CPPUNIT_ASSERT(F.feed(Bytes, PieceBytes) == Result::Complete);
           CPPUNIT_ASSERT(F.Reader.keepAlive());
-          CPPUNIT_ASSERT_EQUAL(Body, F.Reader.take().Body);
+          CPPUNIT_ASSERT_EQUAL(Body, F.Reader.take({}).Body.str());
         }
       }
   }
