--- a/unittests/Net/PeerLinksTest.cpp
+++ b/unittests/Net/PeerLinksTest.cpp
@@ -2,7 +2,12 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
+#include <arpa/inet.h>
 #include <functional>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 using namespace teaselhitch;
 
@@ -103,6 +108,7 @@
   CPPUNIT_TEST(answerWithoutMemoryFailsAttempt);
   CPPUNIT_TEST(lostLinkReleasesItsMemory);
   CPPUNIT_TEST(stalledBodyReleasesItsMemory);
+  CPPUNIT_TEST(stalledPeerHoldsABoundedAmount);
   CPPUNIT_TEST_SUITE_END();
 
   /// Guards against replies that are sent on another link than their request.
@@ -290,6 +296,52 @@
     CPPUNIT_ASSERT(B.Requests.empty());
     CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), B.Memory.held());
   }
+
+  /// Guards against a peer that does not read and for which bodies pile up, and
+  /// against bodies that stay in memory after its link was closed. The test
+  /// advances the time that it passes to tick().
+  void stalledPeerHoldsABoundedAmount() {
+    EventLoop Loop;
+    TestPeer A(Loop, "a");
+    // The system accepts connections to this socket, and nothing reads them.
+    int Listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in Address{};
+    Address.sin_family = AF_INET;
+    Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t Size = sizeof(Address);
+    auto *Generic = reinterpret_cast<sockaddr *>(&Address);
+    CPPUNIT_ASSERT_EQUAL(0, bind(Listener, Generic, Size));
+    CPPUNIT_ASSERT_EQUAL(0, listen(Listener, 1));
+    CPPUNIT_ASSERT_EQUAL(0, getsockname(Listener, Generic, &Size));
+    Endpoint Stalled{"127.0.0.1", ntohs(Address.sin_port)};
+    MemoryBudget Bodies;
+    // Each dispatch has a body of its own.
+    auto SendOne = [&] {
+      Dispatch D = largeDispatch();
+      D.Request.Body = SharedBytes(std::string(BodyBytes, 'b'),
+                                   std::move(*Bodies.reserve(BodyBytes)));
+      return A.Links->send(NodeName("b"), Stalled, D);
+    };
+    CPPUNIT_ASSERT(SendOne());
+    CPPUNIT_ASSERT(!SendOne());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(BodyBytes), Bodies.held());
+    std::uint64_t MostHeld = 0;
+    A.OnChange = [&] { Loop.schedule(Duration(1), [&] { Loop.stop(); }); };
+    Loop.schedulePeriodic(Duration(5), [&] {
+      if (A.GuardDisconnects > 0)
+        return;
+      for (int I = 0; I != 5; ++I)
+        (void)SendOne();
+      MostHeld = std::max(MostHeld, Bodies.held());
+      A.Links->tick(SteadyClock().now() + Duration::seconds(3));
+    });
+    Loop.run();
+    close(Listener);
+    // One body is being written and one waits.
+    CPPUNIT_ASSERT(MostHeld <= 2 * BodyBytes);
+    CPPUNIT_ASSERT_EQUAL(1, A.GuardDisconnects);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), Bodies.held());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PeerLinksTest);
