--- a/lib/Node/CallersThread.cpp
+++ b/lib/Node/CallersThread.cpp
@@ -383,26 +383,6 @@
         KeyMinted{Action.Request.Token, "", Duration()}, now()));
 }
 
-void CallersThread::receive(const CreditMessage &Message) {
-  refresh();
-  std::visit(Overloaded{[&](const InboundCreditReply &M) {
-                          execute(
-                              Core->handleCreditReply(M.Node, M.Reply, now()));
-                        },
-                        [&](const CreditNodeLost &M) {
-                          execute(Core->handleCreditNodeLost(M.Node, now()));
-                        }},
-             Message);
-}
-
-void CallersThread::perform(const SendCreditRequest &Action) {
-  // If the request is dropped, the entry stops waiting as for a lost reply.
-  if (!Shared.CreditsToPeers.trySend(
-          OutboundCreditRequest{Action.Node, Action.Request}))
-    logEvent(LogLevel::Warning, "callers", "credit-request-dropped",
-             {{"node", Action.Node.str()}});
-}
-
 void CallersThread::perform(TableRequest Action) {
   std::uint64_t Token = Action.Token;
   if (Shared.CallersToPlatform.trySend(Action))
