--- a/unittests/RateLimit/CreditAccountTest.cpp
+++ b/unittests/RateLimit/CreditAccountTest.cpp
@@ -216,16 +216,30 @@
   /// Guards against long waits and refusals when the machine of the owner is
   /// gone without closing its connections.
   void silentOwner() {
-    CreditNetwork Net(70, {{Org, {5, 5}}}, Seed + 4);
-    std::size_t Owner = Net.ownerOf(Org);
-    runDisturbed(Net, 5 * UsualDemand, [&] {
-      Net.kill(Owner, false);
-      scheduleState(Net, Owner, DeadAfter, std::nullopt);
-    });
-    report("silent owner, rate 5", "refused",
-           static_cast<double>(Net.results(Org).Refused));
-    checkBound(Net, "silent owner, rate 5");
-    CPPUNIT_ASSERT(Net.results(Org).refusedShare() <= 5 * MaxRefusedShare);
+    // One seed is checked alone, and the others together: in a run with a seed
+    // of 777 the demand was 26 requests in 5 s, and 5 were refused.
+    double Granted = 0, Refused = 0;
+    for (std::uint64_t Trial = 0; Trial != 9; ++Trial) {
+      std::uint64_t TrialSeed = Trial == 0   ? Seed + 4
+                                : Trial == 1 ? 777 + 4
+                                             : Seed + 400 + Trial;
+      CreditNetwork Net(70, {{Org, {5, 5}}}, TrialSeed);
+      std::size_t Owner = Net.ownerOf(Org);
+      runDisturbed(Net, 5 * UsualDemand, [&] {
+        Net.kill(Owner, false);
+        scheduleState(Net, Owner, DeadAfter, std::nullopt);
+      });
+      const CreditResults &R = Net.results(Org);
+      report("silent owner, rate 5", "refused", static_cast<double>(R.Refused));
+      checkBound(Net, "silent owner, rate 5");
+      if (Trial == 0)
+        CPPUNIT_ASSERT(R.refusedShare() <= 5 * MaxRefusedShare);
+      Granted += static_cast<double>(R.Granted.size());
+      Refused += static_cast<double>(R.Refused);
+    }
+    report("silent owner, rate 5, all seeds", "refused share",
+           Refused / (Granted + Refused));
+    CPPUNIT_ASSERT(Refused / (Granted + Refused) <= 5 * MaxRefusedShare);
   }
 
   /// Guards against an owner that lends after a pause what accrued before or
