--- a/lib/Platform/HttpStores.cpp
+++ b/lib/Platform/HttpStores.cpp
@@ -24,12 +24,14 @@
                                   RequestEffect Effect) {
   std::string Text =
       "platform answered with status " + std::to_string(Answer.Status);
-  // 503 and 429 mean that the operation was not executed. After any other 5xx
-  // status, a write may have taken effect.
+  // 503 and 429 mean that the operation was not executed. After any other
+  // status outside of 4xx, also one that HTTP does not define such as 000, a
+  // write may have taken effect.
   bool Refused = Answer.Status == 503 || Answer.Status == 429;
-  if (Answer.Status >= 500 && !Refused && Effect == RequestEffect::Write)
+  bool IsUnclear = Answer.Status < 400 || Answer.Status >= 500;
+  if (IsUnclear && !Refused && Effect == RequestEffect::Write)
     return makeError(ErrorCode::Timeout, std::move(Text));
-  if (Answer.Status >= 500 || Refused)
+  if (IsUnclear || Refused)
     return makeError(ErrorCode::Unavailable, std::move(Text));
   if (Answer.Status == 409 || Answer.Status == 412)
     return makeError(ErrorCode::Conflict, std::move(Text));
--- a/lib/Wire/MessageSerialize.h
+++ b/lib/Wire/MessageSerialize.h
@@ -220,7 +220,9 @@
   serializeLoad(Ar, M.Load);
   serializeDuration(Ar, M.RunTime);
   Ar(M.Answer.Status);
-  constexpr unsigned FirstStatus = 100, LastStatus = 599;
+  // An interim response (1xx) or a status that HTTP does not define must not
+  // reach a caller as the response.
+  constexpr unsigned FirstStatus = 200, LastStatus = 599;
   if (M.Answer.Status < FirstStatus || M.Answer.Status > LastStatus)
     throw cereal::Exception("status out of range");
   serializeHeaders(Ar, M.Answer.Headers);
--- a/unittests/Net/BackendClientTest.cpp
+++ b/unittests/Net/BackendClientTest.cpp
@@ -314,6 +314,7 @@
   CPPUNIT_TEST(unattributableCopyIsNotDelivered);
   CPPUNIT_TEST(repeatedRefusalIsNotBelieved);
   CPPUNIT_TEST(truncatedHeadIsNoAnswer);
+  CPPUNIT_TEST(invalidStatusIsNoAnswer);
   CPPUNIT_TEST(endlessBytesEndTheAttempt);
   CPPUNIT_TEST(endlessBodiesShareOneLimit);
   CPPUNIT_TEST_SUITE_END();
@@ -406,6 +407,28 @@
     }
   }
 
+  /// Guards against a caller that gets a response with a status that HTTP does
+  /// not define, such as 000, or that does not parse.
+  void invalidStatusIsNoAnswer() {
+    for (const std::string StatusLine :
+         {"HTTP/1.1 000 X", "HTTP/1.1 001 X", "HTTP/1.1 099 X",
+          "HTTP/1.1 600 X", "HTTP/1.1 999 X", "HTTP/1.1 0 X", "HTTP/1.1 1 X",
+          "HTTP/1.1 99 X", "HTTP/1.1 2000 X", "HTTP/1.1 0200 X",
+          "HTTP/1.1 -20 X", "HTTP/1.1 20x X", "HTTP/1.1  200 X", "HTTP/1.1 OK",
+          "HTTP/1.1 ", "HTTP/1.1", "HTTP/2.0 200 OK", "200 OK", "000"}) {
+      for (const char *Rest :
+           {"\r\n\r\n",
+            "\r\nTeaselhitch-Request-Id: n.0.0\r\nContent-Length: 1\r\n\r\nx",
+            "\r\nConnection: close\r\n\r\nbody"}) {
+        DisconnectingServer Server(false, StatusLine + Rest);
+        std::optional<RunEnd> End = requestEnd(Server);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(
+            StatusLine, std::string(runEndName(RunEnd::ConnectionLost)),
+            std::string(runEndName(End.value())));
+      }
+    }
+  }
+
   /// Guards against a faulty server that holds an attempt and fills the memory
   /// with bytes that are no response and do not end. The test hangs if the
   /// client waits for the end.
--- a/unittests/Platform/StoreFaultTest.cpp
+++ b/unittests/Platform/StoreFaultTest.cpp
@@ -148,6 +148,18 @@
          "unavailable", "unavailable"},
         {"HTTP/1.1 412 x\r\nConnection: close\r\nContent-Length: 0\r\n\r\n",
          "conflict", "conflict"},
+        // Not a response of HTTP, so nothing is known about the write.
+        {"HTTP/1.1 000 x\r\nConnection: close\r\nContent-Length: 0\r\n\r\n",
+         "unavailable", "unknown"},
+        {"HTTP/1.1 099 x\r\nConnection: close\r\nContent-Length: 0\r\n\r\n",
+         "unavailable", "unknown"},
+        {"HTTP/1.1 199 x\r\nConnection: close\r\nContent-Length: 0\r\n\r\n",
+         "unavailable", "unknown"},
+        {"HTTP/1.1 999 x\r\nConnection: close\r\nContent-Length: 0\r\n\r\n",
+         "unavailable", "unknown"},
+        {"HTTP/1.1 1 x\r\n\r\n", "unavailable", "unknown"},
+        {"HTTP/1.1 2000 x\r\n\r\n", "unavailable", "unknown"},
+        {"HTTP/1.1 OK\r\n\r\n", "unavailable", "unknown"},
         {"", "unavailable", "unknown"},
         {"HTTP/1.1 200 x\r\nConnection: close\r\nContent-Length: "
          "9\r\n\r\n{\"ver",
--- a/unittests/RowStorePlatform/RowStoreTest.cpp
+++ b/unittests/RowStorePlatform/RowStoreTest.cpp
@@ -3,11 +3,15 @@
 #include "../../platform/RowStoreClient.h"
 #include "../../platform/StoreAdapters.h"
 #include "../../tools/teaselhitch-standin/RowStoreServer.h"
+#include "teaselhitch/Platform/TableRequests.h"
 
 #include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <array>
 #include <future>
 #include <thread>
 
@@ -83,6 +87,42 @@
   std::thread Thread;
 };
 
+/// Answers one request on each of two connections with the same bytes and
+/// closes them.
+class RawServer {
+public:
+  explicit RawServer(std::string Bytes)
+      : Acceptor(Context, {boost::asio::ip::make_address("127.0.0.1"), 0}),
+        Thread([this, Bytes = std::move(Bytes)] {
+          for (int I = 0; I != 2; ++I) {
+            boost::system::error_code Ignored;
+            std::array<char, 4096> Input{};
+            auto Connection = Acceptor.accept();
+            Connection.read_some(boost::asio::buffer(Input), Ignored);
+            boost::asio::write(Connection, boost::asio::buffer(Bytes), Ignored);
+          }
+        }) {}
+  ~RawServer() {
+    // Ends the wait for connections that a failed test did not open.
+    for (int I = 0; I != 2; ++I) {
+      boost::system::error_code Ignored;
+      boost::asio::ip::tcp::socket(Context).connect(
+          {boost::asio::ip::make_address("127.0.0.1"), Address.Port}, Ignored);
+    }
+    Thread.join();
+  }
+  RawServer(const RawServer &) = delete;
+  RawServer &operator=(const RawServer &) = delete;
+
+  Endpoint address() const { return Address; }
+
+private:
+  boost::asio::io_context Context{1};
+  boost::asio::ip::tcp::acceptor Acceptor;
+  Endpoint Address{"127.0.0.1", Acceptor.local_endpoint().port()};
+  std::thread Thread;
+};
+
 /// Returns the name of the error code of a call, or "ok".
 template <typename FunctionT> std::string describeOutcome(FunctionT Call) {
   return handleError(
@@ -106,6 +146,7 @@
   CPPUNIT_TEST_SUITE(RowStoreTest);
   CPPUNIT_TEST(unmetConditionsFailWrites);
   CPPUNIT_TEST(faultsTellWhetherWriteTookEffect);
+  CPPUNIT_TEST(invalidStatusLeavesWriteUnknown);
   CPPUNIT_TEST(valuesRoundTrip);
   CPPUNIT_TEST(objectsAreWrittenOnce);
   CPPUNIT_TEST(directoryListsAndRemovesNodes);
@@ -177,6 +218,26 @@
     }
   }
 
+  /// Guards against a write that is reported as without effect although the
+  /// answer has a status that tells nothing, such as 000.
+  void invalidStatusLeavesWriteUnknown() {
+    for (const char *Status : {"000", "001", "099", "199", "204", "302", "600",
+                               "999", "1", "2000", ""}) {
+      RawServer Server("HTTP/1.1 " + std::string(Status) +
+                       " X\r\nContent-Length: 0\r\n\r\n");
+      auto Table = createRowTableStore(
+          RowStoreClient::create(Server.address(), Timeout).value());
+      CPPUNIT_ASSERT_MESSAGE(
+          Status,
+          runTableRequest(*Table, {1, TableOperation::Insert, "t", "k", "1"})
+                  .Status == TableStatus::Unknown);
+      CPPUNIT_ASSERT_MESSAGE(
+          Status,
+          runTableRequest(*Table, {1, TableOperation::Read, "t", "k", ""})
+                  .Status == TableStatus::Unavailable);
+    }
+  }
+
   /// Guards against bytes of a value that the encoding changes.
   void valuesRoundTrip() {
     StoreFixture F;
--- a/unittests/Wire/FrameCodecTest.cpp
+++ b/unittests/Wire/FrameCodecTest.cpp
@@ -165,7 +165,8 @@
     CPPUNIT_ASSERT(isRefused(D, bytesOf(D.Info.Baseline.RunTimeMs), NaN));
     AttemptAnswer Answer;
     Answer.Answer.Status = 200;
-    CPPUNIT_ASSERT(isRefused(Answer, bytesOf(200U), bytesOf(4000U)));
+    for (unsigned Status : {0U, 1U, 99U, 100U, 101U, 199U, 600U, 999U, 4000U})
+      CPPUNIT_ASSERT(isRefused(Answer, bytesOf(200U), bytesOf(Status)));
     // The flag after RetryAfter with a value that is neither 0 nor 1.
     AttemptFailed Failed;
     Failed.RetryAfter = Duration(1.5);
