--- a/include/teaselhitch/Entry/Entry.h
+++ b/include/teaselhitch/Entry/Entry.h
@@ -165,6 +165,9 @@
   /// Refuses all further requests with Reason::Draining.
   virtual void drain() = 0;
   virtual bool isIdle() const = 0;
+  /// Ends all requests at the end of a planned stop: those that may have run
+  /// with an unknown outcome, the others as refused.
+  virtual EntryActions endRequests(Time Now) = 0;
 
   /// Handles a new request and returns its id. The actions may already end the
   /// request.
--- a/include/teaselhitch/Node/Node.h
+++ b/include/teaselhitch/Node/Node.h
@@ -7,6 +7,7 @@
 #include "teaselhitch/Settings/NodeSettings.h"
 #include "teaselhitch/Support/Result.h"
 
+#include <functional>
 #include <memory>
 #include <optional>
 
@@ -41,6 +42,11 @@
   /// Runs until SIGTERM or SIGINT, then shuts down gracefully within the drain
   /// timeout. Returns true if all requests in progress finished.
   virtual bool run() = 0;
+
+  /// Sets a function that run() calls when the drain has ended, with the value
+  /// that it will return, and before it waits for the threads. A thread may
+  /// still wait for an answer of the platform then.
+  virtual void onEnd(std::function<void(bool)> Function) = 0;
 };
 
 } // namespace teaselhitch
--- a/lib/Entry/Entry.cpp
+++ b/lib/Entry/Entry.cpp
@@ -194,6 +194,20 @@
        Now, Actions);
 }
 
+EntryActions EntryCore::endRequests(Time Now) {
+  std::vector<RequestId> Left;
+  Requests.forEach([&](PendingRequest &P) { Left.push_back(P.Id); });
+  EntryActions Actions;
+  for (const RequestId &Id : Left) {
+    PendingRequest *P = Requests.find(Id);
+    if (!P)
+      continue;
+    cancelRunning(*P, Actions);
+    fail(*P, P->MayHaveRun ? Reason::LinkLost : Reason::Draining, Now, Actions);
+  }
+  return Actions;
+}
+
 EntryActions EntryCore::tick(Time Now) {
   EntryActions Actions;
   for (const RequestId &Id : Requests.takeExpired(Now))
--- a/lib/Entry/EntryCore.h
+++ b/lib/Entry/EntryCore.h
@@ -32,6 +32,7 @@
                    EntryActions &Actions) override;
   EntryActions mintKey(std::uint64_t Token, const ServiceName &Service,
                        Time Now) override;
+  EntryActions endRequests(Time Now) override;
   EntryActions handleGrant(const Grant &Granted, Time Now) override;
   EntryActions handleAnswer(const AttemptAnswer &Answer, Time Now) override;
   EntryActions handleFailure(const AttemptFailed &Failure, Time Now) override;
--- a/lib/Node/CallersThread.cpp
+++ b/lib/Node/CallersThread.cpp
@@ -129,6 +129,13 @@
   });
 }
 
+void CallersThread::endRequests() {
+  Loop.post([this] {
+    execute(Core->endRequests(now()));
+    Idle = hasFinished();
+  });
+}
+
 bool CallersThread::hasFinished() const {
   if (IsStopping && (!IsListenerClosed || Server->connectionCount() > 0))
     return false;
--- a/lib/Node/CallersThread.h
+++ b/lib/Node/CallersThread.h
@@ -26,6 +26,8 @@
 
   /// Accepts requests for the grace time, then refuses new ones.
   void drain(Duration Grace);
+  /// Ends all requests that are left when the time for the drain is over.
+  void endRequests();
   /// Returns true if no request is in progress and, while draining, all
   /// connections are closed. Safe to call from any thread.
   bool isIdle() const { return Idle; }
--- a/lib/Node/Node.cpp
+++ b/lib/Node/Node.cpp
@@ -9,12 +9,16 @@
 #include "teaselhitch/Support/Log.h"
 
 #include <csignal>
+#include <utility>
 
 namespace teaselhitch {
 
 namespace {
 
 constexpr Duration DrainCheckInterval = Duration(50);
+/// How long the responses to requests that were ended may take to be sent. It
+/// is part of the second that the settings reserve for the exit.
+constexpr Duration FlushTime = Duration(200);
 /// How often the settings file is checked; it may change without a signal.
 constexpr Duration SettingsCheckInterval = Duration::seconds(1);
 
@@ -81,6 +85,10 @@
     return IsGraceful;
   }
 
+  void onEnd(std::function<void(bool)> Function) override {
+    OnEnd = std::move(Function);
+  }
+
 private:
   std::vector<EventLoopThread *> threads() {
     return {Platform.get(), Peers.get(), Backends.get(), Callers.get(),
@@ -143,12 +151,21 @@
     // at its very end are counted as in progress.
     if (Elapsed > Settings.DrainGrace + DrainCheckInterval * 2 && IsIdle)
       return finish(true);
-    if (Elapsed > Settings.DrainGrace + Settings.DrainTimeout)
+    Duration Overtime = Elapsed - Settings.DrainGrace - Settings.DrainTimeout;
+    if (Overtime.ms() > 0 && !HasEndedRequests) {
+      HasEndedRequests = true;
+      logEvent(LogLevel::Warning, "node", "requests-ended",
+               {{"cause", "the time for the drain is over"}});
+      Callers->endRequests();
+    }
+    if (Overtime > FlushTime)
       finish(false);
   }
 
   void finish(bool Done) {
-    IsGraceful = Done;
+    IsGraceful = Done && !HasEndedRequests;
+    if (OnEnd)
+      std::exchange(OnEnd, nullptr)(IsGraceful);
     MainLoop.stop();
   }
 
@@ -160,6 +177,9 @@
   SteadyClock SteadyTime;
   Time DrainStarted;
   bool IsGraceful = false;
+  /// The time for the drain was over while requests were in progress.
+  bool HasEndedRequests = false;
+  std::function<void(bool)> OnEnd;
   std::unique_ptr<PlatformThread> Platform;
   std::unique_ptr<ConfigWatcher> Watcher;
   std::unique_ptr<PeersThread> Peers;
--- a/tools/teaselhitch/NodeCommand.cpp
+++ b/tools/teaselhitch/NodeCommand.cpp
@@ -6,11 +6,13 @@
 #include "teaselhitch/Routing/Balancer.h"
 #include "teaselhitch/Support/Log.h"
 
+#include <chrono>
 #include <cstdlib>
 #include <fstream>
 #include <iostream>
 #include <optional>
 #include <sstream>
+#include <thread>
 
 namespace teaselhitch {
 
@@ -89,12 +91,27 @@
   return Checked.Settings;
 }
 
+/// How long the threads of a node may take to end after the drain. With the
+/// time for the last responses, it stays below the second that
+/// `limits.stop_time_s` reserves for the exit.
+constexpr std::chrono::milliseconds ExitTime(400);
+
+/// Ends the process after ExitTime, also if a thread still waits for an answer
+/// of the platform. The requests have ended by then.
+void limitExitTime(bool IsGraceful) {
+  std::thread([IsGraceful] {
+    std::this_thread::sleep_for(ExitTime);
+    std::quick_exit(IsGraceful ? ExitSuccess : ExitFailure);
+  }).detach();
+}
+
 [[noreturn]] void runNode(const NodeSettings &Settings,
                           std::unique_ptr<SettingsSource> Source) {
   configureLogging(Settings.Level, Settings.LogPath);
   int Code = handleError(
       [&]() -> Result<int> {
         BOOST_LEAF_AUTO(Created, Node::create(Settings, std::move(Source)));
+        Created->onEnd(limitExitTime);
         return Created->run() ? ExitSuccess : ExitFailure;
       },
       [](const Error &E) {
--- a/unittests/Entry/EntryTest.cpp
+++ b/unittests/Entry/EntryTest.cpp
@@ -90,6 +90,7 @@
   CPPUNIT_TEST(neverReportsNotRunAfterUnknown);
   CPPUNIT_TEST(dropsStrayAnswers);
   CPPUNIT_TEST(deadlineReportsOutcome);
+  CPPUNIT_TEST(endOfDrainReportsOutcome);
   CPPUNIT_TEST(retryBudgetBoundsRetries);
   CPPUNIT_TEST(callerGoneCancels);
   CPPUNIT_TEST(dispatchCarriesTheBaselineOfTheService);
@@ -272,6 +273,22 @@
     CPPUNIT_ASSERT(Second->Result == Outcome::NotRun);
   }
 
+  /// Guards against requests that are cut at the end of a planned stop without
+  /// any result, and against "not run" for one that may have run.
+  void endOfDrainReportsOutcome() {
+    accept("GET", "/read");
+    accept("POST", "/pay", "key");
+    std::vector<std::pair<Reason, Outcome>> Results;
+    for (const EntryAction &Action : Core->endRequests(Now))
+      if (const auto *Failure = std::get_if<ReplyFailure>(&Action))
+        Results.emplace_back(Failure->Cause, Failure->Result);
+    std::sort(Results.begin(), Results.end());
+    CPPUNIT_ASSERT(Results == (std::vector<std::pair<Reason, Outcome>>{
+                                  {Reason::Draining, Outcome::NotRun},
+                                  {Reason::LinkLost, Outcome::Unknown}}));
+    CPPUNIT_ASSERT(Core->endRequests(Now).empty());
+  }
+
   /// Retries must not multiply an overload: they are limited to 20% of the
   /// requests and the fixed allowance.
   void retryBudgetBoundsRetries() {
--- a/unittests/Soak/fleet.py
+++ b/unittests/Soak/fleet.py
@@ -71,7 +71,7 @@
                 await self.handle(*await read_message(reader), writer)
                 await writer.drain()
         except (asyncio.IncompleteReadError, ConnectionError, ValueError,
-                asyncio.LimitOverrunError):
+                asyncio.LimitOverrunError, asyncio.CancelledError):
             pass
         finally:
             self.open.discard(writer)
@@ -85,10 +85,39 @@
         super().__init__()
         self.rows, self.version, self.calls = {}, 0, {}
         self.changed = asyncio.Event()
+        # When each row was written and what it was before, for restore().
+        self.history, self.era, self.is_available = [], 1, True
+        # Calls get no answer.
+        self.is_silent = False
 
     def put(self, table, key, value):
         self.version += 1
-        self.rows[(table, key)] = (base64.b64encode(value).decode(), self.version)
+        self._set((table, key), base64.b64encode(value).decode())
+        self._notify()
+
+    def _set(self, identity, value):
+        self.history.append((time.monotonic(), identity, self.rows.get(identity)))
+        self.rows[identity] = (value, self.version)
+
+    def set_available(self, is_available):
+        """Without availability, calls get 503 and watches are cut."""
+        self.is_available = is_available
+        if not is_available:
+            for writer in list(self.open):
+                writer.transport.abort()
+
+    def restore(self, seconds):
+        """Goes back to the state of `seconds` ago, in a new era. Versions that
+        were assigned since are assigned again."""
+        moment = time.monotonic() - seconds
+        while self.history and self.history[-1][0] > moment:
+            _, identity, before = self.history.pop()
+            if before is None:
+                del self.rows[identity]
+            else:
+                self.rows[identity] = before
+        self.version = max((version for _, version in self.rows.values()), default=0)
+        self.era += 1
         self._notify()
 
     def _notify(self):
@@ -101,16 +130,21 @@
         query = dict(parse_qsl(url.query, keep_blank_values=True))
         self.calls[url.path] = self.calls.get(url.path, 0) + 1
         await asyncio.sleep(STORE_DELAY_S)
+        while self.is_silent:
+            await asyncio.sleep(1)
         status, answer = 404, {}
-        if (method, url.path) == ("POST", "/rows-tx"):
+        if not self.is_available:
+            status = 503
+        elif (method, url.path) == ("POST", "/rows-tx"):
             status, answer = self._transact(json.loads(body))
         elif (method, url.path) == ("GET", "/rows-get"):
             status, answer = 200, self._range(query)
         elif (method, url.path) == ("GET", "/rows-feed"):
-            status, answer = 200, await self._feed(query)
+            status, answer = await self._feed(query)
         answer.update(RowVersion=self.version, NowMs=int(time.monotonic() * 1000))
         writer.write(message(f"HTTP/1.1 {status} X",
-                             {"Content-Type": "application/json"},
+                             {"Content-Type": "application/json",
+                              "Store-Era": self.era},
                              json.dumps(answer).encode()))
 
     def _row(self, identity):
@@ -128,10 +162,9 @@
                 return 412, {"Rows": []}
         self.version += 1
         for entry in call.get("Puts", []):
-            self.rows[(entry["TableName"], entry["Key"])] = (
-                entry["Value"], self.version)
+            self._set((entry["TableName"], entry["Key"]), entry["Value"])
         for entry in call.get("Remove", []):
-            self.rows[(entry["TableName"], entry["Key"])] = (None, self.version)
+            self._set((entry["TableName"], entry["Key"]), None)
         self._notify()
         return 200, {}
 
@@ -146,13 +179,15 @@
 
     async def _feed(self, query):
         after = int(query["after"])
+        if after > self.version:
+            return 410, {}
         end = time.monotonic() + min(int(query["WaitMs"]), 30000) / 1000
         while True:
             found = sorted((version, i) for i, (_, version) in self.rows.items()
                            if i[0] == query["TableName"] and version > after)
             left = end - time.monotonic()
             if found or left <= 0:
-                return {"Rows": [self._row(i) for _, i in found]}
+                return 200, {"Rows": [self._row(i) for _, i in found]}
             try:
                 await asyncio.wait_for(self.changed.wait(), left)
             except asyncio.TimeoutError:
@@ -167,6 +202,36 @@
         self.fleet, self.node, self.service = fleet, node, node.service
         self.name, self.sequence, self.running = f"i-{node.index}", 0, 0
         self.born = int(time.time() * 1000)
+        # The start time of the run that the node has acknowledged to depart.
+        self.departed, self.departed_at = None, 0
+        # The node process that acknowledged it, and whether the store is known
+        # to have the departure, also for the next process.
+        self.departed_boot, self.is_kept = 0, False
+
+    async def leave(self):
+        """Departs. Returns whether the node has acknowledged it."""
+        born, boot = self.born, self.node.boot
+        try:
+            reader, writer = await asyncio.open_connection(
+                self.node.address, PORTS["Control"])
+            try:
+                writer.write(message(f"POST /Instances.Leave/{self.name} HTTP/1.1",
+                                     {"Host": "node", "Connection": "close"}))
+                line, _, _ = await asyncio.wait_for(read_message(reader), 2)
+            finally:
+                writer.close()
+        except (OSError, ValueError, asyncio.IncompleteReadError,
+                asyncio.TimeoutError):
+            return False
+        if line.split(" ")[1] != "200":
+            return False
+        self.departed, self.departed_at = born, time.monotonic()
+        self.departed_boot, self.is_kept = boot, False
+        return True
+
+    def begin_run(self):
+        """Starts again as a new process under the same name."""
+        self.born, self.sequence, self.departed = int(time.time() * 1000), 0, None
 
     async def start(self):
         await self.listen(self.node.address, WORKER_PORT)
@@ -210,12 +275,14 @@
             return
         self.fleet.on_run(request, self)
         self.running += 1
-        await asyncio.sleep(SLOW_WORK_S if headers.get("soak-slow") else WORK_S)
+        await asyncio.sleep(float(headers.get(
+            "soak-seconds", SLOW_WORK_S if headers.get("soak-slow") else WORK_S)))
         self.running -= 1
         writer.write(message("HTTP/1.1 200 OK", {
             **echo, "Server-Seal": f"seal.{request}",
             "Server-Load": f"{self.running},0,{SLOTS}"},
-            f"{self.service} {request}".encode()))
+            f"{self.service} {request}".encode() +
+            b" " * int(headers.get("soak-bytes", 0))))
 
 
 def render(template, fields):
