--- a/unittests/Soak/soak.py
+++ b/unittests/Soak/soak.py
@@ -31,7 +31,12 @@
 CALM_START_S = 8
 # A route is removed this many versions after the one that added it.
 ROUTE_LIFE = 3
-FAULTS = ("kill", "stop", "freeze", "cut")
+FAULTS = ("kill", "stop", "freeze", "cut", "restore")
+# After this time a departed backend server gets no new requests.
+DRAIN_S = 3
+# A node notices a restore and writes its rows again within this time: it checks
+# each 2 s, and each call may take 1 s.
+REWRITE_S = 5
 
 
 class Versions:
@@ -84,13 +89,22 @@
         self.random = random.Random(options.seed)
         self.versions = Versions(fleet.services)
         self.runs, self.seen = {}, {}
-        self.counts = {"requests": 0, "judged": 0, "served": 0, "faults": 0}
+        self.counts = {"requests": 0, "judged": 0, "served": 0, "faults": 0,
+                       "restores": 0, "departures": 0}
         self.groups = {"base": [0, 0], "added": [0, 0]}
-        self.busy = True
+        self.busy, self.is_restoring = True, False
         fleet.on_run = self.on_run
 
     def on_run(self, request, worker):
         self.runs.setdefault(request, []).append(worker.name)
+        # A departure is lost if the store loses it and the process ends before
+        # it has written it again.
+        is_known = worker.is_kept or worker.node.boot == worker.departed_boot
+        if worker.departed and is_known and \
+                time.monotonic() - worker.departed_at > DRAIN_S:
+            self.fleet.fail(f"DEPARTED {worker.name} got {request} "
+                            f"{time.monotonic() - worker.departed_at:.3f} s after "
+                            "its departure was acknowledged")
         if len(self.runs[request]) > 1:
             self.fleet.fail(f"TWICE {request} ran on {self.runs[request]}")
 
@@ -111,6 +125,12 @@
     async def disturb(self):
         while self.busy:
             kind = self.random.choice(self.options.faults)
+            if kind == "restore":
+                if not self.is_restoring:
+                    self.counts["faults"] += 1
+                    asyncio.create_task(self.restore())
+                await asyncio.sleep(self.random.uniform(0.2, 2))
+                continue
             total = len(self.fleet.nodes)
             # Cuts are dense, since a node has many paths to the others.
             count = self.random.randint(1, total // 2) if kind == "cut" else \
@@ -140,6 +160,43 @@
             for index in targets:
                 node.cut(index, False)
 
+    async def restore(self):
+        """Restores the store from a copy from before a departure and before the
+        newest configuration. The node of the departed server is killed when it
+        has had time to write the departure again; the next process gets late
+        check-ins of the server."""
+        self.is_restoring = True
+        store, worker = self.fleet.store, self.random.choice(self.fleet.workers)
+        lost = self.random.uniform(0.5, 6)
+        left = await worker.leave()
+        self.publish()
+        await asyncio.sleep(min(lost, self.random.uniform(0, lost)))
+        store.set_available(False)
+        await asyncio.sleep(self.random.uniform(0, 1.5))
+        store.restore(lost)
+        store.set_available(True)
+        self.counts["restores"] += 1
+        rows = store.rows
+        boot, restored = worker.node.boot, time.monotonic()
+        await asyncio.sleep(self.random.uniform(0, 1))
+        store.put("op", "config", self.versions.body(self.versions.newest()))
+        await asyncio.sleep(REWRITE_S - (time.monotonic() - restored))
+        # A process that was disturbed meanwhile may not have written its rows.
+        if worker.node.boot == boot and worker.node.calm_since < restored:
+            for table, is_due in (("nodes", True), ("departures", left)):
+                row = rows.get((table, worker.node.name))
+                if is_due and (row is None or row[0] is None):
+                    self.fleet.fail(f"ROW of {worker.node.name} in {table} is not "
+                                    f"back {REWRITE_S} s after a restore")
+            self.counts["departures"] += left
+            worker.is_kept = left
+            worker.node.send(signal.SIGKILL)
+            await asyncio.sleep(self.random.uniform(1, 5))
+        else:
+            worker.departed = None
+        worker.begin_run()
+        self.is_restoring = False
+
     def choose_prefix(self):
         number = self.versions.newest()
         draw = self.random.random()
