--- a/unittests/Soak/soak.py
+++ b/unittests/Soak/soak.py
@@ -67,6 +67,12 @@
             "Clusters": [{"Name": s, "HealthPath": "/health", "MaxConns": 330}
                          for s in self.services]}).encode()
 
+    def confirm_again(self, since):
+        """Versions published after `since` were lost or not seen everywhere, and
+        have been written again now."""
+        now = time.monotonic()
+        self.times = [now if moment > since else moment for moment in self.times]
+
     def newest(self):
         return len(self.times) - 1
 
@@ -118,6 +124,9 @@
         while self.busy:
             storm = self.random.random() < 0.3
             for _ in range(self.random.randint(3, 12) if storm else 1):
+                # Without an available store no write is confirmed.
+                while not self.fleet.store.is_available:
+                    await asyncio.sleep(0.05)
                 self.publish()
                 await asyncio.sleep(self.random.uniform(0.1, 0.5) if storm else 0)
             await asyncio.sleep(self.random.uniform(0.5, 5))
@@ -172,6 +181,8 @@
         self.publish()
         await asyncio.sleep(min(lost, self.random.uniform(0, lost)))
         store.set_available(False)
+        # Versions from before had time to be in force everywhere.
+        since = time.monotonic() - self.fleet.bounds["ConfigApplyMs"] / 1000
         await asyncio.sleep(self.random.uniform(0, 1.5))
         store.restore(lost)
         store.set_available(True)
@@ -180,6 +191,7 @@
         boot, restored = worker.node.boot, time.monotonic()
         await asyncio.sleep(self.random.uniform(0, 1))
         store.put("op", "config", self.versions.body(self.versions.newest()))
+        self.versions.confirm_again(since)
         await asyncio.sleep(REWRITE_S - (time.monotonic() - restored))
         # A process that was disturbed meanwhile may not have written its rows.
         if worker.node.boot == boot and worker.node.calm_since < restored:
