--- a/lib/Node/PlatformThread.cpp
+++ b/lib/Node/PlatformThread.cpp
@@ -16,9 +16,10 @@
 /// Delay before a failed call to the node directory is retried.
 constexpr Duration DirectoryRetryDelay = Duration(500);
 
-/// Bounds the reads by which all nodes together check whether the store was
-/// restored, in reads per second: 1,400 nodes check each 30 s, and up to 80
-/// nodes each 2 s.
+/// Reads per second by which all nodes together check whether the store was
+/// restored, in fleets of 80 to 1,200 nodes. Smaller fleets check each 2 s, so
+/// that a node that ends soon after a restore has written its rows again;
+/// larger ones each 30 s.
 constexpr double FleetProbeRate = 40;
 constexpr Duration MinProbeInterval = Duration::seconds(2);
 constexpr Duration MaxProbeInterval = Duration::seconds(30);
