--- a/include/teaselhitch/Entry/Entry.h
+++ b/include/teaselhitch/Entry/Entry.h
@@ -178,6 +178,9 @@
   /// Refuses all further requests with Reason::Draining.
   virtual void drain() = 0;
   virtual bool isIdle() const = 0;
+  /// Ends all requests at the end of a planned stop: those that may have run
+  /// with an unknown outcome, the others as refused.
+  virtual EntryActions endRequests(Time Now) = 0;
 
   /// Returns true if the configuration requires callers to send a key.
   virtual bool requiresCredentials() const = 0;
--- a/unittests/RateLimit/CreditNetwork.h
+++ b/unittests/RateLimit/CreditNetwork.h
@@ -296,9 +296,10 @@
                 std::function<void()> Event) {
     if (From != To) {
       ++MessagesSent;
-      BytesSent += handleError([&] { return encodeFrame(Message); },
-                               [](const Error &) { return std::string(); })
-                       .size();
+      EncodedFrame Frame =
+          handleError([&] { return encodeFrame(Message); },
+                      [](const Error &) { return EncodedFrame(); });
+      BytesSent += Frame.Head.size() + Frame.Body.size();
       if (IsCut(From, To))
         return;
     }
