--- a/lib/Membership/DomainDistance.cpp
+++ b/lib/Membership/DomainDistance.cpp
@@ -28,7 +28,7 @@
 std::optional<Duration>
 DomainDistance::minimum(const FailureDomain &Domain) const {
   auto It = ByDomain.find(Domain);
-  if (It == ByDomain.end() || It->second.Count < MinSamples)
+  if (It == ByDomain.end())
     return std::nullopt;
   const Samples &S = It->second;
   auto End = S.RoundTrips.begin() +
@@ -36,6 +36,15 @@
   return *std::min_element(S.RoundTrips.begin(), End);
 }
 
+bool DomainDistance::isDecisive(const Samples &S) {
+  if (S.Count >= MinSamples || S.Count < MinConsistentSamples)
+    return S.Count >= MinSamples;
+  std::array<Duration, SampleCount> Sorted = S.RoundTrips;
+  std::sort(Sorted.begin(),
+            Sorted.begin() + static_cast<std::ptrdiff_t>(S.Count));
+  return Sorted[1] - Sorted[0] <= MaxSpread;
+}
+
 bool DomainDistance::evaluate(const FailureDomain &Domain) {
   std::optional<Duration> RoundTrip = minimum(Domain);
   if (Domain == Own || !RoundTrip)
@@ -43,9 +52,10 @@
   // A process that answers late delays its neighbours' round trips as well, so
   // only what the crossing adds counts.
   Duration Added = *RoundTrip - minimum(Own).value_or(Duration());
-  if (Added >= Limit)
-    return Remote.insert(Domain).second;
-  return Remote.erase(Domain) != 0;
+  // One short round trip shows that the path is short.
+  if (Added < Limit)
+    return Remote.erase(Domain) != 0;
+  return isDecisive(ByDomain.at(Domain)) && Remote.insert(Domain).second;
 }
 
 } // namespace teaselhitch
--- a/lib/Membership/DomainDistance.h
+++ b/lib/Membership/DomainDistance.h
@@ -36,14 +36,24 @@
   /// a round trip, so the minimum is close to the latency of the path.
   static constexpr std::size_t SampleCount = 16;
   /// Fewer samples may all have been delayed, mostly while a process starts.
-  static constexpr std::size_t MinSamples = 4;
+  static constexpr std::size_t MinSamples = 6;
+  /// The same if the two smallest samples differ by at most MaxSpread: delays
+  /// of a busy process vary by more than that, the latency of a path by less.
+  /// A domain gets a probe every three seconds from each node, so this saves
+  /// nine seconds.
+  static constexpr std::size_t MinConsistentSamples = 3;
+  static constexpr Duration MaxSpread = Duration(1);
 
   struct Samples {
     std::array<Duration, SampleCount> RoundTrips{};
     std::size_t Count = 0;
   };
 
+  /// Returns the smallest round trip to a domain, or nothing if there are no
+  /// samples.
   std::optional<Duration> minimum(const FailureDomain &Domain) const;
+  /// Returns true if the samples suffice to decide about a domain.
+  static bool isDecisive(const Samples &S);
   bool evaluate(const FailureDomain &Domain);
 
   FailureDomain Own;
