--- a/unittests/Membership/RemoteDomainsTest.cpp
+++ b/unittests/Membership/RemoteDomainsTest.cpp
@@ -171,7 +171,7 @@
   /// Guards against changes of risk, and probes, that are sent to all domains
   /// alike: two thirds of the copies would cross. The plan asks for half.
   void fewBytesCross() {
-    std::size_t Bytes[2], SyncBytes[2];
+    std::size_t Bytes[2] = {}, SyncBytes[2] = {};
     for (std::size_t Remote : {0, 1}) {
       TestNetwork Net(NodeCount, 3,
                       Remote == 1 ? remoteDomains() : uniformDomains());
