--- a/unittests/RowStorePlatform/EndToEndTest.cpp
+++ b/unittests/RowStorePlatform/EndToEndTest.cpp
@@ -166,10 +166,15 @@
 /// SIGTERM, the signal that stops a node process.
 class RunningFleet {
 public:
-  explicit RunningFleet(const PlatformFixture &Platform,
-                        int Count = NodeCount) {
+  /// \param HasStoreAccess whether the nodes after the first reach the store.
+  explicit RunningFleet(const PlatformFixture &Platform, int Count = NodeCount,
+                        bool HasStoreAccess = true) {
     for (int I = 0; I != Count; ++I) {
       Settings.push_back(makeSettings(I, Platform));
+      if (!HasStoreAccess && I != 0) {
+        Settings.back().Platform = unusedAddress();
+        Settings.back().Seeds = {Settings.front().Peers};
+      }
       RunningNodes.push_back(Node::create(Settings.back()).value());
     }
     for (auto &RunningNode : RunningNodes)
@@ -255,6 +260,7 @@
   CPPUNIT_TEST(departureOutlivesRestart);
   CPPUNIT_TEST(keysStayAtTheEntry);
   CPPUNIT_TEST(subRequestsCountForTheirParent);
+  CPPUNIT_TEST(revocationReachesNodesWithoutStore);
   CPPUNIT_TEST_SUITE_END();
 
   /// Guards against faults between components, which the tests of single
@@ -381,6 +387,33 @@
     CPPUNIT_ASSERT(Counted > 0);
   }
 
+  /// Guards against a revoked key that stays valid on a node that does not
+  /// reach the store, and against one that works again on a node that restarts
+  /// there.
+  void revocationReachesNodesWithoutStore() {
+    PlatformFixture Platform;
+    const HttpRequest Known = requestWithKey("/other/x", "k1");
+    // The second fleet starts while the store has the later version.
+    for (bool IsFirst : {true, false}) {
+      if (IsFirst)
+        Platform.publishText(credentialsConfig("r3", R"(["k1"])"));
+      RunningFleet Fleet(Platform, NodeCount, false);
+      const Endpoint &Callers = Fleet.Settings[1].Callers;
+      // A known key gets 404 on a path without a rule.
+      if (IsFirst) {
+        CPPUNIT_ASSERT_EQUAL(404U, callUntil(404, Callers, Known).Status);
+        Platform.publishText(credentialsConfig("r4", R"(["k2"])"));
+      }
+      HttpAnswer Answer;
+      for (int Try = 0; Try != MaxTries && Answer.Status != 401; ++Try) {
+        Answer = call(Callers, Known);
+        CPPUNIT_ASSERT(IsFirst || Answer.Status != 404);
+        std::this_thread::sleep_for(std::chrono::milliseconds(50));
+      }
+      CPPUNIT_ASSERT_EQUAL(401U, Answer.Status);
+    }
+  }
+
   /// Guards against a key that a node passes to a backend server, writes to its
   /// log or shows in its status, against a caller that chooses its
   /// organisation, and against a revoked key that some node still accepts.
