--- a/unittests/Net/HttpServerTest.cpp
+++ b/unittests/Net/HttpServerTest.cpp
@@ -371,8 +371,8 @@
   /// connections open. Guards against these taking all memory, and against
   /// ordinary requests and whole large bodies that are not served meanwhile.
   void stalledBodiesGiveWay() {
-    constexpr std::size_t Bytes = 400 * 1024;
-    restartWithMemory(1024 * 1024, Bytes);
+    constexpr std::size_t Bytes = 400UL * 1024;
+    restartWithMemory(1024UL * 1024, Bytes);
     std::vector<std::unique_ptr<RawClient>> Stalled;
     for (int I = 0; I < 6; ++I) {
       Stalled.push_back(std::make_unique<RawClient>(Port));
@@ -392,8 +392,8 @@
 
   /// As stalledBodiesGiveWay, with bodies whose size is not announced.
   void stalledChunkedBodiesGiveWay() {
-    constexpr std::size_t Bytes = 400 * 1024;
-    restartWithMemory(1024 * 1024, Bytes);
+    constexpr std::size_t Bytes = 400UL * 1024;
+    restartWithMemory(1024UL * 1024, Bytes);
     const std::string Header =
         " HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n64000\r\n";
     CPPUNIT_ASSERT_EQUAL(std::size_t(0x64000), Bytes);
@@ -435,8 +435,8 @@
   /// Guards against a leak in the accounting, which would in the end cause
   /// every request to be refused.
   void memoryIsReleasedAfterEachEnd() {
-    constexpr std::size_t Bytes = 200 * 1024;
-    restartWithMemory(1024 * 1024, Bytes);
+    constexpr std::size_t Bytes = 200UL * 1024;
+    restartWithMemory(1024UL * 1024, Bytes);
     {
       RawClient Client(Port);
       Client.send(post("/1", Bytes) + std::string(Bytes, 'a'));
--- a/unittests/Net/RequestReaderTest.cpp
+++ b/unittests/Net/RequestReaderTest.cpp
@@ -90,7 +90,7 @@
     }
     // Trailers that arrive with one read are bounded as well.
     Fixture F;
-    CPPUNIT_ASSERT(F.feed(Start + Trailers.substr(0, 15 * 106) + "\r\n",
+    CPPUNIT_ASSERT(F.feed(Start + Trailers.substr(0, 15UL * 106) + "\r\n",
                           65536) == Result::Refused);
   }
 
--- a/unittests/RowStorePlatform/EndToEndTest.cpp
+++ b/unittests/RowStorePlatform/EndToEndTest.cpp
@@ -5,6 +5,8 @@
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <chrono>
@@ -25,11 +27,13 @@
 const char *const ConfigTemplate =
     R"({"Version":"r%","Listeners":[{"Host":"h.example","Rules":[{"Name":"r1",)"
     R"("Kind":"unsafe","SloMs":1000,"Priority":0,"Match":{"Prefix":"/%/"},)"
+    R"("Action":{"Service":"s","TimeoutMs":3000,"Attempts":2}},{"Name":"r2",)"
+    R"("Kind":"safe","SloMs":1000,"Priority":0,"Match":{"Prefix":"/%/read/"},)"
     R"("Action":{"Service":"s","TimeoutMs":3000,"Attempts":2}}]}],)"
     R"("Clusters":[{"Name":"s","HealthPath":"/health"}]})";
 
-/// Returns a configuration of this version, whose only rule matches the path
-/// prefix "/VERSION/".
+/// Returns a configuration of this version. Its rules match the path prefix
+/// "/VERSION/" and, for idempotent requests, "/VERSION/read/".
 std::string config(const std::string &Version) {
   std::string Text = ConfigTemplate;
   for (std::size_t Pos = Text.find('%'); Pos != std::string::npos;
@@ -177,9 +181,30 @@
          std::to_string(Sequence) + "}}";
 }
 
+/// Sends two requests in one piece on one connection and returns the bytes of
+/// both responses. The second request is received before the first is answered.
+std::string callPipelined(const Endpoint &Server, const std::string &FirstPath,
+                          const std::string &SecondPath) {
+  asio::io_context Context;
+  asio::ip::tcp::socket Socket(Context);
+  Socket.connect({asio::ip::make_address(Server.Address), Server.Port});
+  const std::string Headers =
+      " HTTP/1.1\r\nHost: h.example\r\nDeadline-Ms: 3000\r\n"
+      "Content-Length: 0\r\n";
+  asio::write(Socket, asio::buffer(
+                          "POST " + FirstPath + Headers +
+                          "Request-Id: p1\r\n\r\nPOST " + SecondPath + Headers +
+                          "Request-Id: p2\r\nConnection: close\r\n\r\n"));
+  std::string Responses;
+  boost::system::error_code EndOfStream;
+  asio::read(Socket, asio::dynamic_buffer(Responses), EndOfStream);
+  return Responses;
+}
+
 class EndToEndTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(EndToEndTest);
   CPPUNIT_TEST(requestRunsOnOtherNode);
+  CPPUNIT_TEST(pipelinedRequestsFollowTheirRule);
   CPPUNIT_TEST(firstViewIsPublished);
   CPPUNIT_TEST(departureOutlivesRestart);
   CPPUNIT_TEST_SUITE_END();
@@ -215,6 +240,50 @@
         200U, callUntil(200, Settings[1].Callers, request("/4/x")).Status);
   }
 
+  /// Guards against a pipelined request that is not idempotent and runs beside
+  /// another one of its connection, and against idempotent ones that wait for
+  /// each other.
+  void pipelinedRequestsFollowTheirRule() {
+    PlatformFixture Platform;
+    Platform.publish("3");
+    RunningFleet Fleet(Platform, 1);
+    const NodeSettings &Settings = Fleet.Settings[0];
+    HttpRequest Announcement{
+        "POST", "/Instances.Heartbeat/i-1", {}, announcement(Platform, 1)};
+    callUntil(200, Settings.BackendServers, Announcement);
+    CPPUNIT_ASSERT_EQUAL(
+        200U, callUntil(200, Settings.Callers, request("/3/x")).Status);
+    struct Case {
+      const char *FirstPath;
+      const char *SecondPath;
+      /// Values of the counters after the case.
+      int Deferred;
+      int Pipelined;
+    };
+    // Behind a request that is not idempotent, the second one is not passed to
+    // the handler, so that it counts neither as deferred nor as pipelined.
+    const Case Cases[] = {{"/3/x", "/3/x", 0, 0},
+                          {"/3/x", "/3/read/x", 0, 0},
+                          {"/3/read/x", "/3/x", 1, 0},
+                          {"/3/read/x", "/3/read/x", 1, 1}};
+    for (const Case &C : Cases) {
+      std::string Responses =
+          callPipelined(Settings.Callers, C.FirstPath, C.SecondPath);
+      std::size_t First = Responses.find("Request-Id: p1");
+      std::size_t Second = Responses.find("Request-Id: p2");
+      CPPUNIT_ASSERT_MESSAGE(Responses, First < Second);
+      CPPUNIT_ASSERT_MESSAGE(Responses, Second != std::string::npos);
+      std::string Metrics =
+          call(Settings.Operators, {"GET", "/metrics", {}, ""}).Body.str();
+      for (const std::string &Line :
+           {"\nteaselhitch_deferred_requests_total " +
+                std::to_string(C.Deferred) + "\n",
+            "\nteaselhitch_pipelined_requests_total " +
+                std::to_string(C.Pipelined) + "\n"})
+        CPPUNIT_ASSERT_MESSAGE(Line, Metrics.find(Line) != std::string::npos);
+    }
+  }
+
   /// Guards against a view of the fleet that is complete when it is built for
   /// the first time, and therefore never reaches the other threads. This
   /// happened in a run under load, in which the records of the other node
