--- a/unittests/RowStorePlatform/EndToEndTest.cpp
+++ b/unittests/RowStorePlatform/EndToEndTest.cpp
@@ -612,49 +612,49 @@
     CPPUNIT_ASSERT(Shown.find("unknown-credential") != std::string::npos);
     for (const std::string &Text : {Log, Shown})
       CPPUNIT_ASSERT(Text.find(Key) == std::string::npos);
-    /// Guards against rows of a node that stay lost after the store was
-    /// restored from an older copy, though the node makes no other calls to the
-    /// store, and against a configuration that reverts. A second node starts
-    /// between two restores and writes its rows again as well.
-    void rowsAreWrittenAgainAfterRestores() {
-      PlatformFixture Platform;
-      Platform.publish("3");
-      Platform.saveCopy();
-      Platform.publish("4");
-      RunningFleet Fleet(Platform, 1);
-      const Endpoint &Listener = Fleet.Settings[0].BackendServers;
-      CPPUNIT_ASSERT_EQUAL(200U, callUntil(200, Listener,
-                                           {"POST",
-                                            "/Instances.Heartbeat/i-1",
-                                            {},
-                                            announcement(Platform, 1)})
-                                     .Status);
-      CPPUNIT_ASSERT_EQUAL(
-          200U,
-          call(Listener, {"POST", "/Instances.Leave/i-1", {}, ""}).Status);
-      CPPUNIT_ASSERT(Platform.awaitRow("nodes", "n0"));
-      CPPUNIT_ASSERT(Platform.awaitRow("departures", "n0"));
-      const auto HasVersion4 = [&] {
-        return call(Fleet.Settings[0].Operators, {"GET", "/v1/status", {}, ""})
-                   .Body.find("\"configuration_version\":4") !=
-               std::string::npos;
-      };
-      for (int Try = 0; Try != MaxTries && !HasVersion4(); ++Try)
-        std::this_thread::sleep_for(std::chrono::milliseconds(50));
-      Platform.restore();
-      CPPUNIT_ASSERT(!Platform.hasRow("nodes", "n0"));
-      CPPUNIT_ASSERT(Platform.awaitRow("nodes", "n0"));
-      CPPUNIT_ASSERT(Platform.awaitRow("departures", "n0"));
-      Fleet.add(Platform);
-      CPPUNIT_ASSERT(Platform.awaitRow("nodes", "n1"));
-      Platform.restore();
-      for (const char *Node : {"n0", "n1"})
-        CPPUNIT_ASSERT(Platform.awaitRow("nodes", Node));
-      CPPUNIT_ASSERT(Platform.awaitRow("departures", "n0"));
-      CPPUNIT_ASSERT(HasVersion4());
-    }
-  };
+  }
+
+  /// Guards against rows of a node that stay lost after the store was
+  /// restored from an older copy, though the node makes no other calls to the
+  /// store, and against a configuration that reverts. A second node starts
+  /// between two restores and writes its rows again as well.
+  void rowsAreWrittenAgainAfterRestores() {
+    PlatformFixture Platform;
+    Platform.publish("3");
+    Platform.saveCopy();
+    Platform.publish("4");
+    RunningFleet Fleet(Platform, 1);
+    const Endpoint &Listener = Fleet.Settings[0].BackendServers;
+    CPPUNIT_ASSERT_EQUAL(
+        200U,
+        callUntil(
+            200, Listener,
+            {"POST", "/Instances.Heartbeat/i-1", {}, announcement(Platform, 1)})
+            .Status);
+    CPPUNIT_ASSERT_EQUAL(
+        200U, call(Listener, {"POST", "/Instances.Leave/i-1", {}, ""}).Status);
+    CPPUNIT_ASSERT(Platform.awaitRow("nodes", "n0"));
+    CPPUNIT_ASSERT(Platform.awaitRow("departures", "n0"));
+    const auto HasVersion4 = [&] {
+      return call(Fleet.Settings[0].Operators, {"GET", "/v1/status", {}, ""})
+                 .Body.find("\"configuration_version\":4") != std::string::npos;
+    };
+    for (int Try = 0; Try != MaxTries && !HasVersion4(); ++Try)
+      std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    Platform.restore();
+    CPPUNIT_ASSERT(!Platform.hasRow("nodes", "n0"));
+    CPPUNIT_ASSERT(Platform.awaitRow("nodes", "n0"));
+    CPPUNIT_ASSERT(Platform.awaitRow("departures", "n0"));
+    Fleet.add(Platform);
+    CPPUNIT_ASSERT(Platform.awaitRow("nodes", "n1"));
+    Platform.restore();
+    for (const char *Node : {"n0", "n1"})
+      CPPUNIT_ASSERT(Platform.awaitRow("nodes", Node));
+    CPPUNIT_ASSERT(Platform.awaitRow("departures", "n0"));
+    CPPUNIT_ASSERT(HasVersion4());
+  }
+};
 
-  CPPUNIT_TEST_SUITE_REGISTRATION(EndToEndTest);
+CPPUNIT_TEST_SUITE_REGISTRATION(EndToEndTest);
 
 } // namespace
