--- a/unittests/RowStorePlatform/EndToEndTest.cpp
+++ b/unittests/RowStorePlatform/EndToEndTest.cpp
@@ -637,7 +637,8 @@
     CPPUNIT_ASSERT(Platform.awaitRow("departures", "n0"));
     const auto HasVersion4 = [&] {
       return call(Fleet.Settings[0].Operators, {"GET", "/v1/status", {}, ""})
-                 .Body.find("\"configuration_version\":4") != std::string::npos;
+                 .Body.str()
+                 .find("\"configuration_version\":4") != std::string::npos;
     };
     for (int Try = 0; Try != MaxTries && !HasVersion4(); ++Try)
       std::this_thread::sleep_for(std::chrono::milliseconds(50));
