--- a/lib/Entry/EntryAttempts.cpp
+++ b/lib/Entry/EntryAttempts.cpp
@@ -66,11 +66,13 @@
 }
 
 /// Returns true if the refusal concerns the request itself, so that other
-/// guards would refuse it as well.
-bool isFinalRefusal(Reason Why) {
+/// guards would refuse it as well. A request within the rate of its
+/// organisation may be over the share at one guard and not at another.
+bool isFinalRefusal(const PendingRequest &P, Reason Why) {
+  if (Why == Reason::OverShare)
+    return !P.HasCredit;
   return Why == Reason::Quarantined || Why == Reason::BadRequest ||
-         Why == Reason::OverShare || Why == Reason::DeadlineExpired ||
-         Why == Reason::DependencyBusy;
+         Why == Reason::DeadlineExpired || Why == Reason::DependencyBusy;
 }
 
 } // namespace
@@ -316,7 +318,7 @@
   // Only the guard that issued a key can run its request. If a backend server
   // crashed, this request may be the cause.
   return IsSafe && !Failure.Crashed && P.GuardKey.empty() &&
-         !isFinalRefusal(Failure.Cause) && P.Deadline > Now &&
+         !isFinalRefusal(P, Failure.Cause) && P.Deadline > Now &&
          P.Tried.size() < P.Target.MatchedRule->MaxAttempts;
 }
 
@@ -358,7 +360,7 @@
     return handleRefusal(P, Ended, Failure, Now, Actions);
   // Another attempt is still running, or another guard may still grant its
   // offer.
-  if (P.isSent() || (!P.Running.empty() && !isFinalRefusal(Failure.Cause)))
+  if (P.isSent() || (!P.Running.empty() && !isFinalRefusal(P, Failure.Cause)))
     return;
   bool SkipsBudget = Ended.IsTrial;
   if (CanRetry && (SkipsBudget || budget(P).tryRetry(Now)))
--- a/lib/Entry/EntryCredit.cpp
+++ b/lib/Entry/EntryCredit.cpp
@@ -39,6 +39,7 @@
     if (!P)
       continue;
     P->WaitsForCredit = false;
+    P->HasCredit = true;
     P->CreditExpires = Granted.Expires;
     start(*P, Now, Actions);
   }
--- a/lib/Entry/RequestTable.h
+++ b/lib/Entry/RequestTable.h
@@ -54,6 +54,8 @@
   std::string ClaimRow;
   /// The request has not started, because it waits for a credit.
   bool WaitsForCredit = false;
+  /// The request is within the rate of its organisation.
+  bool HasCredit = false;
   /// Until when the credit can be given back; the time origin if there is none.
   Time CreditExpires;
   /// Time when the claim was started.
--- a/lib/Node/CallersThread.cpp
+++ b/lib/Node/CallersThread.cpp
@@ -282,14 +282,18 @@
       });
   if (!Parsed)
     return Exchange->reply(refuse(Reason::BadRequest));
-  if (RequiresCredentials)
-    Protocol->identify(Request, Core->organisationOf(Parsed->CredentialDigest));
+  OrganisationName Organisation;
+  if (RequiresCredentials) {
+    Organisation = Core->organisationOf(Parsed->CredentialDigest);
+    Protocol->identify(Request, Organisation);
+  }
   Parsed->Waited = Exchange->waited();
   RuleName ParentRule = resolveParent(*Parsed);
   EntryActions Actions;
   RequestId Id = Core->accept(*Parsed, now(), Actions);
   Requests.emplace(Id.Sequence,
-                   PendingRequest{Exchange, Parsed->CallerId, std::nullopt,
+                   PendingRequest{Exchange, Parsed->CallerId,
+                                  std::move(Organisation), std::nullopt,
                                   now() - Parsed->Waited, ParentRule, false});
   Exchange->onDisconnect([this, Id] { handleCallerGone(Id); });
   execute(std::move(Actions));
@@ -541,6 +545,7 @@
   logEvent(LogLevel::Info, "entry", "request-ended",
            {{"request_id", toString(Id)},
             {"caller_id", Done.CallerId},
+            {"organisation", Done.Organisation.str()},
             {"outcome", outcomeName(Result)},
             {"reason", ReasonName},
             {"status", Answer.Status},
--- a/lib/Node/CallersThread.h
+++ b/lib/Node/CallersThread.h
@@ -41,6 +41,8 @@
     std::shared_ptr<HttpExchange> Exchange;
     /// Request id that the caller supplied, or empty.
     std::string CallerId;
+    /// Organisation of the key that the caller sent, or empty.
+    OrganisationName Organisation;
     /// Error answer of an attempt, returned to the caller if no other attempt
     /// gets a better one.
     std::optional<HttpAnswer> FallbackAnswer;
--- a/lib/RateLimit/CreditAccount.cpp
+++ b/lib/RateLimit/CreditAccount.cpp
@@ -170,7 +170,10 @@
   if (Now < A.EvenAt)
     return;
   double Share = evenShare(Limit, Now);
-  double Capacity = A.IsFallback ? std::max(1.0, Share) : A.EvenStart;
+  // An entry that has the share of several requests a second can serve its
+  // usual demand from the beginning of an outage.
+  double Start = Share >= 1 ? Share : A.EvenStart;
+  double Capacity = A.IsFallback ? std::max(1.0, Share) : Start;
   double Accrued = Share * (Now - A.EvenAt).ms() / 1000;
   A.EvenAt = Now;
   if (A.Even < Capacity)
--- a/unittests/Entry/EntryCreditTest.cpp
+++ b/unittests/Entry/EntryCreditTest.cpp
@@ -83,6 +83,7 @@
   CPPUNIT_TEST(requestOverTheRateDoesNotRun);
   CPPUNIT_TEST(silentOwnerEndsTheWait);
   CPPUNIT_TEST(creditOfRefusedRequestIsUsedAgain);
+  CPPUNIT_TEST(requestWithinRateIsOfferedElsewhere);
   CPPUNIT_TEST(callerGoneWhileWaiting);
   CPPUNIT_TEST(removedRateStartsWaitingRequests);
   CPPUNIT_TEST(onlyRequestsOfTheOrganisationCount);
@@ -169,7 +170,7 @@
     const EntryActions Started = reply(1);
     AttemptFailed Failure;
     Failure.Attempt = only<SendOffer>(Started).Info.Attempt;
-    Failure.Cause = Reason::OverShare;
+    Failure.Cause = Reason::Quarantined;
     Failure.Result = Outcome::NotRun;
     Now = Now + Duration(10);
     CPPUNIT_ASSERT_EQUAL(
@@ -178,6 +179,26 @@
                          count<SendOffer>(accept(makeRequest(Limited))));
   }
 
+  /// Load: a large organisation within its rate meets a guard where it has used
+  /// up its share of the queue. Guards against a refusal although other guards
+  /// have room, and against organisations without a rate that are treated so.
+  void requestWithinRateIsOfferedElsewhere() {
+    for (bool HasRate : {true, false}) {
+      EntryActions Started = accept(makeRequest(HasRate ? Limited : Unlimited));
+      if (HasRate)
+        Started = reply(1);
+      AttemptFailed Failure;
+      Failure.Attempt = only<SendOffer>(Started).Info.Attempt;
+      Failure.Cause = Reason::OverShare;
+      Failure.Result = Outcome::NotRun;
+      const EntryActions Next = Core->handleFailure(Failure, Now);
+      CPPUNIT_ASSERT_EQUAL(std::size_t(HasRate ? 0 : 1),
+                           count<ReplyFailure>(Next));
+      CPPUNIT_ASSERT_EQUAL(std::size_t(HasRate ? 1 : 0),
+                           count<SendOffer>(Next));
+    }
+  }
+
   /// Guards against requests that start after their caller has gone.
   void callerGoneWhileWaiting() {
     (void)accept(makeRequest(Limited));
--- a/unittests/RowStorePlatform/ConfigReaderTest.cpp
+++ b/unittests/RowStorePlatform/ConfigReaderTest.cpp
@@ -108,6 +108,7 @@
     Late.KeyDigests = {sha256Hex("k~3")};
     Late.Priority = 0;
     Late.RatePerS = 70;
+    Late.Share = 70;
     Late.Burst = 140;
     Organisation None;
     None.Name = OrganisationName("none");
