--- a/include/teaselhitch/Guard/DepartureLog.h
+++ b/include/teaselhitch/Guard/DepartureLog.h
@@ -76,9 +76,11 @@
   std::vector<Entry> Entries;
   /// Version of the row; 0 if there is no row, nullopt if this is not known.
   std::optional<std::uint64_t> RowVersion;
-  /// The row was read. What it contains is known from then on, also if an older
-  /// copy of it returns.
+  /// The row was read.
   bool HasRead = false;
+  /// The store was restored after the row was read, so entries of the row that
+  /// this log does not contain are outdated.
+  bool IgnoresOthers = false;
   std::optional<Request> InFlight;
   std::uint64_t LastToken = 0;
   Time NextTryAt;
--- a/include/teaselhitch/RateLimit/CreditAccount.h
+++ b/include/teaselhitch/RateLimit/CreditAccount.h
@@ -152,6 +152,8 @@
     /// Credits of the even share, to be used while the owner cannot be reached.
     double Even = 0;
     Time EvenAt;
+    /// When a credit of the even share was used last.
+    Time EvenUsedAt;
     /// Credits of the even share at the beginning of an outage; at least 0 and
     /// less than 1.
     double EvenStart = 0;
--- a/lib/Entry/EntryAttempts.cpp
+++ b/lib/Entry/EntryAttempts.cpp
@@ -28,10 +28,6 @@
 constexpr double BusyThreshold = 0.7;
 /// Weight of the newest offer in the share of busy guards.
 constexpr double BusySmoothing = 0.05;
-/// Number of guards at which a request may be queued at the same time. The
-/// first free slot takes the request; more guards gain little and cost
-/// messages.
-constexpr std::uint32_t ParallelOffers = 3;
 /// Maximum number of guards that are asked to queue a request before it is
 /// refused.
 constexpr std::uint32_t MaxQueueableOffers = 6;
--- a/lib/Entry/RequestTable.h
+++ b/lib/Entry/RequestTable.h
@@ -16,6 +16,11 @@
 
 namespace teaselhitch {
 
+/// Number of guards at which a request may be queued at the same time. The
+/// first free slot takes the request; more guards gain little and cost
+/// messages.
+inline constexpr std::uint32_t ParallelOffers = 3;
+
 /// An attempt that has not ended.
 struct RunningAttempt {
   AttemptId Id;
--- a/lib/Entry/ServerSelector.cpp
+++ b/lib/Entry/ServerSelector.cpp
@@ -130,9 +130,12 @@
       (IsSuspected ? Suspected : Healthy).push_back(C);
   }
   bool TrialAllowed = P.Dispatches == 0 && P.hasSpareAttempt();
+  // What the entry knows of near queues may be out of date, so later offers may
+  // go to remote guards.
+  bool IsFirstRound = P.QueueableOffers < ParallelOffers;
   if (P.SearchesRemote && !P.IsQueueable)
     searchRemote(Healthy);
-  else
+  else if (IsFirstRound)
     preferNear(Healthy, P.IsQueueable);
   if (TrialAllowed && !View->RemoteDomains.empty())
     limitRemoteTrials(Healthy, Suspected, Ejected);
@@ -146,7 +149,7 @@
     return {Suspected[Random.uniformInt(Suspected.size())].Server, false};
   // Suspected servers are asked last, and only for requests that may be queued.
   bool UseSuspected = Healthy.empty() && P.IsQueueable;
-  if (UseSuspected)
+  if (UseSuspected && IsFirstRound)
     preferNear(Suspected, true);
   return {pick(UseSuspected ? Suspected : Healthy), false};
 }
--- a/lib/Guard/DepartureLog.cpp
+++ b/lib/Guard/DepartureLog.cpp
@@ -157,6 +157,7 @@
 
 /// Called when the store was restored from an older copy.
 void DepartureLog::forgetStore() {
+  IgnoresOthers = IgnoresOthers || HasRead;
   RowVersion.reset();
   InFlight.reset();
   for (Entry &E : Entries)
@@ -173,7 +174,7 @@
         std::find_if(Entries.begin(), Entries.end(),
                      [&](const Entry &E) { return E.Server.Name == S.Name; });
     if (Known == Entries.end()) {
-      if (HasRead)
+      if (IgnoresOthers)
         continue;
       Merged.push_back({S, true});
       Restored.push_back(std::move(S));
--- a/lib/Membership/MembershipMessages.cpp
+++ b/lib/Membership/MembershipMessages.cpp
@@ -146,7 +146,7 @@
   };
   if (To == nullptr || !isRemote(*To))
     Queue.take(Copies, transmitLimit(), Add);
-  else
+  else if (To->Record.State == NodeState::Alive)
     RemoteQueues[To->Record.Domain].take(Copies, RemoteCopies, Add);
   return Message;
 }
--- a/lib/Membership/MembershipRemote.cpp
+++ b/lib/Membership/MembershipRemote.cpp
@@ -175,15 +175,20 @@
     if (Waiting.empty())
       continue;
     std::vector<const NodeEntry *> Targets;
-    for (const NodeEntry *Entry : Remote)
-      if (Entry->Record.Domain == Domain &&
-          Entry->Record.State == NodeState::Alive)
+    bool HasPeers = false;
+    for (const NodeEntry *Entry : Remote) {
+      if (Entry->Record.Domain != Domain)
+        continue;
+      HasPeers = true;
+      if (Entry->Record.State == NodeState::Alive)
         Targets.push_back(Entry);
-    if (Targets.empty()) {
-      // Anti-entropy transfers the changes when the domain is back.
+    }
+    // Anti-entropy transfers the changes when the domain is back. Suspected
+    // nodes may be alive, so the changes wait for them.
+    if (!HasPeers)
       Waiting = GossipQueue();
+    if (Targets.empty())
       continue;
-    }
     const NodeEntry *Target = Targets[Random.uniformInt(Targets.size())];
     Datagram Message = compose(DatagramKind::Gossip, Target, {}, 1, Now);
     if (Message.Changes != Delta())
--- a/lib/Net/HttpSession.cpp
+++ b/lib/Net/HttpSession.cpp
@@ -164,7 +164,7 @@
   std::uint64_t Body = Reader.maxBodyBytes();
   if (Reader.isChunked() && Reader.heldBytes() < FirstChunkedBytes / 2)
     Body = std::min(Body, FirstChunkedBytes);
-  return Body + UnparsedBytes;
+  return Body + Reader.headerBytes() + UnparsedBytes;
 }
 
 void HttpSession::reserveForRest() {
@@ -205,6 +205,9 @@
 }
 
 bool HttpSession::isReceiving() const {
+  // The caller of a full pipeline has not stalled: nothing more is read.
+  if (!Pipeline.isWriting() && !Pipeline.canAdd())
+    return false;
   return !IsClosed &&
          (!HasReceived || Reader.phase() != RequestReader::Phase::Idle);
 }
@@ -244,6 +247,7 @@
   Response.emplace(
       fromAnswer(std::move(Next->Answer), KeepAlive, Next->IsHead));
   TimedPhase.reset();
+  ProgressAt = Monotonic.now();
   Stream.expires_after(toChrono(Server->Settings.RequestTimeout));
   http::async_write(
       Stream, *Response,
@@ -257,6 +261,7 @@
   if (IsClosed)
     return;
   Pipeline.finishWriting();
+  ProgressAt = Monotonic.now();
   if (EC)
     return abort();
   if (!KeepAlive)
@@ -301,10 +306,14 @@
 
 void HttpSession::sendContinue() {
   AwaitsContinue = false;
-  // The result is ignored: a failed write makes the next read fail.
-  ErrorCodeT Ignored;
+  // A caller that does not read its responses must not block the thread.
+  setNonBlocking();
+  ErrorCodeT EC;
   asio::write(Stream.socket(),
-              asio::buffer("HTTP/1.1 100 Continue\r\n\r\n", 25), Ignored);
+              asio::buffer("HTTP/1.1 100 Continue\r\n\r\n", 25), EC);
+  // The next read then ends the connection.
+  if (EC)
+    Stream.socket().shutdown(Tcp::socket::shutdown_both, EC);
 }
 
 Duration HttpSession::phaseTimeout() const {
--- a/lib/Net/RequestReader.cpp
+++ b/lib/Net/RequestReader.cpp
@@ -92,6 +92,7 @@
 RequestReader::Result RequestReader::finishHeader() {
   IsHead = Parser->get().method() == http::verb::head;
   IsHeaderReported = true;
+  HeaderBytes = headerBytes();
   if (!isWellFramed(Parser->get()))
     return refuse(Reason::BadRequest);
   Parser->eager(true);
@@ -126,7 +127,8 @@
 }
 
 std::uint64_t RequestReader::heldBytes() const {
-  return Buffer.size() + (IsHeaderReported ? Parser->get().body().size() : 0);
+  return Buffer.size() +
+         (IsHeaderReported ? Parser->get().body().size() + HeaderBytes : 0);
 }
 
 std::uint64_t RequestReader::maxBodyBytes() const {
--- a/lib/Net/RequestReader.h
+++ b/lib/Net/RequestReader.h
@@ -90,6 +90,8 @@
   boost::beast::flat_buffer Buffer;
   std::optional<RequestParser> Parser;
   std::uint64_t BodyLimit = 0;
+  /// Bytes of the header of the request whose body is being received.
+  std::uint64_t HeaderBytes = 0;
   Reason Refusal = Reason::BadRequest;
   bool IsHead = false;
   bool IsHeaderReported = false;
--- a/lib/RateLimit/CreditAccount.cpp
+++ b/lib/RateLimit/CreditAccount.cpp
@@ -23,6 +23,9 @@
 /// Minimum time between a denial and the next message to the owner. Credits
 /// that accrue meanwhile are lent in one message: at 116 per second, six.
 constexpr Duration MinDenial = Duration(50);
+/// Maximum time for which a denial is not questioned. An owner without contact
+/// to the fleet gives much longer times, which end when the contact is back.
+constexpr Duration MaxDenial = Duration::seconds(1);
 /// `Retry-After` when neither the owner nor its deputy has replied.
 constexpr Duration UnreachableRetry = Duration::seconds(1);
 /// Credits that will not be used are returned when less than this is left of
@@ -130,7 +133,10 @@
   if (Now < A.DeniedUntil)
     return denyAll(A, A.DeniedUntil - Now, Actions);
   double Wanted = std::floor(A.Demand * AdvancePeriod.ms() / 1000);
-  if (!A.Waiting.empty() || (Wanted >= 2 && credits(A) < Wanted / 2))
+  // Without a question, an entry whose demand is below its even share would not
+  // notice that its owner replies again.
+  bool Probes = A.IsFallback && isReachable(A.Owners.Owner, Now);
+  if (!A.Waiting.empty() || Probes || (Wanted >= 2 && credits(A) < Wanted / 2))
     ask(Organisation, A, Now, Actions);
 }
 
@@ -185,7 +191,8 @@
   auto It = Unreachable.find(A.Owners.Owner);
   Time Since = It == Unreachable.end() ? Now : It->second.Since;
   accrueEvenShare(Limit, A, std::max(Since, A.EvenAt));
-  A.EvenAt = Since;
+  // What accrued before the last use was used.
+  A.EvenAt = std::max(Since, A.EvenUsedAt);
   A.IsFallback = true;
 }
 
@@ -201,6 +208,7 @@
   if (A.Even < 1)
     return false;
   A.Even -= 1;
+  A.EvenUsedAt = Now;
   Actions.Granted.push_back(CreditGranted{Token, Time()});
   ++Counters.Granted;
   ++Counters.Fallback;
@@ -216,6 +224,8 @@
     double Advance =
         std::floor(A.Demand * AdvancePeriod.ms() / 1000) - credits(A);
     Amount += static_cast<std::uint32_t>(std::max(0.0, Advance));
+    if (A.IsFallback)
+      Amount = std::max(Amount, 1U);
   } else {
     if (!A.IsFallback) {
       startFallback(Limits->at(Organisation), A, Now);
@@ -297,7 +307,7 @@
     A.Batches.insert(Position, Batch{Reply.Amount, Expires});
   }
   if (IsExpected && (Reply.RetryAfter.ms() > 0 || Reply.Amount == 0))
-    A.DeniedUntil = Now + std::max(Reply.RetryAfter, MinDenial);
+    A.DeniedUntil = Now + std::clamp(Reply.RetryAfter, MinDenial, MaxDenial);
   serve(Reply.Organisation, A, Now, Actions);
 }
 
@@ -370,6 +380,8 @@
     return;
   std::uint32_t Returned = Oldest.Amount - Needed;
   Oldest.Amount = Needed;
+  if (Needed == 0)
+    A.Batches.pop_front();
   ++Counters.Messages;
   Actions.Messages.push_back(SendCreditRequest{
       A.Owners.Owner, CreditRequest{Organisation, 0, Returned}});
--- a/lib/RateLimit/CreditOwner.cpp
+++ b/lib/RateLimit/CreditOwner.cpp
@@ -72,8 +72,12 @@
   for (auto &[Organisation, B] : Buckets)
     if (auto It = Limits->find(Organisation); It != Limits->end())
       accrue(B, It->second, Now);
+  bool WasAlone = Fleet.knownNodes(Now) == 1;
   if (!Fleet.update(View, Now))
     return;
+  // A node that was cut off when it started took itself for the whole fleet.
+  if (WasAlone && Fleet.knownNodes(Now) > 1)
+    reset(Now);
   for (auto &[Organisation, B] : Buckets) {
     bool IsOwner = Fleet.owners(Organisation).Owner == Self;
     if (IsOwner && !B.IsOwner) {
--- a/unittests/RateLimit/CreditAccountTest.cpp
+++ b/unittests/RateLimit/CreditAccountTest.cpp
@@ -51,6 +51,7 @@
   CPPUNIT_TEST(loweredRate);
   CPPUNIT_TEST(refundsAreUsable);
   CPPUNIT_TEST(removedRateReleasesWaitingRequests);
+  CPPUNIT_TEST(ownerIsAskedAgainAfterAnOutage);
   CPPUNIT_TEST(controlBytes);
   CPPUNIT_TEST_SUITE_END();
 
@@ -485,6 +486,35 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t(2), Actions.Granted.size());
   }
 
+  /// Guards against an entry that uses its even share for good beside an owner
+  /// that lends the whole rate: with a demand below that share it needs no
+  /// credits, so it must ask for one to notice that the owner replies again.
+  void ownerIsAskedAgainAfterAnOutage() {
+    constexpr int NodeCount = 70;
+    constexpr double Rate = 350;
+    std::map<NodeName, NodeState> States;
+    for (int I = 0; I != NodeCount; ++I)
+      States[creditNode(I)] = NodeState::Alive;
+    CreditAccount Account(creditNode(0));
+    CreditActions Actions;
+    Account.configure(limits({{Org, {Rate, Rate}}}), Actions);
+    Account.updateView(creditView(States), Time());
+    Account.request(Org, 1, Time(100), Actions);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Actions.Messages.size());
+    const NodeName Owner = Actions.Messages[0].Node;
+    Account.handleUnreachable(Owner, Time(101), Actions);
+    bool IsAsked = false;
+    std::uint64_t Token = 2;
+    for (double Ms = 500; Ms <= 3000 && !IsAsked; Ms += 500) {
+      Actions = CreditActions();
+      Account.tick(Time(Ms), Actions);
+      Account.request(Org, Token++, Time(Ms), Actions);
+      for (const SendCreditRequest &Message : Actions.Messages)
+        IsAsked |= Message.Node == Owner && Message.Request.Amount > 0;
+    }
+    CPPUNIT_ASSERT(IsAsked);
+  }
+
   /// Guards against requests that wait for good when a configuration removes
   /// the rate meanwhile.
   void removedRateReleasesWaitingRequests() {
