--- a/unittests/RateLimit/CreditAccountTest.cpp
+++ b/unittests/RateLimit/CreditAccountTest.cpp
@@ -471,7 +471,7 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t(2), Actions.Granted.size());
     // Unused for half of its lifetime, a credit goes back to the owner.
     Account.giveBack(Org, Actions.Granted[1].Expires, Time(400));
-    for (double Ms = 400; Ms < 800; Ms += 20)
+    for (int Ms = 400; Ms < 800; Ms += 20)
       Account.tick(Time(Ms), Actions);
     CPPUNIT_ASSERT_EQUAL(std::size_t(2), Actions.Messages.size());
     CPPUNIT_ASSERT(Actions.Messages[1].Request == (CreditRequest{Org, 0, 1}));
@@ -505,7 +505,7 @@
     Account.handleUnreachable(Owner, Time(101), Actions);
     bool IsAsked = false;
     std::uint64_t Token = 2;
-    for (double Ms = 500; Ms <= 3000 && !IsAsked; Ms += 500) {
+    for (int Ms = 500; Ms <= 3000 && !IsAsked; Ms += 500) {
       Actions = CreditActions();
       Account.tick(Time(Ms), Actions);
       Account.request(Org, Token++, Time(Ms), Actions);
--- a/unittests/RateLimit/CreditOwnerTest.cpp
+++ b/unittests/RateLimit/CreditOwnerTest.cpp
@@ -73,7 +73,7 @@
       Fresh.configure(limits({{Name, {100, 100}}}), Time());
       std::map<NodeName, NodeState> States{{creditNode(0), NodeState::Alive},
                                            {creditNode(1), NodeState::Alive}};
-      for (double Ms = 0; Ms < 60000; Ms += 100) {
+      for (int Ms = 0; Ms < 60000; Ms += 100) {
         Fresh.updateView(creditView(States), Time(Ms));
         Fresh.tick(Time(Ms));
       }
@@ -88,7 +88,7 @@
       Fresh.updateView(creditView(States), Time(60100));
       CPPUNIT_ASSERT_EQUAL(0u,
                            Fresh.handle({Name, Many, 0}, Time(60100))->Amount);
-      for (double Ms = 60100; Ms <= 61100; Ms += 100)
+      for (int Ms = 60100; Ms <= 61100; Ms += 100)
         Fresh.tick(Time(Ms));
       CPPUNIT_ASSERT_EQUAL(50u,
                            Fresh.handle({Name, Many, 0}, Time(61100))->Amount);
