--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,5 +1,5 @@
-"""DRAIN: a departure that was confirmed while the store was down is forgotten
-when the node's process is killed."""
+"""DRAIN: a departure that the store has lost in a restore is forgotten when the
+node is restarted."""
 
 import asyncio
 import os
@@ -9,11 +9,12 @@
 sys.path.insert(0, os.path.join(os.path.dirname(HERE), "lab2"))
 import lab as L  # noqa: E402
 
-STORE_DOWN_S = 8.0
+# How long the store is away before it comes back from an older copy.
+STORE_DOWN_S = 0.5
 # How late the check-in arrives that was sent before the departure.
-LATE_S = 4.0
+LATE_S = 4.5
 # How long the worker serves after the confirmation of its departure.
-SERVES_S = 12.0
+SERVES_S = 14.0
 RATE_S = 0.05
 
 
@@ -55,30 +56,32 @@
     await asyncio.sleep(4)
     x.beats.cancel()
     ready_at = 0
-    if L.TROUBLE:
-        lab.store.state = "down"
-        record.write("the store is down")
-    down_at = record.now()
     late = x.check_in_body()
+    sent_at = record.now()
     record.write(f"worker i-x sends a check-in, Seq {late['Status']['Seq']}, "
                  f"which is {LATE_S} s on its way")
+    copied = lab.store.copy()
     await asyncio.sleep(0.3)
     if not await x.leave():
         raise L.CannotRun("the departure was not confirmed")
     left_at = record.now()
-    await asyncio.sleep(0.3)
     if L.TROUBLE:
-        n1.send(L.signal.SIGKILL)
-        await n1.ended(1)
-        await asyncio.sleep(0.3)
+        lab.store.state = "down"
+        record.write("the store is away")
+        await asyncio.sleep(STORE_DOWN_S)
+        lab.store.restore(copied)
+        lab.store.state = None
+        record.write(f"the store is back from a copy of {sent_at:.3f}")
+        await asyncio.sleep(0.2)
+        n1.send(L.signal.SIGTERM)
+        await n1.ended(L.BOUNDS["GraceS"])
         await n1.start()
+        await n1.wait_ready()
         ready_at = record.now()
-    await asyncio.sleep(max(0, down_at + LATE_S - record.now()))
+        record.write("node n1 is ready again")
+    await asyncio.sleep(max(0, sent_at + LATE_S - record.now()))
     status = await x.check_in(late)
     record.write(f"the late check-in arrives: {status}")
-    await asyncio.sleep(max(0, down_at + STORE_DOWN_S - record.now()))
-    lab.store.state = None
-    record.write("the store is back")
     await asyncio.sleep(max(0, left_at + SERVES_S - record.now()))
     x.stop()
     gone_at = record.now()
--- a/review/lab2/lab.py
+++ b/review/lab2/lab.py
@@ -124,6 +124,18 @@
         self.changed = asyncio.Event()
         # None, "down" (503) or "silent" (no answer).
         self.state = None
+        self.era = 1
+
+    def copy(self):
+        return dict(self.rows), self.version
+
+    def restore(self, copied):
+        """Goes on from an older copy. Versions are given out again."""
+        self.rows, self.version = dict(copied[0]), copied[1]
+        self.era += 1
+        for writer in list(self.open):
+            writer.transport.abort()
+        self._notify()
 
     def put(self, table, key, value):
         self.version += 1
@@ -153,7 +165,7 @@
         answer.update(RowVersion=self.version, NowMs=int(time.monotonic() * 1000))
         writer.write(message(f"HTTP/1.1 {status} X",
                              {"Content-Type": "application/json",
-                              "Store-Era": 1}, json.dumps(answer).encode()))
+                              "Store-Era": self.era}, json.dumps(answer).encode()))
 
     def _row(self, identity):
         value, version = self.rows[identity]
@@ -188,6 +200,8 @@
 
     async def _feed(self, query):
         after = int(query["after"])
+        if after > self.version:
+            return 410, {}
         end = time.monotonic() + min(int(query["WaitMs"]), 30000) / 1000
         while True:
             found = sorted((version, i) for i, (_, version) in self.rows.items()
