Parse responses of backend servers in a reader of its own

Change: ResponseReader (module Http, no I/O) parses the bytes that the client reads and skips interim responses; the limits stay the same, but interim responses and responses to other requests are counted apart.

--- a/lib/Net/BackendClient.cpp
+++ b/lib/Net/BackendClient.cpp
@@ -1,14 +1,12 @@
 #include "teaselhitch/Net/BackendClient.h"
 
+#include "../Http/ResponseReader.h"
 #include "Asio.h"
 #include "Http.h"
 #include "IdleLimits.h"
 
 #include <boost/asio/post.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
 #include <algorithm>
@@ -43,12 +41,9 @@
 /// Maximum number of refused requests that are remembered for a connection. A
 /// connection with more is closed.
 constexpr std::size_t MaxRefusedRequests = 64;
-/// Maximum number of interim (1xx) responses and of responses to other requests
-/// before the response to a request. A server that sends more is faulty.
-constexpr int MaxSkippedResponses = 8;
-/// Maximum number of received bytes that are not parsed yet. It bounds parts of
-/// a response that have no limit of their own, such as chunk extensions.
-constexpr std::size_t MaxUnparsedBytes = 64UL * 1024;
+/// Maximum number of responses to other requests before the response to a
+/// request. A server that sends more is faulty.
+constexpr int MaxForeignResponses = 8;
 
 /// The idle limit that follows from a `Keep-Alive` header such as "timeout=5".
 Duration keepAliveLimit(const std::string &KeepAlive) {
@@ -63,20 +58,11 @@
                   Duration::seconds(Seconds * KeepAliveFraction));
 }
 
-/// True if the connection ended, as opposed to bytes that are no response.
-bool isConnectionEnd(ErrorCodeT EC) {
-  return EC == http::error::end_of_stream ||
-         EC == http::error::partial_message ||
-         EC.category() !=
-             http::make_error_code(http::error::end_of_stream).category();
-}
-
 /// A connection to a backend server.
 struct Connection {
   explicit Connection(asio::io_context &Context) : Stream(Context) {}
 
   beast::tcp_stream Stream;
-  beast::flat_buffer Buffer{MaxUnparsedBytes};
   Time IdleSince;
   /// Longest idle time after which the connection is still reused.
   Duration MaxIdleTime = DefaultIdleLimit;
@@ -95,10 +81,7 @@
 class Exchange : public std::enable_shared_from_this<Exchange> {
 public:
   Exchange(BackendClientImpl &Client, const AttemptId &Attempt,
-           const Endpoint &Server, HttpRequest &&Request)
-      : Client(Client), Attempt(Attempt), Server(Server),
-        IsHead(Request.Method == "HEAD"), Headers(Request.Headers),
-        Message(fromRequest(std::move(Request), toString(Server))) {}
+           const Endpoint &Server, HttpRequest &&Request);
 
   void run(ConnectionPtr Reused);
   void abort();
@@ -106,16 +89,15 @@
 private:
   void connect();
   void write();
+  /// Reads the next response of the server.
   void read();
   void readSome();
-  void onSome(ErrorCodeT EC);
-  void onRead(ErrorCodeT EC);
-  /// Accounts for the received part of the body. Returns false if it does not
-  /// fit.
-  bool reserve(std::uint64_t Bytes);
-  /// Reads the next response, because the last one does not belong to the
-  /// request.
-  void skipResponse();
+  void onSome(ErrorCodeT EC, std::size_t Count);
+  void parse();
+  void onResponse();
+  /// Counts the received part of the body. Returns false if it does not fit.
+  bool reserveBody();
+  void endTooLarge();
   void finish(AnswerKind Kind, HttpAnswer Answer);
   void endConnectionLost();
   void probeServer();
@@ -125,11 +107,10 @@
   BackendClientImpl &Client;
   AttemptId Attempt;
   Endpoint Server;
-  bool IsHead;
   /// Request headers as sent; the protocol compares the response with them.
   HeaderList Headers;
+  ResponseReader Reader;
   http::request<SharedBytesBody> Message;
-  std::optional<http::response_parser<http::string_body>> Parser;
   ConnectionPtr Conn;
   std::unique_ptr<beast::tcp_stream> Probe;
   char ProbeByte = 0;
@@ -138,9 +119,8 @@
   std::optional<Duration> ReuseIdleTime;
   /// The request was sent completely.
   bool IsWritten = false;
-  /// A response to another request arrived on the connection.
-  bool HasForeignAnswer = false;
-  int SkippedResponses = 0;
+  /// Number of responses to other requests that arrived on the connection.
+  int ForeignResponses = 0;
   /// Bytes of the body that are counted in the total of the client.
   std::uint64_t CountedBytes = 0;
   /// Accounts for the body of the response.
@@ -270,6 +250,13 @@
   std::map<Endpoint, std::vector<ConnectionPtr>> Pool;
 };
 
+Exchange::Exchange(BackendClientImpl &Client, const AttemptId &Attempt,
+                   const Endpoint &Server, HttpRequest &&Request)
+    : Client(Client), Attempt(Attempt), Server(Server),
+      Headers(Request.Headers),
+      Reader(Client.MaxAnswerBytes, Request.Method == "HEAD"),
+      Message(fromRequest(std::move(Request), toString(Server))) {}
+
 void Exchange::run(ConnectionPtr Reused) {
   if (Reused) {
     Conn = std::move(Reused);
@@ -314,33 +301,49 @@
 void Exchange::read() {
   if (Client.Memory)
     Held = Client.Memory->open();
-  Parser.emplace();
-  Parser->body_limit(Client.MaxAnswerBytes);
-  Parser->skip(IsHead);
-  readSome();
+  parse();
 }
 
 void Exchange::readSome() {
-  http::async_read_some(Conn->Stream, Conn->Buffer, *Parser,
-                        [Self = shared_from_this(), KeptConn = Conn](
-                            ErrorCodeT EC, std::size_t) { Self->onSome(EC); });
+  Conn->Stream.async_read_some(
+      Reader.prepare(),
+      [Self = shared_from_this(), KeptConn = Conn](
+          ErrorCodeT EC, std::size_t Count) { Self->onSome(EC, Count); });
 }
 
-void Exchange::onSome(ErrorCodeT EC) {
+void Exchange::onSome(ErrorCodeT EC, std::size_t Count) {
   if (Ended)
     return;
-  std::uint64_t Bytes = Parser->get().body().size();
+  if (!EC) {
+    Reader.commit(Count);
+    return parse();
+  }
+  if (EC == asio::error::eof && Reader.finish())
+    return onResponse();
+  // A server may crash before or while it responds.
+  probeServer();
+}
+
+void Exchange::parse() {
+  switch (Reader.parse()) {
+  case ResponseReader::Result::NeedsMore:
+    return reserveBody() ? readSome() : endTooLarge();
+  case ResponseReader::Result::Complete:
+    return onResponse();
+  case ResponseReader::Result::Malformed:
+    return endConnectionLost();
+  case ResponseReader::Result::TooLarge:
+    return endTooLarge();
+  }
+}
+
+bool Exchange::reserveBody() {
+  std::uint64_t Bytes = Reader.bodyBytes();
   Client.AnswerBytes += Bytes - std::exchange(CountedBytes, Bytes);
-  if (EC || Parser->is_done())
-    return onRead(EC);
   // A faulty server may send bytes without end. The limit holds for all
   // responses together, because several of them would fill the memory.
-  if (Client.AnswerBytes > Client.MaxAnswerBytes || !reserve(Bytes))
-    return onRead(http::error::body_limit);
-  readSome();
-}
-
-bool Exchange::reserve(std::uint64_t Bytes) {
+  if (Client.AnswerBytes > Client.MaxAnswerBytes)
+    return false;
   if (Bytes > MemoryBudget::LargeBytes)
     return Held.resize(Bytes);
   // The slots of the server bound the small responses, and refusing one would
@@ -349,44 +352,24 @@
   return true;
 }
 
-void Exchange::skipResponse() {
-  if (++SkippedResponses > MaxSkippedResponses)
-    return endConnectionLost();
-  read();
+void Exchange::endTooLarge() {
+  Conn->Stream.close();
+  end(RunEnd::TooLarge);
 }
 
-void Exchange::onRead(ErrorCodeT EC) {
-  if (Ended)
-    return;
-  if (EC == http::error::body_limit) {
-    Conn->Stream.close();
-    return end(RunEnd::TooLarge);
-  }
-  // HTTP defines no status codes outside this range, and the frame codec
-  // rejects them.
-  constexpr unsigned FirstStatus = 100, LastStatus = 599;
-  // A server may crash before or while it responds.
-  if (EC && isConnectionEnd(EC))
-    return probeServer();
-  if (EC || Parser->get().result_int() < FirstStatus ||
-      Parser->get().result_int() > LastStatus)
-    return endConnectionLost();
-  constexpr unsigned FirstFinal = 200;
-  // An interim (1xx) response precedes the final one.
-  if (Parser->get().result_int() < FirstFinal)
-    return skipResponse();
-  bool Reusable = Parser->get().keep_alive() && !Parser->need_eof();
-  std::string KeepAlive(Parser->get()[http::field::keep_alive]);
+void Exchange::onResponse() {
+  bool Reusable = Reader.keepsAlive();
   // The bytes that were received last are in memory already.
-  Held.force(Parser->get().body().size());
-  HttpAnswer Answer = toAnswer(Parser->release(), std::move(Held));
+  Held.force(Reader.bodyBytes());
+  ResponseReader::Response Response = Reader.take();
+  std::string KeepAlive(Response[http::field::keep_alive]);
+  HttpAnswer Answer = toAnswer(std::move(Response), std::move(Held));
   AnswerKind Kind = Client.Protocol.classify(Headers, Answer);
   if (Kind == AnswerKind::Mismatched) {
     // A duplicate response to an earlier request; the response to this request
     // follows.
-    HasForeignAnswer = true;
-    if (Reusable)
-      return skipResponse();
+    if (Reusable && ++ForeignResponses <= MaxForeignResponses)
+      return read();
     return endConnectionLost();
   }
   // On a connection that was used before, a response that names no request may
@@ -396,8 +379,8 @@
     return endConnectionLost();
   // Bytes after the response belong to no request, so a connection that has
   // received any is not reused.
-  if (Reusable && NamesRequest && IsWritten && !HasForeignAnswer &&
-      Conn->Buffer.size() == 0 && Kind != AnswerKind::OtherServer) {
+  if (Reusable && NamesRequest && IsWritten && ForeignResponses == 0 &&
+      !Reader.hasUnparsedBytes() && Kind != AnswerKind::OtherServer) {
     Conn->MaxIdleTime = keepAliveLimit(KeepAlive);
     if (Kind == AnswerKind::NotRun)
       Conn->RefusedRequests.insert(Attempt.Request);
@@ -456,7 +439,7 @@
         if (Self->Ended)
           return;
         bool StaysOpen = !EC || EC == beast::error::timeout;
-        if (StaysOpen && Self->ReuseIdleTime && !Self->Parser->got_some())
+        if (StaysOpen && Self->ReuseIdleTime && !Self->Reader.hasBegun())
           Self->Client.recordIdleLoss(Self->Server, *Self->ReuseIdleTime);
         Self->end(StaysOpen ? RunEnd::ConnectionLost : RunEnd::Crashed);
       });
