--- a/unittests/Soak/fleet.py
+++ b/unittests/Soak/fleet.py
@@ -201,6 +201,7 @@
         super().__init__()
         self.fleet, self.node, self.service = fleet, node, node.service
         self.name, self.sequence, self.running = f"i-{node.index}", 0, 0
+        self.port = WORKER_PORT
         self.born = int(time.time() * 1000)
         # The start time of the run that the node has acknowledged to depart.
         self.departed, self.departed_at = None, 0
@@ -234,25 +235,27 @@
         self.born, self.sequence, self.departed = int(time.time() * 1000), 0, None
 
     async def start(self):
-        await self.listen(self.node.address, WORKER_PORT)
+        await self.listen(self.node.address, self.port)
         self.beats = asyncio.create_task(self._beat())
 
     async def _beat(self):
         while True:
             self.sequence += 1
-            body = {"Address": f"{self.node.address}:{WORKER_PORT}",
-                    "born": self.born,
-                    "Info": {"Service": self.service, "Version": "v1",
-                             "Zone": self.node.zone, "Slots": SLOTS},
-                    "Status": {"State": "ready", "Seq": self.sequence,
-                               "ColdLeftMs": 0}}
             try:
-                await asyncio.wait_for(self._check_in(body), 1)
+                await asyncio.wait_for(self._check_in(self.announcement()), 1)
             except (OSError, ValueError, asyncio.IncompleteReadError,
                     asyncio.TimeoutError):
                 pass
             await asyncio.sleep(HEARTBEAT_S)
 
+    def announcement(self):
+        return {"Address": f"{self.node.address}:{self.port}",
+                "born": self.born,
+                "Info": {"Service": self.service, "Version": "v1",
+                         "Zone": self.node.zone, "Slots": SLOTS},
+                "Status": {"State": "ready", "Seq": self.sequence,
+                           "ColdLeftMs": 0}}
+
     async def _check_in(self, body):
         reader, writer = await asyncio.open_connection(
             self.node.address, PORTS["Control"])
