Complete no response by a connection whose write has failed

What callers saw: a worker answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the upload was being written; the client got the part as a complete answer (MIXED). Cause: a socket reports a reset once. The event loop performs the pending write first, which takes ECONNRESET; the reads then get what had arrived and an ordinary end, and a body without a length ends with the connection. The result of the write was not looked at. Change: after a failed write, the end of the connection completes no response. This holds for any error that a write takes, also for a connection that the kernel gives up. A server that closes only its sending side causes no failed write and is served. Evidence: plain sockets, after the reset: send ECONNRESET, recv b'part', recv b'' (end); after a close of the sending side: send works. NetTests 52 passed.

--- a/lib/Net/BackendClient.cpp
+++ b/lib/Net/BackendClient.cpp
@@ -119,6 +119,8 @@
   std::optional<Duration> ReuseIdleTime;
   /// The request was sent completely.
   bool IsWritten = false;
+  /// The request could not be sent completely.
+  bool HasWriteFailed = false;
   /// Number of responses to other requests that arrived on the connection.
   int ForeignResponses = 0;
   /// Bytes of the body that are counted in the total of the client.
@@ -293,9 +295,12 @@
   // Reading starts before the write has finished, because a server may respond
   // before it has read a long body.
   read();
-  http::async_write(Conn->Stream, Message,
-                    [Self = shared_from_this(), KeptConn = Conn](
-                        ErrorCodeT EC, std::size_t) { Self->IsWritten = !EC; });
+  http::async_write(
+      Conn->Stream, Message,
+      [Self = shared_from_this(), KeptConn = Conn](ErrorCodeT EC, std::size_t) {
+        Self->IsWritten = !EC;
+        Self->HasWriteFailed = bool(EC);
+      });
 }
 
 void Exchange::read() {
@@ -318,7 +323,9 @@
     Reader.commit(Count);
     return parse();
   }
-  if (EC == asio::error::eof && Reader.finish())
+  // A socket reports a reset only once. If a write has got the error, reads
+  // report an ordinary end, which says nothing about the response.
+  if (EC == asio::error::eof && !HasWriteFailed && Reader.finish())
     return onResponse();
   // A server may crash before or while it responds.
   probeServer();
