Refuse responses with a line that starts with a blank

What callers saw: a response in which the seal was "s Content-Length: 7" and the body was all that came until the connection ended. Cause: the parser joins a line that starts with a blank to the value before it (line folding, which no server may send since RFC 7230), so that a field whose name a fault has shifted loses its meaning. Change: the reader of responses refuses such a line in headers, in interim responses and in trailers, in bytes that arrive in pieces of any size; bodies may contain it. Evidence: BrokenAnswers.fields before, on: 210 cases, 840 requests, 148 failures, e.g. "field-0-' Content-Length: 7'-last, other node, new connection: not refused: status 200, whole, seal 'seal.c3-s1 Content-Length: 7', 19 bytes". After: 0 failures. BrokenAnswers.honest: 43 cases, 172 requests, 0 failures. HttpTests 2 and NetTests 52 passed.

--- a/lib/Http/ResponseReader.cpp
+++ b/lib/Http/ResponseReader.cpp
@@ -3,6 +3,7 @@
 #include <boost/beast/http/error.hpp>
 
 #include <algorithm>
+#include <string_view>
 
 namespace teaselhitch {
 
@@ -20,6 +21,17 @@
 /// more is faulty.
 constexpr int MaxInterimResponses = 8;
 
+/// True if a line starts with a blank. The parser takes it for the continuation
+/// of the value before it, which no server may send (RFC 9112, section 5.2); it
+/// may as well be a field of its own whose name a fault has shifted.
+bool hasContinuedLine(std::string_view Lines) {
+  for (std::size_t I = Lines.find('\n'); I != std::string_view::npos;
+       I = Lines.find('\n', I + 1))
+    if (I + 1 < Lines.size() && (Lines[I + 1] == ' ' || Lines[I + 1] == '\t'))
+      return true;
+  return false;
+}
+
 } // namespace
 
 boost::asio::mutable_buffer ResponseReader::prepare() {
@@ -64,6 +76,13 @@
     bool IsInHeader = !Parser->is_header_done();
     boost::beast::error_code EC;
     std::size_t Used = Parser->put(Buffer.data(), EC);
+    // The parser reads a field together with its continuations, and the
+    // trailers in one step with the last chunk, which has no data.
+    bool HasReadFields = IsInHeader || (Parser->chunked() && Parser->is_done());
+    std::string_view Read(static_cast<const char *>(Buffer.data().data()),
+                          Used);
+    if (HasReadFields && hasContinuedLine(Read))
+      return fail(http::error::bad_value);
     Buffer.consume(Used);
     if (EC == http::error::need_more || (!EC && Used == 0)) {
       if (Buffer.size() >= MaxUnparsedBytes)
--- a/unittests/BrokenAnswers/answers.py
+++ b/unittests/BrokenAnswers/answers.py
@@ -25,7 +25,7 @@
 START_TIMEOUT_S = 30
 # Failures of a node itself that do not promise that the request has not run.
 OWN_FAILURES = (502, 504)
-MAX_SHOWN = 40
+MAX_SHOWN = 400
 MAX_TRIES = 100
 RETRY_S = 0.05
 
--- a/unittests/Http/ResponseReaderTest.cpp
+++ b/unittests/Http/ResponseReaderTest.cpp
@@ -33,6 +33,7 @@
 class ResponseReaderTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(ResponseReaderTest);
   CPPUNIT_TEST(responsesAreReadInPiecesOfAnySize);
+  CPPUNIT_TEST(continuedLinesAreMalformed);
   CPPUNIT_TEST_SUITE_END();
 
   /// Guards against responses that are parsed only if they arrive with certain
@@ -64,6 +65,30 @@
       CPPUNIT_ASSERT_EQUAL(Body, Reader.take().body());
     }
   }
+
+  /// Guards against a line that starts with a blank and that is found only if
+  /// it arrives in certain pieces, and against a body that is taken for one.
+  void continuedLinesAreMalformed() {
+    const std::string Ok = "HTTP/1.1 200 OK\r\n";
+    const std::string Chunked = Ok + "Transfer-Encoding: chunked\r\n\r\n";
+    const std::string Chunk = "5\r\na\r\n b\r\n0\r\n";
+    for (std::size_t Size : {1, 2, 3, 7, 100}) {
+      for (const std::string &Bytes :
+           {Ok + " A: b\r\n\r\n", Ok + "A: b\r\n Content-Length: 1\r\n\r\nx",
+            Ok + "A: b\r\n\t\r\n\r\n", Ok + "A:\r\n b\r\n\r\n",
+            "HTTP/1.1 103 X\r\nA: b\r\n c\r\n\r\n" + Ok + "\r\n",
+            Chunked + Chunk + "A: b\r\n c\r\n\r\n",
+            Chunked + Chunk + " A: b\r\n\r\n"}) {
+        ResponseReader Reader(MaxBodyBytes, /*IsHead=*/false);
+        CPPUNIT_ASSERT_MESSAGE(Bytes,
+                               feed(Reader, Bytes, Size) == Result::Malformed);
+      }
+      ResponseReader Reader(MaxBodyBytes, /*IsHead=*/false);
+      CPPUNIT_ASSERT(feed(Reader, Chunked + Chunk + "A: b\r\n\r\n", Size) ==
+                     Result::Complete);
+      CPPUNIT_ASSERT_EQUAL(std::string("a\r\n b"), Reader.take().body());
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ResponseReaderTest);
