Refuse responses in a transfer coding other than chunked

What callers saw: a body that is not the worker's: coded bytes for "Transfer-Encoding: gzip, chunked", and chunk sizes within the body for "chunked, gzip", "xchunked", "identity" or an empty value (MIXED). Found by a test, not reported. Cause: the parser decodes chunks only if "chunked" comes last and ignores each other coding, and the field is not passed on. Change: the reader of responses refuses a response unless the field is absent or "chunked", once and in HTTP/1.1. Nodes send no TE field, so no server may use another coding.

--- a/lib/Http/ResponseReader.cpp
+++ b/lib/Http/ResponseReader.cpp
@@ -1,5 +1,6 @@
 #include "ResponseReader.h"
 
+#include <boost/beast/core/string.hpp>
 #include <boost/beast/http/error.hpp>
 
 #include <algorithm>
@@ -20,6 +21,8 @@
 /// Maximum number of interim responses before a final one. A server that sends
 /// more is faulty.
 constexpr int MaxInterimResponses = 8;
+/// HTTP/1.1 in Boost.Beast's encoding of versions.
+constexpr unsigned Http11 = 11;
 
 /// True if a line starts with a blank. The parser takes it for the continuation
 /// of the value before it, which no server may send (RFC 9112, section 5.2); it
@@ -63,6 +66,16 @@
   unsigned Status = Parser->get().result_int();
   if (Status < FirstStatus || Status > LastStatus)
     return http::error::bad_status;
+  const auto &Header = Parser->get();
+  // The parser accepts any coding and decodes only chunks, but the request asks
+  // for no other coding (RFC 9112, section 7.4), and the response is passed on
+  // without this field. In HTTP/1.0 the field has no meaning (section 6.1).
+  auto Codings = Header.count(http::field::transfer_encoding);
+  bool IsChunked =
+      Codings == 1 && Header.version() >= Http11 &&
+      boost::beast::iequals(Header[http::field::transfer_encoding], "chunked");
+  if (Codings != 0 && !IsChunked)
+    return http::error::bad_transfer_encoding;
   return {};
 }
 
