Read answers of the platform like those of backend servers

A store that sends interim answers made each request fail, and its final answer was taken for the answer to the next request on the connection. Cause: the platform's connection had a reading loop of its own, which took an interim answer for the final one, kept the connection, and believed lines with a leading blank and codings that nobody asked for. Change: PlatformConnection reads with ResponseReader. The test's server ends its script when a test fails, so that the output is seen. Evidence, the new tests on: badAnswersAreClassified "Expected: unavailable, Actual: ok" (for "X: y\r\n Content-Length: 9"), lateAnswerEndsNoOtherRequest "Expected: ok, Actual: conflict", interimAnswersAreSkipped "Expected: ok, Actual: unavailable"; 3 of 34 failed. After: PlatformTests 34 passed.

--- a/include/teaselhitch/Platform/PlatformConnection.h
+++ b/include/teaselhitch/Platform/PlatformConnection.h
@@ -28,6 +28,8 @@
   Write,
 };
 
+class ResponseReader;
+
 struct PlatformAnswer {
   unsigned Status = 0;
   boost::beast::http::fields Headers;
@@ -70,6 +72,8 @@
   Attempt attempt(Request &Message);
   IoError connect();
   Attempt transfer(Request &Message);
+  /// Reads one answer.
+  IoError receive(ResponseReader &Reader);
   /// Blocks until the pending operation completes.
   void wait();
   /// Error message of a failed exchange, with the peer's address and port.
--- a/lib/Http/ResponseReader.h
+++ b/lib/Http/ResponseReader.h
@@ -50,7 +50,7 @@
   /// completes the response, because its body ends with the connection.
   bool finish();
 
-  /// After Malformed: the cause.
+  /// After Malformed or TooLarge: the cause.
   boost::beast::error_code error() const { return Error; }
   /// A byte of a final response has been parsed.
   bool hasBegun() const { return Parser && Parser->got_some(); }
--- a/lib/Platform/PlatformConnection.cpp
+++ b/lib/Platform/PlatformConnection.cpp
@@ -1,11 +1,10 @@
 #include "teaselhitch/Platform/PlatformConnection.h"
 
+#include "../Http/ResponseReader.h"
+
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/error.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
 #include <cerrno>
@@ -114,24 +113,48 @@
     Current.ClosedEarly = isClosed(Current.Code);
     return Current;
   }
-  beast::flat_buffer Buffer;
-  http::response_parser<http::string_body> Parser;
-  Parser.body_limit(MaxAnswerBytes);
+  ResponseReader Reader(MaxAnswerBytes, /*IsHead=*/false);
   Stream.expires_at(Deadline);
-  http::async_read(Stream, Buffer, Parser,
-                   [&](IoError Code, std::size_t) { Current.Code = Code; });
-  wait();
-  Current.ClosedEarly = !Parser.got_some() && isClosed(Current.Code);
+  Current.Code = receive(Reader);
+  Current.ClosedEarly = !Reader.hasBegun() && isClosed(Current.Code);
   if (Current.Code)
     return Current;
-  Current.Answer.Status = Parser.get().result_int();
-  Current.Answer.Body = std::move(Parser.get().body());
-  if (!Parser.get().keep_alive())
+  bool KeepsAlive = Reader.keepsAlive();
+  ResponseReader::Response Response = Reader.take();
+  Current.Answer.Status = Response.result_int();
+  Current.Answer.Body = std::move(Response.body());
+  if (!KeepsAlive)
     close();
-  Current.Answer.Headers = std::move(Parser.get().base());
+  Current.Answer.Headers = std::move(Response.base());
   return Current;
 }
 
+PlatformConnection::IoError
+PlatformConnection::receive(ResponseReader &Reader) {
+  for (;;) {
+    IoError Code;
+    Stream.async_read_some(Reader.prepare(),
+                           [&](IoError Result, std::size_t Count) {
+                             Code = Result;
+                             Reader.commit(Count);
+                           });
+    wait();
+    if (Code == asio::error::eof && Reader.hasBegun())
+      return Reader.finish() ? IoError() : http::error::partial_message;
+    if (Code)
+      return Code;
+    switch (Reader.parse()) {
+    case ResponseReader::Result::NeedsMore:
+      break;
+    case ResponseReader::Result::Complete:
+      return {};
+    case ResponseReader::Result::Malformed:
+    case ResponseReader::Result::TooLarge:
+      return Reader.error();
+    }
+  }
+}
+
 void PlatformConnection::cancel() {
   asio::post(Context, [this] { Stream.cancel(); });
 }
--- a/unittests/Platform/StoreFaultTest.cpp
+++ b/unittests/Platform/StoreFaultTest.cpp
@@ -32,7 +32,8 @@
   explicit ScriptedServer(Connections Script)
       : Acceptor(Context, {asio::ip::make_address("127.0.0.1"), 0}),
         Thread([this, Script = std::move(Script)] {
-          for (std::size_t Index = 0; Index < Script.size(); ++Index) {
+          for (std::size_t Index = 0; Index < Script.size() && !Stopping;
+               ++Index) {
             serve(Script[Index]);
             if (Index == 0)
               FirstClosed.set_value();
@@ -122,6 +123,8 @@
 class StoreFaultTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(StoreFaultTest);
   CPPUNIT_TEST(badAnswersAreClassified);
+  CPPUNIT_TEST(lateAnswerEndsNoOtherRequest);
+  CPPUNIT_TEST(interimAnswersAreSkipped);
   CPPUNIT_TEST(refusedConnectHasNoEffect);
   CPPUNIT_TEST(refusedConnectErrorHasAddress);
   CPPUNIT_TEST(silentServerTimesOut);
@@ -165,6 +168,13 @@
          "9\r\n\r\n{\"ver",
          "unavailable", "unknown"},
         {"not HTTP\r\n\r\n", "unavailable", "unknown"},
+        // A shifted field name and a coding that no request asks for.
+        {"HTTP/1.1 200 x\r\nX: y\r\n Content-Length: 9\r\n\r\n"
+         "{\"key\":\"k\",\"value\":1,\"version\":1}",
+         "unavailable", "unknown"},
+        {"HTTP/1.1 200 x\r\nTransfer-Encoding: gzip\r\n\r\n"
+         "{\"key\":\"k\",\"value\":1,\"version\":1}",
+         "unavailable", "unknown"},
         {"HTTP/1.1 200 x\r\nConnection: close\r\nContent-Length: 2\r\n\r\n[]",
          "unavailable", "unknown"},
         {"HTTP/1.1 200 x\r\nConnection: close\r\nContent-Length: "
@@ -185,6 +195,30 @@
     }
   }
 
+  /// Guards against an interim answer that ends its request, so that the final
+  /// answer, which comes later, is taken for the answer to the next request on
+  /// the connection.
+  void lateAnswerEndsNoOtherRequest() {
+    ScriptedServer Server({{"HTTP/1.1 100 Continue\r\n\r\n",
+                            "HTTP/1.1 412 x\r\nContent-Length: 0\r\n\r\n"},
+                           {RowAnswer}});
+    auto Table = createTable(Server.address(), Duration(200));
+    CPPUNIT_ASSERT_EQUAL(std::string("unknown"),
+                         runOperation(*Table, TableOperation::Insert));
+    CPPUNIT_ASSERT_EQUAL(std::string("ok"),
+                         runOperation(*Table, TableOperation::Read));
+  }
+
+  /// Guards against a store whose interim answers make each request fail.
+  void interimAnswersAreSkipped() {
+    ScriptedServer Server(
+        {{"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 x\r\nLink: a\r\n\r\n" +
+          RowAnswer}});
+    auto Table = createTable(Server.address());
+    CPPUNIT_ASSERT_EQUAL(std::string("ok"),
+                         runOperation(*Table, TableOperation::Read));
+  }
+
   /// Guards against a write that is reported as unknown although the connection
   /// to the platform was refused and the write was never sent.
   void refusedConnectHasNoEffect() {
