Let the largest response give way when responses do not fit

Found by a test. Cause: the limit of all responses together ended the one that exceeded it, not the one that used it up. Change: if a response does not fit, by the limit or by the memory budget, the largest one that is being received ends first, until it fits or is the largest itself.

--- a/lib/Net/BackendClient.cpp
+++ b/lib/Net/BackendClient.cpp
@@ -85,6 +85,10 @@
 
   void run(ConnectionPtr Reused);
   void abort();
+  /// Ends the attempt, because its response does not fit.
+  void endTooLarge();
+  /// Size of the received part of the body.
+  std::uint64_t bodyBytes() const { return CountedBytes; }
 
 private:
   void connect();
@@ -95,9 +99,10 @@
   void onSome(ErrorCodeT EC, std::size_t Count);
   void parse();
   void onResponse();
-  /// Counts the received part of the body. Returns false if it does not fit.
+  /// Counts the received part of the body. Returns false if it does not fit,
+  /// also after larger responses have been ended.
   bool reserveBody();
-  void endTooLarge();
+  bool tryReserve(std::uint64_t Bytes);
   void finish(AnswerKind Kind, HttpAnswer Answer);
   void endConnectionLost();
   void probeServer();
@@ -185,6 +190,19 @@
     Idle.push_back(std::move(C));
   }
 
+  /// Ends the attempt with the largest response that is being received, if it
+  /// is larger than this. Returns false if there is none.
+  bool endLargerThan(std::uint64_t Bytes) {
+    std::shared_ptr<Exchange> Largest;
+    for (const auto &[Attempt, E] : Running)
+      if (E->bodyBytes() > (Largest ? Largest->bodyBytes() : Bytes))
+        Largest = E;
+    if (!Largest)
+      return false;
+    Largest->endTooLarge();
+    return true;
+  }
+
   asio::io_context &Context;
   std::uint64_t MaxAnswerBytes;
   /// Bytes of all response bodies that are being received.
@@ -347,8 +365,17 @@
 bool Exchange::reserveBody() {
   std::uint64_t Bytes = Reader.bodyBytes();
   Client.AnswerBytes += Bytes - std::exchange(CountedBytes, Bytes);
-  // A faulty server may send bytes without end. The limit holds for all
-  // responses together, because several of them would fill the memory.
+  // A faulty server may send bytes without end, or stop within a body. The
+  // largest response gives way, so that it does not cost the others theirs.
+  while (!tryReserve(Bytes))
+    if (!Client.endLargerThan(Bytes))
+      return false;
+  return true;
+}
+
+bool Exchange::tryReserve(std::uint64_t Bytes) {
+  // The limit holds for all responses together, because several of them would
+  // fill the memory.
   if (Client.AnswerBytes > Client.MaxAnswerBytes)
     return false;
   if (Bytes > MemoryBudget::LargeBytes)
--- a/unittests/Net/BackendClientTest.cpp
+++ b/unittests/Net/BackendClientTest.cpp
@@ -9,10 +9,12 @@
 
 #include <array>
 #include <chrono>
+#include <map>
 #include <mutex>
 #include <optional>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 using namespace teaselhitch;
@@ -34,11 +36,13 @@
 /// Reads a request, sends Bytes and closes its connection without the rest of
 /// the response, then accepts the probe connection by which the client checks
 /// whether the server still works. With StopsListening, closes the probe
-/// connection and the listening socket as an exiting process does.
+/// connection and the listening socket as an exiting process does. With
+/// KeepsConnection, the client has to close its connection.
 class DisconnectingServer {
 public:
-  explicit DisconnectingServer(bool StopsListening, std::string Bytes = "")
-      : Bytes(std::move(Bytes)),
+  explicit DisconnectingServer(bool StopsListening, std::string Bytes = "",
+                               bool KeepsConnection = false)
+      : Bytes(std::move(Bytes)), KeepsConnection(KeepsConnection),
         Acceptor(Context, {asio::ip::make_address("127.0.0.1"), 0}),
         Thread([this, StopsListening] { serve(StopsListening); }) {}
   ~DisconnectingServer() {
@@ -58,6 +62,8 @@
     tcp::socket Connection = Acceptor.accept();
     Connection.read_some(asio::buffer(Input), Ignored);
     asio::write(Connection, asio::buffer(Bytes), Ignored);
+    if (KeepsConnection)
+      Connection.read_some(asio::buffer(Input), Ignored);
     Connection.close(Ignored);
     tcp::socket Probe = Acceptor.accept();
     if (StopsListening) {
@@ -70,6 +76,7 @@
   }
 
   std::string Bytes;
+  bool KeepsConnection;
   asio::io_context Context;
   tcp::acceptor Acceptor;
   Endpoint Address{"127.0.0.1", Acceptor.local_endpoint().port()};
@@ -317,6 +324,7 @@
   CPPUNIT_TEST(invalidStatusIsNoAnswer);
   CPPUNIT_TEST(endlessBytesEndTheAttempt);
   CPPUNIT_TEST(endlessBodiesShareOneLimit);
+  CPPUNIT_TEST(largestResponseGivesWay);
   CPPUNIT_TEST_SUITE_END();
 
   /// Guards against a crash that is classified as a lost connection because the
@@ -473,6 +481,46 @@
     for (RunEnd End : endsOfRequests(Server.address(), Requests, 1024UL * 1024))
       CPPUNIT_ASSERT(End == RunEnd::TooLarge);
   }
+
+  /// Guards against a faulty server that sends almost as much as is permitted
+  /// and stops, so that the responses of other servers do not fit any more.
+  void largestResponseGivesWay() {
+    constexpr std::uint64_t Limit = 1024UL * 1024;
+    for (bool HasBudget : {false, true}) {
+      DisconnectingServer Faulty(
+          /*StopsListening=*/false,
+          "HTTP/1.1 200 OK\r\n\r\n" + std::string(Limit - 1000, 'x'),
+          /*KeepsConnection=*/true);
+      DisconnectingServer Sound(false, "HTTP/1.1 200 OK\r\n\r\n" +
+                                           std::string(Limit / 4, 'y'));
+      MemoryBudget Budget(Limit);
+      EventLoop Loop;
+      std::map<std::uint64_t, RunEnd> Ends;
+      std::unique_ptr<BackendProtocol> Protocol = createNativeBackendProtocol();
+      std::unique_ptr<BackendClient> Client = BackendClient::create(
+          Loop, HasBudget ? 2 * Limit : Limit, *Protocol,
+          [&](const AttemptId &Id, const RunResult &Result,
+              const HttpAnswer &) {
+            Ends[Id.Request.Sequence] = Result.End;
+            if (Id.Request.Sequence == 2)
+              Loop.stop();
+          },
+          HasBudget ? &Budget : nullptr);
+      Client->start({{NodeName("n"), 1, 1}, 1}, Faulty.address(),
+                    HttpRequest{"GET", "/", {}, ""}, true);
+      // The faulty server has sent its part when the other one is asked.
+      Loop.schedulePeriodic(Duration(100), [&, IsSent = false]() mutable {
+        if (!std::exchange(IsSent, true))
+          Client->start({{NodeName("n"), 1, 2}, 1}, Sound.address(),
+                        HttpRequest{"GET", "/", {}, ""}, true);
+      });
+      Loop.run();
+      CPPUNIT_ASSERT_EQUAL(std::string(runEndName(RunEnd::Answered)),
+                           std::string(runEndName(Ends.at(2))));
+      CPPUNIT_ASSERT_EQUAL(std::string(runEndName(RunEnd::TooLarge)),
+                           std::string(runEndName(Ends.at(1))));
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(BackendClientTest);
