Comments of the test of broken answers

Cause: a comment in the catalogue did not fit the list below it, and two names are imported for other programs only. Change: comments only.

--- a/unittests/BrokenAnswers/catalogue.py
+++ b/unittests/BrokenAnswers/catalogue.py
@@ -50,7 +50,8 @@
 
 
 def cut_answer(framing, point, end, pause):
-    """A script that sends an answer up to a point and ends the connection."""
+    """A script that sends an answer up to a point and ends the connection, after
+    a pause or at once."""
     async def script(reader, writer, request):
         lines, (first, rest) = FRAMINGS[framing]
         head = head_of(request, *lines)
@@ -168,7 +169,7 @@
                    method="HEAD")
 
 
-# The first of each pair is placed into a head.
+# Lines that neither a head nor trailers may hold.
 BAD_LINES = [
     " Content-Length: 7", "\tContent-Length: 7", "Content-Length : 7",
     "Content-Length\t: 7", "Content Length: 7", "Content\tLength: 7",
--- a/unittests/BrokenAnswers/worker.py
+++ b/unittests/BrokenAnswers/worker.py
@@ -12,6 +12,7 @@
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)),
                                 "..", "Soak"))
 # pylint: disable=wrong-import-position
+# ROOT and Fleet are for the programs that import this module.
 from fleet import PORTS, ROOT, Fleet, Worker  # noqa: F401
 
 HOST = "broken.test"
