Look for a restore of the store before a node ends

What callers saw: a backend server left, its node wrote the departure to the store and acknowledged it. The store came back from a copy that lacked the row, and the node was stopped 0.2 s later. Cause: a node notices a restore by a probe each 1.5 to 2 s. After SIGTERM it sent none and did not look at the store's incarnation in the response to the removal of its directory entry, so it ended without writing the row again. Change: a stopping node looks at the incarnation when it removes its entry and once more when its requests have ended; it ends when every departure is recorded, 1 s later at the latest (log event departures-not-recorded). Why it works: a planned end leaves a complete row even if no peer has a copy; a kill after a restore is covered by the peers.

--- a/lib/Node/BackendDepartures.cpp
+++ b/lib/Node/BackendDepartures.cpp
@@ -37,6 +37,7 @@
     if (!Shared.BackendsToPeers.trySend(OutboundDepartureCopy{
             std::move(Peer), DepartureCopy{Departures.departures()}}))
       logEvent(LogLevel::Warning, "backends", "departure-copy-dropped");
+  HasRecords = Departures.isComplete();
   answerDepartures();
   admitServers();
 }
--- a/lib/Node/BackendsThread.h
+++ b/lib/Node/BackendsThread.h
@@ -35,6 +35,9 @@
   /// Returns true if no attempt is queued or running. Safe to call from any
   /// thread.
   bool isIdle() const { return Idle; }
+  /// Returns true if all departures of backend servers are recorded outside of
+  /// the process. Safe to call from any thread.
+  bool hasRecordedDepartures() const { return HasRecords; }
 
 private:
   BackendsThread(const NodeSettings &Settings, SharedState &Shared);
@@ -165,6 +168,7 @@
   std::uint64_t ViewGeneration = 0;
   std::shared_ptr<const FleetView> View;
   std::atomic<bool> Idle{true};
+  std::atomic<bool> HasRecords{true};
   std::unique_ptr<BackendClient> Client;
   std::unique_ptr<HttpServer> Server;
 };
--- a/lib/Node/Node.cpp
+++ b/lib/Node/Node.cpp
@@ -20,6 +20,10 @@
 /// How long the responses to requests that were ended may take to be sent. It
 /// is part of the second that the settings reserve for the exit.
 constexpr Duration FlushTime = Duration(200);
+/// How long the end of a process that is drained may be delayed until the
+/// departures of its backend servers are recorded. In calm it takes
+/// milliseconds; without the platform's store, other nodes keep the departures.
+constexpr Duration RecordTime = Duration::seconds(1);
 /// How often the settings file is checked; it may change without a signal.
 constexpr Duration SettingsCheckInterval = Duration::seconds(1);
 
@@ -162,7 +166,8 @@
     bool IsIdle = Callers->isIdle() && Backends->isIdle();
     // Waits two check intervals after the grace time, so that requests accepted
     // at its very end are counted as in progress.
-    if (Elapsed > Settings.DrainGrace + DrainCheckInterval * 2 && IsIdle)
+    if (Elapsed > Settings.DrainGrace + DrainCheckInterval * 2 && IsIdle &&
+        hasRecordedDepartures())
       return finish(true);
     Duration Overtime = Elapsed - Settings.DrainGrace - Settings.DrainTimeout;
     if (Overtime.ms() > 0 && !HasEndedRequests) {
@@ -172,7 +177,28 @@
       Callers->endRequests();
     }
     if (Overtime > FlushTime)
-      finish(false);
+      finish(IsIdle);
+  }
+
+  /// Returns true once all departures are in the platform's store or RecordTime
+  /// is over. The store is checked first, because a restore may have lost some.
+  bool hasRecordedDepartures() {
+    if (DrainedAt == Time()) {
+      DrainedAt = SteadyTime.now();
+      Platform->checkStore();
+      return false;
+    }
+    // The notice of a restore may be on its way when the store is checked.
+    bool WasRecorded =
+        std::exchange(IsRecorded, Platform->isStoreChecked() &&
+                                      Backends->hasRecordedDepartures());
+    if (WasRecorded && IsRecorded)
+      return true;
+    if (SteadyTime.now() - DrainedAt <= RecordTime)
+      return false;
+    logEvent(LogLevel::Warning, "node", "departures-not-recorded",
+             {{"waited_ms", RecordTime.ms()}});
+    return true;
   }
 
   void finish(bool Done) {
@@ -189,6 +215,10 @@
   EventLoop MainLoop;
   SteadyClock SteadyTime;
   Time DrainStarted;
+  /// When all requests had ended after the drain.
+  Time DrainedAt;
+  /// Whether all departures were recorded at the last check.
+  bool IsRecorded = false;
   bool IsGraceful = false;
   /// The time for the drain was over while requests were in progress.
   bool HasEndedRequests = false;
--- a/lib/Node/PlatformThread.cpp
+++ b/lib/Node/PlatformThread.cpp
@@ -127,7 +127,8 @@
       std::clamp(Duration::seconds(static_cast<double>(Nodes) / FleetProbeRate),
                  MinProbeInterval, MaxProbeInterval);
   Loop.schedule(Interval * (1 - ProbeJitter * Random.uniform()), [this] {
-    probeDirectory();
+    if (!IsLeaving)
+      probeDirectory();
     scheduleProbe();
   });
 }
@@ -135,10 +136,14 @@
 void PlatformThread::probeDirectory() {
   // Calls of the store are limited and cost money. A store that names no
   // incarnation would not tell a restore either.
-  if (IsLeaving || isSuspended() || StoreIncarnation == 0)
+  if (isSuspended() || StoreIncarnation == 0)
     return;
   handleError([&]() -> Result<void> { return Directory->probe(SelfRecord); },
               [&](const Error &) { updateSuspension(false); });
+  sendNotices();
+}
+
+void PlatformThread::sendNotices() {
   updateStoreIncarnation();
   sendNotice(Shared.PlatformToCallers, IsCallersNoticeDue);
   sendNotice(Shared.PlatformToBackends, IsBackendsNoticeDue);
@@ -199,6 +204,15 @@
                    {{"error", E.Message}});
           return false;
         });
+    sendNotices();
+  });
+}
+
+void PlatformThread::checkStore() {
+  Loop.post([this] {
+    if (Directory)
+      probeDirectory();
+    IsStoreChecked = true;
   });
 }
 
--- a/lib/Node/PlatformThread.h
+++ b/lib/Node/PlatformThread.h
@@ -12,6 +12,7 @@
 #include "teaselhitch/Settings/NodeSettings.h"
 #include "teaselhitch/Support/Random.h"
 
+#include <atomic>
 #include <memory>
 #include <optional>
 #include <random>
@@ -29,6 +30,12 @@
   /// not on the thread of the caller.
   void leave();
 
+  /// Checks whether the store was restored from an older copy. The owners of
+  /// rows have been sent the notice of a restore when isStoreChecked() becomes
+  /// true.
+  void checkStore();
+  bool isStoreChecked() const { return IsStoreChecked; }
+
 private:
   PlatformThread(const NodeSettings &Settings, std::uint64_t Incarnation,
                  SharedState &Shared)
@@ -53,9 +60,10 @@
   /// copy. The other threads are then told before they get any reply from the
   /// restored store.
   void updateStoreIncarnation();
-  /// Checks regularly whether the store was restored, since a node without
-  /// changes makes no other calls.
+  /// Checks whether the store was restored, since a node without changes makes
+  /// no other calls.
   void probeDirectory();
+  void sendNotices();
   void scheduleProbe();
 
   /// Registers this node in the node directory and reads the addresses of the
@@ -85,6 +93,7 @@
   NodeRecord SelfRecord;
   bool IsRegistered = false;
   bool IsLeaving = false;
+  std::atomic<bool> IsStoreChecked{false};
   /// See TableStore::incarnation().
   std::uint64_t StoreIncarnation = 0;
   bool IsCallersNoticeDue = false;
--- a/unittests/Guard/DepartureRecordsTest.cpp
+++ b/unittests/Guard/DepartureRecordsTest.cpp
@@ -165,6 +165,7 @@
 class DepartureRecordsTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(DepartureRecordsTest);
   CPPUNIT_TEST(departureDuringOutageOutlivesKill);
+  CPPUNIT_TEST(restoredStoreForgetsNothing);
   CPPUNIT_TEST(departureWithoutRecordIsRefused);
   CPPUNIT_TEST(oneKindOfRecordSuffices);
   CPPUNIT_TEST(calmDepartureIsAcknowledgedAtOnce);
@@ -212,6 +213,38 @@
         }
   }
 
+  /// Guards against a departure that the store has lost in a restore and that
+  /// is forgotten when the node ends, before or after it has noticed the
+  /// restore.
+  void restoredStoreForgetsNothing() {
+    for (int Restores : {1, 2})
+      for (bool IsNoticed : {false, true}) {
+        Surroundings Around;
+        {
+          Process First(Around);
+          First.announce(5);
+          First.depart();
+          First.run(Duration::seconds(1));
+          CPPUNIT_ASSERT(First.Records.isComplete());
+          for (int I = 0; I != Restores; ++I) {
+            Around.loseStore();
+            if (!IsNoticed)
+              continue;
+            First.notice();
+            CPPUNIT_ASSERT(!First.Records.isComplete());
+            First.run(Duration::seconds(1));
+            CPPUNIT_ASSERT(First.Records.isComplete());
+          }
+        }
+        Process Next(Around);
+        Next.announce(6);
+        Next.run(Duration::seconds(4));
+        CPPUNIT_ASSERT(!Next.isUsed());
+        // The next process has written the row again.
+        CPPUNIT_ASSERT(Around.Store->read("departures", "n1").value());
+      }
+  }
+
   /// Guards against an acknowledgement of a departure that only the process
   /// knows: the store is away, and too few peers have a copy.
   void departureWithoutRecordIsRefused() {
--- a/unittests/RowStorePlatform/EndToEndTest.cpp
+++ b/unittests/RowStorePlatform/EndToEndTest.cpp
@@ -320,6 +320,7 @@
   CPPUNIT_TEST(subRequestsCountForTheirParent);
   CPPUNIT_TEST(rateHoldsOverBothNodes);
   CPPUNIT_TEST(rowsAreWrittenAgainAfterRestores);
+  CPPUNIT_TEST(stoppedNodeWritesLostDepartures);
   CPPUNIT_TEST(revocationReachesNodesWithoutStore);
   CPPUNIT_TEST_SUITE_END();
 
@@ -614,6 +615,34 @@
       CPPUNIT_ASSERT(Text.find(Key) == std::string::npos);
   }
 
+  /// Guards against a departure that stays lost because the node was stopped
+  /// right after one or two restores of the store, before it had noticed them.
+  void stoppedNodeWritesLostDepartures() {
+    for (int Restores : {1, 2}) {
+      PlatformFixture Platform;
+      Platform.publish("3");
+      Platform.saveCopy();
+      {
+        RunningFleet Fleet(Platform, 1);
+        const Endpoint &Listener = Fleet.Settings[0].BackendServers;
+        callUntil(200, Listener,
+                  {"POST",
+                   "/Instances.Heartbeat/i-1",
+                   {},
+                   announcement(Platform, 1)});
+        CPPUNIT_ASSERT_EQUAL(
+            200U,
+            callUntil(200, Listener, {"POST", "/Instances.Leave/i-1", {}, ""})
+                .Status);
+        CPPUNIT_ASSERT(Platform.awaitRow("departures", "n0"));
+        for (int I = 0; I != Restores; ++I)
+          Platform.restore();
+        CPPUNIT_ASSERT(!Platform.hasRow("departures", "n0"));
+      }
+      CPPUNIT_ASSERT(Platform.hasRow("departures", "n0"));
+    }
+  }
+
   /// Guards against rows of a node that stay lost after the store was
   /// restored from an older copy, though the node makes no other calls to the
   /// store, and against a configuration that reverts. A second node starts
--- a/unittests/Soak/departures.py
+++ b/unittests/Soak/departures.py
@@ -1,6 +1,6 @@
 #!/usr/bin/env python3
-"""Lets backend servers of real nodes depart around outages of the store and
-around the end of their node's process. Afterwards an announcement
+"""Lets backend servers of real nodes depart around outages and restores of the
+store and around the end of their node's process. Afterwards an announcement
 arrives that was sent before the departure. A departed run must get no request
 once its departure was acknowledged; a later run must. Exits with 1 otherwise."""
 
@@ -41,6 +41,9 @@
     name: str
     # "down", "silent" or "" while the backend server leaves.
     store: str = ""
+    # Whether the store goes back to a copy from before the departure, and how
+    # often.
+    restores: int = 0
     # Signals that end processes of the node, one after the other.
     ends: tuple = (signal.SIGKILL,)
     # Whether the departure is said by an announcement.
@@ -59,6 +62,8 @@
     Case("outage, all killed in turn", "down", ends_others=True),
     Case("silent store, kill twice", "silent",
          ends=(signal.SIGKILL, signal.SIGKILL)),
+    Case("restore, stop", restores=1, ends=(signal.SIGTERM,)),
+    Case("restore twice, kill", restores=2),
     Case("calm, announced, kill", is_announced=True),
 ]
 
@@ -170,10 +175,16 @@
         await asyncio.sleep(1)
         # Sent before the departure, and numbered accordingly.
         self.worker.sequence += 1
-        late = self.worker.announcement()
+        late, before = self.worker.announcement(), time.monotonic()
         self.set_store(case.store)
         await self.leave(case.is_announced)
         left = time.monotonic()
+        for _ in range(case.restores):
+            store.set_available(False)
+            await asyncio.sleep(0.2)
+            store.restore(time.monotonic() - before)
+            store.set_available(True)
+            await asyncio.sleep(0.1)
         if case.ends_others:
             for node in self.fleet.nodes[1:]:
                 await self.end_process(node, signal.SIGKILL)
