Join the departures of one backend server instead of keeping the first

What callers saw: a backend server left, started again under its name, and its node was stopped and started. Cause: departures of servers that a process had not heard of were kept by name, and the first one stayed. The departure of the earlier run, restored from the table, hid that of the later one, which was neither remembered nor saved, but acknowledged. Change: the guard keeps the highest departed incarnation per name, whatever its source, and joins each new departure with it. A departure of a later run than the announced one stops the announced one too. A full table drops its oldest departure instead of ignoring the new. GuardTests earlierDepartureHidesNoLaterOne, departureStopsEarlierIncarnation and manyDeparturesAreBounded fail on the commit before; lateDepartureIsKeptForNextProcess passes there already, since every departure is recorded. Why it works: a join never loses a departure, in whatever order messages, announcements and records arrive.

--- a/lib/Guard/ServerTable.cpp
+++ b/lib/Guard/ServerTable.cpp
@@ -138,6 +138,8 @@
   if (A.State == BackendServerState::Draining) {
     Change.Departed = A.Sequence != 0;
     Server.IsDeparting = A.Sequence != 0;
+    if (Change.Departed)
+      recordDeparture({A.Name, A.Incarnation}, Now);
   }
   Server.Sequence = A.Sequence;
   Server.Address = A.Address;
@@ -179,34 +181,43 @@
 
 DepartedServer ServerTable::depart(DepartedServer Departed, Time Now) {
   GuardedServer *Server = find(Departed.Name);
-  if (Server == nullptr ||
-      (Departed.Incarnation && *Departed.Incarnation > Server->Incarnation)) {
-    if (UnknownDepartures.size() < MaxServers)
-      UnknownDepartures.try_emplace(Departed.Name,
-                                    Departure{Departed.Incarnation, Now});
-    return Departed;
+  if (Server != nullptr && !Departed.Incarnation)
+    Departed.Incarnation = Server->Incarnation;
+  recordDeparture(Departed, Now);
+  // The address of an earlier incarnation belongs to the departed one now.
+  if (Server != nullptr && Server->Incarnation <= *Departed.Incarnation) {
+    Server->IsDeparting = true;
+    Server->IsHeld = false;
+    if (Server->Record.State != BackendServerState::Gone)
+      Server->Record.State = BackendServerState::Draining;
   }
-  bool IsEarlier =
-      Departed.Incarnation && *Departed.Incarnation < Server->Incarnation;
-  if (IsEarlier)
-    return Departed;
-  Server->IsDeparting = true;
-  Server->IsHeld = false;
-  if (Server->Record.State != BackendServerState::Gone)
-    Server->Record.State = BackendServerState::Draining;
-  Departed.Incarnation = Server->Incarnation;
   return Departed;
 }
 
+void ServerTable::recordDeparture(const DepartedServer &Departed, Time Now) {
+  if (Departures.size() >= MaxServers && Departures.count(Departed.Name) == 0)
+    Departures.erase(std::min_element(
+        Departures.begin(), Departures.end(), [](const auto &A, const auto &B) {
+          return A.second.KnownSince < B.second.KnownSince;
+        }));
+  Departure &Known = Departures[Departed.Name];
+  Known.KnownSince = Now;
+  if (Departed.Incarnation)
+    Known.Incarnation = std::max(Known.Incarnation, Departed.Incarnation);
+  else
+    Known.UnnamedAt = Now;
+}
+
 bool ServerTable::hasDeparted(const Announcement &A, Time Now) const {
-  auto It = UnknownDepartures.find(A.Name);
-  if (It == UnknownDepartures.end())
+  auto It = Departures.find(A.Name);
+  if (It == Departures.end())
     return false;
   const Departure &D = It->second;
+  if (D.Incarnation && A.Incarnation <= *D.Incarnation)
+    return true;
   // Without an incarnation, a late announcement cannot be told from one of a
   // new process.
-  return D.Incarnation ? A.Incarnation <= *D.Incarnation
-                       : Now - D.KnownSince <= LateAnnouncementLimit;
+  return D.UnnamedAt && Now - *D.UnnamedAt <= LateAnnouncementLimit;
 }
 
 void ServerTable::admit() {
@@ -227,7 +238,7 @@
 }
 
 std::vector<BackendServerName> ServerTable::tick(Time Now) {
-  std::erase_if(UnknownDepartures, [&](const auto &Entry) {
+  std::erase_if(Departures, [&](const auto &Entry) {
     return Now - Entry.second.KnownSince > GoneRetention;
   });
   std::vector<BackendServerName> SilentServers;
--- a/lib/Guard/ServerTable.h
+++ b/lib/Guard/ServerTable.h
@@ -135,19 +135,25 @@
   void beginSlowStart(GuardedServer &Server, Time Now);
   void updateWeight(GuardedServer &Server, Time Now);
   bool isRecentlyStarted(Time Now) const;
-  /// Returns true if the announcing process departed before it was known here.
+  void recordDeparture(const DepartedServer &Departed, Time Now);
+  /// Returns true if the announcing process has departed.
   bool hasDeparted(const Announcement &A, Time Now) const;
 
   const GuardSettings &Settings;
   bool HoldsServers;
   std::map<BackendServerName, GuardedServer> Servers;
   std::map<BackendServerName, BackendServerRecord> LastPublished;
+  /// The departures of one backend server, joined as in DepartureSet.
   struct Departure {
+    /// The highest departed incarnation.
     std::optional<std::uint64_t> Incarnation;
+    /// When a departure became known that named no incarnation, of a server
+    /// that was not known.
+    std::optional<Time> UnnamedAt;
+    /// When the latest departure became known.
     Time KnownSince;
   };
-  /// Departures of servers that were not known when they departed.
-  std::map<BackendServerName, Departure> UnknownDepartures;
+  std::map<BackendServerName, Departure> Departures;
   /// Sequence number of the last published record. It is shared by all servers,
   /// so that a removed server that returns still publishes a higher version.
   std::uint64_t Sequence = 0;
--- a/unittests/Guard/DepartureTest.cpp
+++ b/unittests/Guard/DepartureTest.cpp
@@ -63,6 +63,10 @@
   CPPUNIT_TEST(announcedDeparturesAreKept);
   CPPUNIT_TEST(unknownServersCanDepart);
   CPPUNIT_TEST(newIncarnationsAreUsed);
+  CPPUNIT_TEST(earlierDepartureHidesNoLaterOne);
+  CPPUNIT_TEST(departureStopsEarlierIncarnation);
+  CPPUNIT_TEST(lateDepartureIsKeptForNextProcess);
+  CPPUNIT_TEST(manyDeparturesAreBounded);
   CPPUNIT_TEST(lostAnswersAreRepeated);
   CPPUNIT_TEST(laterProcessesKeepEarlierDepartures);
   CPPUNIT_TEST(invalidRowsAreIgnored);
@@ -145,6 +149,83 @@
     CPPUNIT_ASSERT(Unnamed.runs(1));
   }
 
+  /// Guards against a restored departure of an earlier incarnation that hides
+  /// the departure of a later one, which has not announced itself to this
+  /// process. The late announcement arrives here or at the next process.
+  void earlierDepartureHidesNoLaterOne() {
+    for (bool IsNamed : {true, false}) {
+      MemoryTableStore Store;
+      Process First;
+      First.announce(numbered("w1", 5, 5));
+      First.depart("w1");
+      First.sync(Store);
+      {
+        Process Second;
+        Second.sync(Store);
+        Second.depart("w1",
+                      IsNamed ? std::optional<std::uint64_t>(6) : std::nullopt);
+        CPPUNIT_ASSERT(Second.isUnsaved());
+        Second.sync(Store);
+        Second.announce(numbered("w1", 9, 6));
+        CPPUNIT_ASSERT(!Second.runs(1));
+        // A departure that names no incarnation holds for 30 s.
+        Second.F.Now = Second.F.Now + Duration::seconds(31);
+        Second.announce(numbered("w1", 1, 7));
+        CPPUNIT_ASSERT(Second.runs(2));
+      }
+      Process Third;
+      Third.sync(Store);
+      Third.announce(numbered("w1", 9, 6));
+      CPPUNIT_ASSERT(!Third.runs(1));
+    }
+  }
+
+  /// Guards against requests to a departed process whose announcements have not
+  /// arrived, at the address that its predecessor of the same name announced.
+  void departureStopsEarlierIncarnation() {
+    Process P;
+    P.announce(numbered("w1", 5, 5));
+    CPPUNIT_ASSERT(P.runs(1));
+    P.F.finish(1);
+    P.depart("w1", 6);
+    CPPUNIT_ASSERT(!P.runs(2));
+    P.announce(numbered("w1", 6, 5));
+    CPPUNIT_ASSERT(!P.runs(3));
+    P.announce(numbered("w1", 1, 7));
+    CPPUNIT_ASSERT(P.runs(4));
+  }
+
+  /// Guards against a departure that arrives after a later process of the
+  /// backend server has announced itself, and that is then forgotten.
+  void lateDepartureIsKeptForNextProcess() {
+    MemoryTableStore Store;
+    Process First;
+    First.sync(Store);
+    First.announce(numbered("w1", 1, 6));
+    First.depart("w1", 5);
+    First.sync(Store);
+    CPPUNIT_ASSERT(First.runs(1));
+    Process Next;
+    Next.sync(Store);
+    Next.announce(numbered("w1", 9, 5));
+    CPPUNIT_ASSERT(!Next.runs(1));
+    Next.announce(numbered("w1", 2, 6));
+    CPPUNIT_ASSERT(Next.runs(2));
+  }
+
+  /// Guards against a full table of departures that ignores a new one.
+  void manyDeparturesAreBounded() {
+    Process P;
+    constexpr int Names = 300;
+    for (int I = 0; I != Names; ++I) {
+      P.F.Now = P.F.Now + Duration(1);
+      P.depart("x" + std::to_string(I), 5);
+    }
+    P.depart("w1", 5);
+    P.announce(numbered("w1", 6));
+    CPPUNIT_ASSERT(!P.runs(1));
+  }
+
   /// Guards against a departure that is never saved after an outage of the
   /// store or a lost answer to the write.
   void lostAnswersAreRepeated() {
--- a/unittests/Soak/departures.py
+++ b/unittests/Soak/departures.py
@@ -52,6 +52,8 @@
     ends_others: bool = False
     # Whether the store is away until the end.
     is_long: bool = True
+    # Whether the backend server has left before, under the same name.
+    has_left_before: bool = False
 
 
 CASES = [
@@ -64,6 +66,7 @@
          ends=(signal.SIGKILL, signal.SIGKILL)),
     Case("restore, stop", restores=1, ends=(signal.SIGTERM,)),
     Case("restore twice, kill", restores=2),
+    Case("left before, stop", has_left_before=True, ends=(signal.SIGTERM,)),
     Case("calm, announced, kill", is_announced=True),
 ]
 
@@ -172,6 +175,15 @@
         await self.fleet.start()
         load = asyncio.create_task(self.call())
         await self.await_runs("the first run", 10)
+        if case.has_left_before:
+            await self.leave()
+            await asyncio.sleep(0.5)
+            self.begin_run()
+            await self.await_runs("the second run", 5)
+            # The next process has not heard of the run when it departs.
+            self.worker.beats.cancel()
+            for number in case.ends:
+                started = await self.end_process(self.node, number)
         await asyncio.sleep(1)
         # Sent before the departure, and numbered accordingly.
         self.worker.sequence += 1
@@ -189,8 +201,9 @@
             for node in self.fleet.nodes[1:]:
                 await self.end_process(node, signal.SIGKILL)
                 await asyncio.sleep(TURN_S)
-        for number in case.ends:
-            started = await self.end_process(self.node, number)
+        if not case.has_left_before:
+            for number in case.ends:
+                started = await self.end_process(self.node, number)
         if not case.is_long:
             self.set_store("")
         for delay in LATE_S:
