Shorten the hold of backend servers when many nodes start at once

Cause: a process that starts publishes its servers as starting until it has read the departures. The choice of peers counted as settled 300 ms after its last change, and in a fleet that starts it changes with each node that appears; a chosen peer that had not started yet was awaited for 1 s. Change: the choice settles 100 ms after the first peer was chosen, and one kind of record suffices after 0.5 s. Evidence, x86-64: GuardTests startOfAllNodesHoldsShortly fails before; now 78 passed, and the 9 cases of Departures held.

--- a/include/teaselhitch/Guard/DepartureCopies.h
+++ b/include/teaselhitch/Guard/DepartureCopies.h
@@ -62,7 +62,8 @@
 
   NodeName Self;
   std::vector<Peer> Peers;
-  Time ChosenAt;
+  /// When the first peer was chosen; set if there has been one.
+  std::optional<Time> FirstChoiceAt;
   /// The nodes of the last view.
   std::shared_ptr<const std::map<NodeName, NodeRecord>> Nodes;
 };
--- a/lib/Guard/DepartureCopies.cpp
+++ b/lib/Guard/DepartureCopies.cpp
@@ -18,8 +18,9 @@
 /// Delay before a request is repeated that did not have its effect.
 constexpr Duration RetryInterval = Duration(300);
 /// A node that starts learns of one peer before it learns of all, so its first
-/// choices are provisional. The whole view arrives with the first anti-entropy.
-constexpr Duration SettleTime = Duration(300);
+/// choice is provisional. Later changes do not extend the time: when a whole
+/// fleet starts, the choice changes with each node that appears.
+constexpr Duration SettleTime = Duration(100);
 /// Announcements arrive seconds late at most.
 constexpr Duration Retention = Duration::seconds(600);
 /// Bounds the memory that a faulty peer can use. A node keeps the copies of
@@ -53,7 +54,6 @@
   if (!View.Nodes || View.Nodes == Nodes)
     return;
   Nodes = View.Nodes;
-  bool IsChanged = false;
   std::vector<Peer> Chosen = choose(View);
   for (Peer &Next : Chosen) {
     auto It = std::find_if(Peers.begin(), Peers.end(), [&](const Peer &P) {
@@ -61,12 +61,10 @@
     });
     if (It != Peers.end())
       Next = std::move(*It);
-    else
-      IsChanged = true;
   }
-  if (IsChanged)
-    ChosenAt = Now;
   Peers = std::move(Chosen);
+  if (!FirstChoiceAt && !Peers.empty())
+    FirstChoiceAt = Now;
 }
 
 std::vector<NodeName> DepartureCopies::tick(const DepartureSet &Departures,
@@ -104,7 +102,7 @@
 }
 
 bool DepartureCopies::haveAnswered(Time Now) const {
-  return !Peers.empty() && Now - ChosenAt >= SettleTime &&
+  return !Peers.empty() && Now - *FirstChoiceAt >= SettleTime &&
          std::all_of(Peers.begin(), Peers.end(),
                      [](const Peer &P) { return P.HasAnswered; });
 }
--- a/lib/Guard/DepartureRecords.cpp
+++ b/lib/Guard/DepartureRecords.cpp
@@ -11,7 +11,7 @@
 constexpr Duration MaxReplyDelay = Duration(900);
 /// How long a process that starts waits for the store if the peers have
 /// answered, or for the peers if the store has.
-constexpr Duration OtherSourceWait = Duration::seconds(1);
+constexpr Duration OtherSourceWait = Duration(500);
 /// Limit of the wait for both. A node that finds neither serves its own callers
 /// at least; the platform allows a restarted node this time.
 constexpr Duration MaxReadTime = Duration::seconds(3);
--- a/unittests/Guard/DepartureRecordsTest.cpp
+++ b/unittests/Guard/DepartureRecordsTest.cpp
@@ -171,6 +171,7 @@
   CPPUNIT_TEST(calmDepartureIsAcknowledgedAtOnce);
   CPPUNIT_TEST(laterRunIsUsedDuringOutage);
   CPPUNIT_TEST(lonelyNodeServes);
+  CPPUNIT_TEST(startOfAllNodesHoldsShortly);
   CPPUNIT_TEST(lateRecordsStillTakeEffect);
   CPPUNIT_TEST(copiesFollowThePeers);
   CPPUNIT_TEST(firstStartHoldsNothing);
@@ -342,6 +343,30 @@
     }
   }
 
+  /// Guards against a fleet that serves nobody for most of a second after all
+  /// nodes have lost power, because the choice of peers changes with each node
+  /// that appears, or because a chosen peer has not started yet.
+  void startOfAllNodesHoldsShortly() {
+    for (bool IsPeerAway : {false, true}) {
+      Surroundings Around(0);
+      Process P(Around);
+      P.announce(5);
+      constexpr int Nodes = 20;
+      for (int I = 0; I != Nodes; ++I) {
+        NodeName Peer("p" + std::to_string(I));
+        Around.Peers.try_emplace(Peer);
+        if (IsPeerAway)
+          Around.Unreachable.insert(Peer);
+        P.Records.updateView(Around.view(), Around.Now);
+        P.run(Step);
+        if (I == Nodes / 2)
+          CPPUNIT_ASSERT(P.isUsed() != IsPeerAway);
+      }
+      P.run(Duration(500) - Step * Nodes + Step);
+      CPPUNIT_ASSERT(P.isUsed());
+    }
+  }
+
   /// Guards against a record that is ignored because it was read after the
   /// process had begun to use the backend server.
   void lateRecordsStillTakeEffect() {
