Share the configuration of the tests with real nodes

Cause: departures.py had a copy of the function of stop.py that makes the configuration of a fleet. Change: the function stands in fleet.py; host, deadline and attempts are parameters with the same values.

--- a/unittests/Soak/departures.py
+++ b/unittests/Soak/departures.py
@@ -14,7 +14,8 @@
 import time
 from dataclasses import dataclass
 
-from fleet import HEARTBEAT_S, PORTS, ROOT, Fleet, message, read_message
+from fleet import (HEARTBEAT_S, PORTS, ROOT, Fleet, configuration, message,
+                   read_message)
 
 HOST = "departures.example"
 TIMEOUT_MS = 2000
@@ -171,7 +172,8 @@
 
     async def run(self):
         store, case, started = self.fleet.store, self.case, 0
-        store.put("op", "config", configuration(self.fleet.services))
+        store.put("op", "config", configuration(
+            self.fleet.services, HOST, TIMEOUT_MS, attempts=2))
         await self.fleet.start()
         load = asyncio.create_task(self.call())
         await self.await_runs("the first run", 10)
@@ -225,20 +227,6 @@
         self.set_store("")
 
 
-def configuration(services):
-    rules = [{"Name": s, "Kind": "unsafe", "SloMs": TIMEOUT_MS, "Priority": 1,
-              "Match": {"Prefix": f"/{s}/"},
-              "Action": {"Service": s, "TimeoutMs": TIMEOUT_MS, "Attempts": 2}}
-             for s in services]
-    return json.dumps({
-        "Version": "r1",
-        "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 1 << 20,
-                   "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
-        "Listeners": [{"Host": HOST, "Rules": rules}],
-        "Clusters": [{"Name": s, "HealthPath": "/health", "MaxConns": 330}
-                     for s in services]}).encode()
-
-
 async def play(case, folder, network):
     """Runs one case and returns what failed."""
     fleet = Fleet(folder, [os.path.join(ROOT, sys.argv[1]), "node"], BOUNDS, 3,
--- a/unittests/Soak/fleet.py
+++ b/unittests/Soak/fleet.py
@@ -288,6 +288,21 @@
             b" " * int(headers.get("soak-bytes", 0))))
 
 
+def configuration(services, host, timeout_ms, attempts):
+    """Routes the path prefix /NAME/ of `host` to each service, as unsafe requests."""
+    rules = [{"Name": s, "Kind": "unsafe", "SloMs": timeout_ms, "Priority": 1,
+              "Match": {"Prefix": f"/{s}/"},
+              "Action": {"Service": s, "TimeoutMs": timeout_ms, "Attempts": attempts}}
+             for s in services]
+    return json.dumps({
+        "Version": "r1",
+        "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 1 << 20,
+                   "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
+        "Listeners": [{"Host": host, "Rules": rules}],
+        "Clusters": [{"Name": s, "HealthPath": "/health", "MaxConns": 330}
+                     for s in services]}).encode()
+
+
 def render(template, fields):
     """Fills in a template: `{{a}}` and sections `{{#a}}..{{/a}}`."""
     text = re.sub(r"\{\{#([\w.]+)\}\}(.*?)\{\{/\1\}\}",
--- a/unittests/Soak/stop.py
+++ b/unittests/Soak/stop.py
@@ -4,7 +4,6 @@
 and that each caller gets an honest result. Exits with 1 otherwise."""
 
 import asyncio
-import json
 import os
 import shutil
 import signal
@@ -13,7 +12,8 @@
 import tempfile
 import time
 
-from fleet import PORTS, ROOT, SLOTS, Fleet, message, read_message
+from fleet import (PORTS, ROOT, SLOTS, Fleet, configuration, message,
+                   read_message)
 
 HOST = "stop.example"
 # Deadline of the requests, and how long the backend servers take.
@@ -28,20 +28,6 @@
           "RetrySlack": 58}
 
 
-def configuration(services):
-    rules = [{"Name": s, "Kind": "unsafe", "SloMs": TIMEOUT_MS, "Priority": 1,
-              "Match": {"Prefix": f"/{s}/"},
-              "Action": {"Service": s, "TimeoutMs": TIMEOUT_MS, "Attempts": 3}}
-             for s in services]
-    return json.dumps({
-        "Version": "r1",
-        "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 1 << 20,
-                   "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
-        "Listeners": [{"Host": HOST, "Rules": rules}],
-        "Clusters": [{"Name": s, "HealthPath": "/health", "MaxConns": 330}
-                     for s in services]}).encode()
-
-
 class Stop:
     def __init__(self, fleet):
         self.fleet, self.runs, self.results = fleet, set(), {}
@@ -68,7 +54,8 @@
 
     async def run(self, is_store_silent):
         first, second = self.fleet.nodes
-        self.fleet.store.put("op", "config", configuration(self.fleet.services))
+        self.fleet.store.put("op", "config", configuration(
+            self.fleet.services, HOST, TIMEOUT_MS, attempts=3))
         await self.fleet.start()
         await asyncio.sleep(4)
         for attempt in range(50):
